Lay down the four layers, the core types and the log's record format

Cause: the system needs one agreed shape before any part is built: who may start a job, what a log record holds, and how tasks talk.

Ruled out: rendezvous ownership of racks (a split view cannot pack a gang over several racks, and two owners on disjoint workers start one job twice) and log order for every proposal (nothing starts without the log).

Dropping repeated log records by sequence number was ruled out as well: a reader that starts between a record and its late duplicate would apply what the others drop. State machines therefore apply a repeated record without effect.

The libcurl client can force a fresh connection, because libcurl sends a request again when a reused connection turns out to be closed.

--- /dev/null
+++ b/cli/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/coordination/RequestMessage.h
@@ -0,0 +1,81 @@
+/// @file
+/// Mailbox message of RequestTask.
+#pragma once
+
+#include "state/Configuration.h"
+#include "state/Identifier.h"
+#include "state/InstanceInfo.h"
+#include "state/RequestOutcome.h"
+#include "state/StreamBatch.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+struct RequestMessage {
+    /// Request of a caller to a service.
+    struct ServiceRequest {
+        state::RequestId id;
+        state::ServiceId service;
+        state::AccountId account;
+        /// Empty if the caller gave none.
+        std::string idempotencyKey;
+        bool nonRepeatable = false;
+        /// Time that the caller still waits, counted from when the request was read.
+        std::chrono::milliseconds timeout { 30'000 };
+        std::string contentType;
+        std::string body;
+    };
+
+    /// Answer to its caller.
+    struct ServiceAnswer {
+        state::RequestOutcome outcome = state::RequestOutcome::Unknown;
+        int status = 200;
+        std::string contentType;
+        std::string body;
+        /// Machine-readable reason if the outcome is not Done, such as `queue_full`.
+        std::string reason;
+        /// Hint for a refused caller; 0 if there is none.
+        std::chrono::seconds retryAfter { 0 };
+    };
+
+    struct Submit {
+        ServiceRequest request;
+        std::function<void(ServiceAnswer)> reply;
+    };
+    struct Configure {
+        std::shared_ptr<const state::Configuration> configuration;
+        bool ready = false;
+    };
+    /// The instance list changed; it lags and is a hint only.
+    struct Instances {
+        std::vector<state::InstanceInfo> instances;
+    };
+    struct LogBatch {
+        state::ServiceId service;
+        state::StreamBatch batch;
+    };
+    struct LogReachability {
+        bool reachable = false;
+    };
+    /// Refuses new requests and calls back when the last one in hand is answered.
+    struct Drain {
+        std::function<void()> onDrained;
+    };
+
+    /// Result of an append, posted by the task to itself.
+    struct ClaimAppended {
+        state::RequestId request;
+        bool certainlyNotAppended = false;
+    };
+
+    using Body = std::variant<Submit, Configure, Instances, LogBatch, LogReachability, Drain, ClaimAppended>;
+    Body body;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/state/Configuration.cpp
@@ -0,0 +1,76 @@
+#include "state/Configuration.h"
+
+#include "state/StateError.h"
+
+#include <string>
+
+namespace lentilsaddle::state {
+
+namespace {
+
+    constexpr int maximumWeight = 1000;
+    constexpr int maximumShape = 512;
+    constexpr int acceleratorsPerWorkerLimit = 8;
+
+    void requireRange(const std::string& field, int value, int low, int high)
+    {
+        if (value < low || value > high)
+            throw StateError(field,
+                "must be " + std::to_string(low) + " to " + std::to_string(high) + ", got " + std::to_string(value));
+    }
+
+    void validateGuarantee(const Configuration& configuration, const std::string& field, const Guarantee& guarantee)
+    {
+        requireRange(field + ".accelerators", guarantee.accelerators, 1, maximumShape);
+        requireRange(field + ".count", guarantee.count, 1, maximumShape);
+        auto dataCentre = configuration.dataCentres.find(guarantee.dataCentre);
+        if (dataCentre == configuration.dataCentres.end())
+            throw StateError(field + ".data_centre", "unknown data centre '" + guarantee.dataCentre.value() + "'");
+        if (guarantee.adjacency == Adjacency::Worker)
+            requireRange(field + ".accelerators", guarantee.accelerators, 1, acceleratorsPerWorkerLimit);
+        int perRack = dataCentre->second.acceleratorsPerRack;
+        if (guarantee.adjacency == Adjacency::Rack && perRack > 0)
+            requireRange(field + ".accelerators", guarantee.accelerators, 1, perRack);
+    }
+
+    void validateAccounts(const Configuration& configuration)
+    {
+        std::map<DataCentreId, long> promised;
+        for (const auto& [id, account] : configuration.accounts) {
+            std::string field = "accounts." + id.value();
+            requireRange(field + ".weight", account.weight, 1, maximumWeight);
+            for (std::size_t i = 0; i < account.guarantees.size(); ++i) {
+                const Guarantee& guarantee = account.guarantees[i];
+                std::string guaranteeField = field + ".guarantees[" + std::to_string(i) + "]";
+                validateGuarantee(configuration, guaranteeField, guarantee);
+                long& total = promised[guarantee.dataCentre];
+                total += static_cast<long>(guarantee.accelerators) * guarantee.count;
+                int installed = configuration.dataCentres.at(guarantee.dataCentre).accelerators;
+                if (installed > 0 && total > installed)
+                    throw StateError(guaranteeField,
+                        "guarantees promise " + std::to_string(total) + " accelerators in '"
+                            + guarantee.dataCentre.value() + "', which has " + std::to_string(installed));
+            }
+        }
+    }
+
+} // namespace
+
+void validate(const Configuration& configuration)
+{
+    for (const auto& [id, profile] : configuration.dataCentres) {
+        std::string field = "data_centres." + id.value();
+        if (!(profile.completionWeight >= 0 && profile.completionWeight <= 1))
+            throw StateError(field + ".completion_weight", "must be 0 to 1");
+        requireRange(field + ".accelerators", profile.accelerators, 0, 1'000'000);
+        requireRange(field + ".accelerators_per_rack", profile.acceleratorsPerRack, 0, 1'000'000);
+    }
+    for (const auto& [id, service] : configuration.services) {
+        std::string field = "services." + id.value();
+        requireRange(field + ".slots_per_server", service.slotsPerServer, 1, 1024);
+        requireRange(field + ".connections_per_server", service.connectionsPerServer, 1, 65536);
+    }
+    validateAccounts(configuration);
+}
+
+} // namespace lentilsaddle::state
--- /dev/null
+++ b/state/Origin.h
@@ -0,0 +1,22 @@
+/// @file
+/// Identity of a log record across repeated appends.
+#pragma once
+
+#include "state/Identifier.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace lentilsaddle::state {
+
+struct Origin {
+    InstanceId instance;
+    /// Random number drawn when the process started; tells a restarted instance from its predecessor.
+    std::uint64_t incarnation = 0;
+    /// Counts the records of one incarnation, from 1.
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const Origin&) const = default;
+};
+
+} // namespace lentilsaddle::state
--- /dev/null
+++ b/state/PlacementState.h
@@ -0,0 +1,62 @@
+/// @file
+/// Which job holds which accelerator of one data centre.
+#pragma once
+
+#include "state/Configuration.h"
+#include "state/Identifier.h"
+#include "state/TaskPlacement.h"
+#include "state/Worker.h"
+
+#include <map>
+#include <vector>
+
+namespace lentilsaddle::state {
+
+/// Occupancy of a data centre's accelerators, with the guarantees that bind it.
+class PlacementState {
+public:
+    /// Job that occupies accelerators.
+    struct Occupant {
+        AccountId account;
+        std::vector<TaskPlacement> placements;
+    };
+    struct WorkerSlots {
+        Worker worker;
+        /// False while the worker is quarantined or unreachable; its accelerators then count as occupied.
+        bool available = true;
+        /// Occupant of each accelerator; an empty identifier means free.
+        std::vector<JobId> occupants;
+    };
+
+    /// Replaces the list of workers. Occupancy of workers that stay is kept.
+    void setWorkers(const std::vector<Worker>& workers);
+
+    /// Takes over the accounts' guarantees in one data centre.
+    void setGuarantees(const Configuration& configuration, const DataCentreId& dataCentre);
+
+    void setAvailable(const WorkerId& worker, bool available);
+
+    /// Occupies accelerators for a job.
+    /// @throws StateError if a worker is unknown or an accelerator is not free.
+    void occupy(const JobId& job, const AccountId& account, const std::vector<TaskPlacement>& placements);
+
+    /// Frees all accelerators of a job; an unknown job is ignored.
+    void release(const JobId& job);
+
+    const std::map<WorkerId, WorkerSlots>& workers() const { return m_workers; }
+    const std::map<JobId, Occupant>& occupants() const { return m_occupants; }
+    const std::map<AccountId, std::vector<Guarantee>>& guarantees() const { return m_guarantees; }
+
+    /// @return accelerators of all workers.
+    int accelerators() const;
+
+    /// @return accelerators that are free on available workers.
+    int freeAccelerators() const;
+
+private:
+    std::map<WorkerId, WorkerSlots> m_workers;
+    std::map<JobId, Occupant> m_occupants;
+    std::map<AccountId, std::vector<Guarantee>> m_guarantees;
+};
+
+} // namespace lentilsaddle::state
--- /dev/null
+++ b/state/Record.h
@@ -0,0 +1,118 @@
+/// @file
+/// Record of a log stream, independent of its encoding.
+#pragma once
+
+#include "state/Configuration.h"
+#include "state/FencingToken.h"
+#include "state/JobSpecification.h"
+#include "state/KeyDigest.h"
+#include "state/Origin.h"
+#include "state/RequestOutcome.h"
+#include "state/TaskPlacement.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lentilsaddle::state {
+
+using LogOffset = std::uint64_t;
+
+/// One record with its origin. A record may stand in a stream more than once, because an append whose answer was lost
+/// is sent again; every state machine applies a repeated record without effect.
+struct Record {
+    struct ConfigurationPatch {
+        PatchId id;
+        ConfigurationVersion base = 0;
+        /// JSON Merge Patch, RFC 7396.
+        std::string mergePatch;
+    };
+    struct PatchOutcome {
+        PatchId id;
+        bool accepted = false;
+        /// Version that the patch produced, or the version that it was rejected at.
+        ConfigurationVersion version = 0;
+        std::string reason;
+    };
+    struct ConfigurationSnapshot {
+        ConfigurationVersion version = 0;
+        std::string document;
+        std::vector<PatchOutcome> outcomes;
+        /// The snapshot replaces all records below this offset.
+        LogOffset nextOffset = 0;
+    };
+    struct JobSubmitted {
+        JobSpecification specification;
+    };
+    struct SchedulerClaim {
+        std::uint64_t epoch = 0;
+    };
+    struct StartClaim {
+        JobId job;
+        int attempt = 0;
+        FencingToken token;
+        std::vector<TaskPlacement> placements;
+    };
+    struct AttemptEnded {
+        JobId job;
+        int attempt = 0;
+        /// succeeded, failed, preempted, released or unknown.
+        std::string outcome;
+        std::string reason;
+    };
+    struct JobEnded {
+        JobId job;
+        /// done, failed, cancelled, refused or unknown.
+        std::string outcome;
+        std::string reason;
+    };
+    struct JobCancelled {
+        JobId job;
+    };
+    struct JobSnapshotEntry {
+        JobSpecification specification;
+        int attempts = 0;
+        int failures = 0;
+        std::optional<StartClaim> claim;
+        std::string state;
+        std::string reason;
+    };
+    struct JobSnapshot {
+        std::uint64_t epoch = 0;
+        InstanceId scheduler;
+        std::uint64_t schedulerIncarnation = 0;
+        std::vector<JobSnapshotEntry> jobs;
+        LogOffset nextOffset = 0;
+    };
+    struct RequestClaim {
+        KeyDigest key;
+        RequestId request;
+    };
+    struct RequestEnded {
+        KeyDigest key;
+        RequestOutcome outcome = RequestOutcome::Unknown;
+        /// HTTP status of the backend server's answer if the outcome is Done.
+        int status = 0;
+    };
+    struct RequestSnapshotEntry {
+        KeyDigest key;
+        Origin issuer;
+        std::optional<RequestEnded> ended;
+        std::chrono::seconds age { 0 };
+    };
+    struct RequestSnapshot {
+        std::vector<RequestSnapshotEntry> entries;
+        LogOffset nextOffset = 0;
+    };
+
+    using Body = std::variant<ConfigurationPatch, ConfigurationSnapshot, JobSubmitted, SchedulerClaim, StartClaim,
+        AttemptEnded, JobEnded, JobCancelled, JobSnapshot, RequestClaim, RequestEnded, RequestSnapshot>;
+
+    Origin origin;
+    Body body;
+};
+
+} // namespace lentilsaddle::state
--- /dev/null
+++ b/tests/protocol/RecordCodecTest.cpp
@@ -0,0 +1,37 @@
+#include "protocol/RecordCodec.h"
+
+#include "protocol/ProtocolError.h"
+#include "state/Record.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::protocol {
+
+using state::Record;
+
+TEST(RecordCodec, StartClaimSurvivesARoundTrip)
+{
+    Record record {
+        .origin = { .instance = state::InstanceId("e1"), .incarnation = 0xffff'ffff'ffff'ffff, .sequence = 7 },
+        .body = Record::StartClaim {
+            .job = state::JobId("j"),
+            .attempt = 2,
+            .token = { .epoch = 3, .sequence = 4 },
+            .placements = { { .worker = state::WorkerId("w"), .accelerators = { 0, 7 } } },
+        },
+    };
+    Record decoded = decodeRecord(encodeRecord(record));
+    EXPECT_EQ(decoded.origin, record.origin);
+    const auto& claim = std::get<Record::StartClaim>(decoded.body);
+    EXPECT_EQ(claim.token, (state::FencingToken { .epoch = 3, .sequence = 4 }));
+    EXPECT_EQ(claim.placements, std::get<Record::StartClaim>(record.body).placements);
+}
+
+// Guards against a foreign or damaged record in a stream being applied as if it were ours.
+TEST(RecordCodec, UnreadableBytesAreAnError)
+{
+    EXPECT_THROW(decodeRecord("no record"), ProtocolError);
+    EXPECT_THROW(decodeRecord(""), ProtocolError);
+}
+
+} // namespace lentilsaddle::protocol
--- /dev/null
+++ b/transport/HttpClient.cpp
@@ -0,0 +1,239 @@
+#include "transport/HttpClient.h"
+
+#include "transport/EventLoop.h"
+#include "transport/TransportError.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <mutex>
+#include <unordered_map>
+
+namespace lentilsaddle::transport {
+
+namespace {
+
+    struct Call {
+        HttpClient::CallId id = 0;
+        CURL* easy = nullptr;
+        curl_slist* headers = nullptr;
+        std::string body;
+        HttpResponse response;
+        HttpClient::Callback callback;
+
+        Call() = default;
+        Call(const Call&) = delete;
+        Call& operator=(const Call&) = delete;
+        ~Call()
+        {
+            curl_slist_free_all(headers);
+            curl_easy_cleanup(easy);
+        }
+    };
+
+    std::size_t onBody(char* data, std::size_t size, std::size_t count, void* context)
+    {
+        static_cast<Call*>(context)->response.body.append(data, size * count);
+        return size * count;
+    }
+
+    std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* context)
+    {
+        std::string line(data, size * count);
+        auto colon = line.find(':');
+        if (colon == std::string::npos)
+            return size * count;
+        std::string name = line.substr(0, colon);
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        auto first = line.find_first_not_of(" \t", colon + 1);
+        auto last = line.find_last_not_of(" \t\r\n");
+        static_cast<Call*>(context)->response.headers[name]
+            = first == std::string::npos || first > last ? "" : line.substr(first, last - first + 1);
+        return size * count;
+    }
+
+    std::string headerLine(const std::string& name, const std::string& value)
+    {
+        std::string line = name;
+        line += ": ";
+        line += value;
+        return line;
+    }
+
+    void initialiseLibrary()
+    {
+        static std::once_flag once;
+        std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+    }
+
+    HttpResult toResult(Call& call, CURLcode code)
+    {
+        HttpResult result;
+        if (code == CURLE_OK) {
+            long status = 0;
+            curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
+            call.response.status = static_cast<int>(status);
+            result.response = std::move(call.response);
+            return result;
+        }
+        long requestBytes = 0;
+        curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        result.failure = requestBytes > 0 ? HttpFailure::AnswerLost : HttpFailure::NotSent;
+        result.error = curl_easy_strerror(code);
+        result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
+        return result;
+    }
+
+} // namespace
+
+struct HttpClient::Implementation {
+    explicit Implementation(EventLoop& eventLoop)
+        : loop(eventLoop)
+    {
+    }
+
+    EventLoop& loop;
+    CURLM* multi = nullptr;
+    EventLoop::TimerId timer = 0;
+    CallId nextCall = 1;
+    std::unordered_map<CallId, std::unique_ptr<Call>> calls;
+
+    static int onSocket(CURL*, curl_socket_t descriptor, int action, void* context, void*);
+    static int onTimer(CURLM*, long milliseconds, void* context);
+    void act(curl_socket_t descriptor, int events);
+    void finishCalls();
+};
+
+int HttpClient::Implementation::onSocket(CURL*, curl_socket_t descriptor, int action, void* context, void*)
+{
+    auto* self = static_cast<Implementation*>(context);
+    if (action == CURL_POLL_REMOVE) {
+        self->loop.unwatchDescriptor(descriptor);
+        return 0;
+    }
+    bool read = action == CURL_POLL_IN || action == CURL_POLL_INOUT;
+    bool write = action == CURL_POLL_OUT || action == CURL_POLL_INOUT;
+    self->loop.watchDescriptor(descriptor, read, write, [self, descriptor](bool readable, bool writable) {
+        self->act(descriptor, (readable ? CURL_CSELECT_IN : 0) | (writable ? CURL_CSELECT_OUT : 0));
+    });
+    return 0;
+}
+
+int HttpClient::Implementation::onTimer(CURLM*, long milliseconds, void* context)
+{
+    auto* self = static_cast<Implementation*>(context);
+    self->loop.cancelTimer(self->timer);
+    self->timer = 0;
+    if (milliseconds >= 0)
+        self->timer = self->loop.startTimer(
+            std::chrono::milliseconds(milliseconds), [self] { self->act(CURL_SOCKET_TIMEOUT, 0); });
+    return 0;
+}
+
+void HttpClient::Implementation::act(curl_socket_t descriptor, int events)
+{
+    int running = 0;
+    curl_multi_socket_action(multi, descriptor, events, &running);
+    finishCalls();
+}
+
+void HttpClient::Implementation::finishCalls()
+{
+    int remaining = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi, &remaining)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        CURL* easy = message->easy_handle;
+        CURLcode code = message->data.result;
+        void* context = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &context);
+        curl_multi_remove_handle(multi, easy);
+        auto node = calls.extract(static_cast<Call*>(context)->id);
+        std::unique_ptr<Call> call = std::move(node.mapped());
+        HttpResult result = toResult(*call, code);
+        call->callback(std::move(result));
+    }
+}
+
+HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
+    : m_implementation(std::make_unique<Implementation>(loop))
+{
+    initialiseLibrary();
+    Implementation& self = *m_implementation;
+    self.multi = curl_multi_init();
+    if (!self.multi)
+        throw TransportError("cannot create a libcurl multi handle");
+    curl_multi_setopt(self.multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+    curl_multi_setopt(self.multi, CURLMOPT_SOCKETDATA, &self);
+    curl_multi_setopt(self.multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+    curl_multi_setopt(self.multi, CURLMOPT_TIMERDATA, &self);
+    curl_multi_setopt(self.multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(options.maximumConnectionsPerHost));
+    curl_multi_setopt(self.multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, static_cast<long>(options.maximumConnections));
+}
+
+HttpClient::~HttpClient()
+{
+    Implementation& self = *m_implementation;
+    for (auto& [id, call] : self.calls)
+        curl_multi_remove_handle(self.multi, call->easy);
+    self.calls.clear();
+    curl_multi_cleanup(self.multi);
+    self.loop.cancelTimer(self.timer);
+}
+
+HttpClient::CallId HttpClient::send(const HttpCall& call, Callback callback)
+{
+    Implementation& self = *m_implementation;
+    auto entry = std::make_unique<Call>();
+    entry->id = self.nextCall++;
+    entry->body = call.body;
+    entry->callback = std::move(callback);
+    entry->easy = curl_easy_init();
+    CURL* easy = entry->easy;
+    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, entry.get());
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, entry.get());
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, entry.get());
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, call.timeout.count())));
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    if (call.freshConnection) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (call.method != "GET" || !call.body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(entry->body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, entry->body.c_str());
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    }
+    // An empty Expect header stops libcurl from waiting for "100 Continue" before a larger body.
+    entry->headers = curl_slist_append(nullptr, "Expect:");
+    for (const auto& [name, value] : call.headers)
+        entry->headers = curl_slist_append(entry->headers, headerLine(name, value).c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, entry->headers);
+    CallId id = entry->id;
+    self.calls.emplace(id, std::move(entry));
+    curl_multi_add_handle(self.multi, easy);
+    return id;
+}
+
+void HttpClient::cancel(CallId call)
+{
+    auto found = m_implementation->calls.find(call);
+    if (found == m_implementation->calls.end())
+        return;
+    curl_multi_remove_handle(m_implementation->multi, found->second->easy);
+    m_implementation->calls.erase(found);
+}
+
+std::size_t HttpClient::callsInFlight() const
+{
+    return m_implementation->calls.size();
+}
+
+} // namespace lentilsaddle::transport
--- /dev/null
+++ b/transport/HttpServer.h
@@ -0,0 +1,55 @@
+/// @file
+/// HTTP/1.1 server on libmicrohttpd, driven by an event loop.
+#pragma once
+
+#include "transport/HttpMessage.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lentilsaddle::transport {
+
+class EventLoop;
+
+/// Sends the response of one request. Must be called once, on the loop's thread.
+using HttpResponder = std::function<void(HttpResponse)>;
+
+/// Handles one complete request on the loop's thread; the response may follow later.
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+struct HttpServerOptions {
+    /// IPv4 address to listen on.
+    std::string address = "127.0.0.1";
+    /// 0 picks a free port.
+    std::uint16_t port = 0;
+    /// Larger bodies are answered with 413.
+    std::size_t maximumBodyBytes = 1 << 20;
+    unsigned connectionLimit = 4096;
+};
+
+/// HTTP server. All calls belong to the loop's thread.
+class HttpServer {
+public:
+    /// @throws TransportError if the address cannot be bound.
+    HttpServer(EventLoop& loop, const HttpServerOptions& options, HttpHandler handler);
+
+    /// Closes all connections; requests without a response are dropped.
+    ~HttpServer();
+
+    std::uint16_t port() const;
+
+    /// Closes the listening socket; open connections go on.
+    void stopListening();
+
+    /// @return requests handed to the handler whose response has not been sent completely.
+    std::size_t pendingRequests() const;
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace lentilsaddle::transport
--- /dev/null
+++ b/transport/Logger.cpp
@@ -0,0 +1,74 @@
+#include "transport/Logger.h"
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace lentilsaddle::transport {
+
+namespace {
+
+    LogLevel minimumLogLevel = LogLevel::Info;
+
+    void appendQuoted(std::string& line, std::string_view value)
+    {
+        bool plain = !value.empty() && value.find_first_of(" \"=\n\t\\") == std::string_view::npos;
+        if (plain) {
+            line.append(value);
+            return;
+        }
+        line.push_back('"');
+        for (char c : value) {
+            if (c == '"' || c == '\\')
+                line.push_back('\\');
+            line.push_back(c == '\n' ? ' ' : c);
+        }
+        line.push_back('"');
+    }
+
+} // namespace
+
+void configureLogging(const std::string& instance, LogLevel minimumLevel)
+{
+    minimumLogLevel = minimumLevel;
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    // ELPP_CUSTOM_COUT sends the "standard output" of easylogging++ to standard error.
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    std::string format = "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level instance=" + instance + " %msg";
+    configuration.setGlobally(el::ConfigurationType::Format, format);
+    el::Loggers::reconfigureAllLoggers(configuration);
+    el::Loggers::setDefaultConfigurations(configuration, true);
+}
+
+void writeLog(
+    LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
+{
+    if (level < minimumLogLevel)
+        return;
+    std::string line = "component=" + std::string(component) + " message=";
+    appendQuoted(line, message);
+    for (const LogField& field : fields) {
+        line.push_back(' ');
+        line.append(field.key);
+        line.push_back('=');
+        appendQuoted(line, field.value);
+    }
+    switch (level) {
+    case LogLevel::Debug:
+        LOG(DEBUG) << line;
+        break;
+    case LogLevel::Info:
+        LOG(INFO) << line;
+        break;
+    case LogLevel::Warning:
+        LOG(WARNING) << line;
+        break;
+    case LogLevel::Error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+} // namespace lentilsaddle::transport
--- /dev/null
+++ b/transport/Logger.h
@@ -0,0 +1,31 @@
+/// @file
+/// Structured logs on standard error.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace lentilsaddle::transport {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+struct LogField {
+    std::string_view key;
+    std::string value;
+};
+
+/// Sets the minimum level and the instance name shown in each line. Call once before the first thread starts.
+void configureLogging(const std::string& instance, LogLevel minimumLevel);
+
+/// Writes one line of `key=value` pairs: time, level, instance, component, message, then the fields.
+/// @param component name of the task or program that logs.
+void writeLog(
+    LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
+
+} // namespace lentilsaddle::transport
--- /dev/null
+++ b/transport/Metrics.h
@@ -0,0 +1,34 @@
+/// @file
+/// Metrics on the prometheus-cpp core registry.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lentilsaddle::transport {
+
+using MetricLabels = std::map<std::string, std::string>;
+
+/// Registry of one process. Thread-safe; tasks share it because it holds no state that a decision reads.
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+
+    /// Adds to a counter, creating it on first use.
+    /// @param name metric name, ending in `_total`.
+    void increment(const std::string& name, const MetricLabels& labels = {}, double value = 1);
+
+    /// Sets a gauge, creating it on first use.
+    void setGauge(const std::string& name, double value, const MetricLabels& labels = {});
+
+    /// @return all metrics in the Prometheus text format.
+    std::string render() const;
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lentilsaddle::transport
--- /dev/null
+++ b/transport/Task.h
@@ -0,0 +1,88 @@
+/// @file
+/// Thread that owns its loop, sockets and state, and is reached by messages only.
+#pragma once
+
+#include "transport/EventLoop.h"
+
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace lentilsaddle::transport {
+
+/// Base of all tasks.
+///
+/// A derived class creates its sockets in onStart() and closes them in onStop(), both on the task's thread, and must
+/// call stop() in its destructor, before its own members are destroyed.
+/// @tparam Message type of the mailbox, usually a `std::variant`.
+template <typename Message> class Task {
+public:
+    Task()
+        : m_loop([this] { drainMailbox(); })
+    {
+    }
+    virtual ~Task() = default;
+    Task(const Task&) = delete;
+    Task& operator=(const Task&) = delete;
+
+    /// Starts the thread.
+    void start()
+    {
+        m_thread = std::thread([this] {
+            onStart();
+            m_loop.run();
+            onStop();
+        });
+    }
+
+    /// Puts a message into the mailbox. Safe from any thread; messages from one thread keep their order.
+    void post(Message message)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_mailbox.push_back(std::move(message));
+        }
+        m_loop.wake();
+    }
+
+    /// Ends the thread after the messages already in the mailbox, and waits for it.
+    void stop()
+    {
+        if (!m_thread.joinable())
+            return;
+        m_loop.requestStop();
+        m_thread.join();
+    }
+
+protected:
+    EventLoop& loop() { return m_loop; }
+
+    /// Runs on the task's thread before the first message.
+    virtual void onStart() { }
+
+    /// Runs on the task's thread after the last message.
+    virtual void onStop() { }
+
+    /// Handles one message on the task's thread.
+    virtual void onMessage(Message message) = 0;
+
+private:
+    void drainMailbox()
+    {
+        std::deque<Message> batch;
+        {
+            std::lock_guard lock(m_mutex);
+            batch.swap(m_mailbox);
+        }
+        for (Message& message : batch)
+            onMessage(std::move(message));
+    }
+
+    EventLoop m_loop;
+    std::mutex m_mutex;
+    std::deque<Message> m_mailbox;
+    std::thread m_thread;
+};
+
+} // namespace lentilsaddle::transport
