Add the HTTP API, the command-line tool and the settings

Cause: callers and operators need one typed entry to the tasks, and a tool whose exit codes scripts can rely on.

gflags' own parser was ruled out for the command line, because it ends the process with status 1 on a usage error, the same as a refused operation. The flags are still defined and converted by gflags.

--- /dev/null
+++ b/cli/Commands.cpp
@@ -0,0 +1,261 @@
+#include "cli/Commands.h"
+
+#include "cli/ApiClient.h"
+#include "cli/OutputWriter.h"
+#include "protocol/ProtocolError.h"
+#include "protocol/SettingsCodec.h"
+#include "state/Settings.h"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+DEFINE_string(server, "127.0.0.1:8100", "entry instance, ip:port");
+DEFINE_string(output, "table", "table or json");
+DEFINE_int32(timeout_ms, 35000, "limit for the call, in milliseconds");
+
+DEFINE_string(service, "", "request: name of the service");
+DEFINE_string(account, "", "request, submit: client account");
+DEFINE_string(body, "", "request: body; @FILE reads a file");
+DEFINE_string(request_id, "", "request: identifier, generated if absent");
+DEFINE_string(idempotency_key, "", "request: key that makes a repeated request run once");
+DEFINE_bool(non_repeatable, false, "request: runs at most once; needs --idempotency-key");
+DEFINE_int32(deadline_ms, 30000, "request: time to wait for the answer, in milliseconds");
+
+DEFINE_string(job_id, "", "submit: identifier, generated if absent");
+DEFINE_int32(tasks, 1, "submit: tasks in the gang, 1 to 64");
+DEFINE_int32(accelerators_per_task, 1, "submit: accelerators for each task, 1 to 8");
+DEFINE_string(adjacency, "data_centre", "submit: worker, rack or data_centre");
+DEFINE_int32(runtime, 3600, "submit: expected run time, in seconds");
+DEFINE_bool(repeatable, true, "submit: a new attempt may follow one whose end is unknown");
+DEFINE_bool(urgent, false, "submit: reclaims the account's guarantee at once");
+DEFINE_string(payload, "", "submit: opaque text for the workers");
+
+DEFINE_int64(base, -1, "patch: configuration version that the patch is based on");
+DEFINE_string(file, "", "patch: file with a JSON Merge Patch (RFC 7396)");
+DEFINE_string(patch_id, "", "patch: identifier, generated if absent");
+
+DEFINE_string(scope, "all", "timeline: all instances or local");
+
+namespace lentilsaddle::cli {
+
+using nlohmann::json;
+using transport::HttpResult;
+
+namespace {
+
+    constexpr int httpGatewayTimeout = 504;
+
+    OutputFormat outputFormat()
+    {
+        return FLAGS_output == "json" ? OutputFormat::Json : OutputFormat::Table;
+    }
+
+    ExitCode usageError(const std::string& message)
+    {
+        std::cerr << "lentilsaddle: " << message << "; see --help\n";
+        return ExitCode::Usage;
+    }
+
+    ApiClient makeClient()
+    {
+        return { FLAGS_server, std::chrono::milliseconds(FLAGS_timeout_ms) };
+    }
+
+    ExitCode reportFailure(const HttpResult& result)
+    {
+        std::cerr << "lentilsaddle: " << FLAGS_server << ": " << result.error << '\n';
+        return result.failure == transport::HttpFailure::NotSent ? ExitCode::Unreachable : ExitCode::OutcomeUnknown;
+    }
+
+    ExitCode report(const HttpResult& result)
+    {
+        if (result.failure != transport::HttpFailure::None)
+            return reportFailure(result);
+        int status = result.response.status;
+        if (status < 400) {
+            writeDocument(result.response.body, outputFormat());
+            return ExitCode::Success;
+        }
+        writeError(result.response.body, outputFormat());
+        return status == httpGatewayTimeout ? ExitCode::OutcomeUnknown : ExitCode::Failure;
+    }
+
+    bool readFile(const std::string& name, std::string& content)
+    {
+        std::ifstream input(name);
+        if (!input)
+            return false;
+        std::ostringstream text;
+        text << input.rdbuf();
+        content = text.str();
+        return true;
+    }
+
+    ExitCode reportRequest(const HttpResult& result)
+    {
+        if (result.failure != transport::HttpFailure::None)
+            return reportFailure(result);
+        const auto& headers = result.response.headers;
+        auto outcome = headers.find("request-outcome");
+        if (outcome == headers.end() || outcome->second != "done")
+            writeError(result.response.body, outputFormat());
+        else
+            writeDocument(result.response.body, outputFormat());
+        if (outcome != headers.end() && outcome->second == "unknown")
+            return ExitCode::OutcomeUnknown;
+        bool done = outcome != headers.end() && outcome->second == "done" && result.response.status < 400;
+        return done ? ExitCode::Success : ExitCode::Failure;
+    }
+
+    ExitCode runRequest(const std::vector<std::string>&)
+    {
+        if (FLAGS_service.empty() || FLAGS_account.empty())
+            return usageError("request needs --service and --account");
+        std::string body = FLAGS_body;
+        if (body.starts_with("@") && !readFile(FLAGS_body.substr(1), body))
+            return usageError("cannot read '" + FLAGS_body.substr(1) + "'");
+        transport::HttpHeaders headers {
+            { "client-account", FLAGS_account },
+            { "request-deadline-ms", std::to_string(FLAGS_deadline_ms) },
+        };
+        if (!FLAGS_request_id.empty())
+            headers["request-id"] = FLAGS_request_id;
+        if (!FLAGS_idempotency_key.empty())
+            headers["idempotency-key"] = FLAGS_idempotency_key;
+        if (FLAGS_non_repeatable)
+            headers["non-repeatable"] = "true";
+        return reportRequest(makeClient().call("POST", "/v1/services/" + FLAGS_service + "/requests", body, headers));
+    }
+
+    ExitCode runSubmit(const std::vector<std::string>&)
+    {
+        if (FLAGS_account.empty())
+            return usageError("submit needs --account");
+        json document {
+            { "account", FLAGS_account },
+            { "tasks", FLAGS_tasks },
+            { "accelerators_per_task", FLAGS_accelerators_per_task },
+            { "adjacency", FLAGS_adjacency },
+            { "declared_runtime_s", FLAGS_runtime },
+            { "repeatable", FLAGS_repeatable },
+            { "urgent", FLAGS_urgent },
+            { "payload", FLAGS_payload },
+        };
+        if (!FLAGS_job_id.empty())
+            document["job_id"] = FLAGS_job_id;
+        return report(makeClient().call("POST", "/v1/jobs", document.dump()));
+    }
+
+    ExitCode runPatch(const std::vector<std::string>&)
+    {
+        std::string text;
+        if (FLAGS_base < 0 || !readFile(FLAGS_file, text))
+            return usageError("patch needs --base and a readable --file");
+        json mergePatch = json::parse(text, nullptr, false);
+        if (mergePatch.is_discarded())
+            return usageError("'" + FLAGS_file + "' is not valid JSON");
+        json document { { "base_version", FLAGS_base }, { "merge_patch", mergePatch } };
+        if (!FLAGS_patch_id.empty())
+            document["patch_id"] = FLAGS_patch_id;
+        return report(makeClient().call("POST", "/v1/configuration/patches", document.dump()));
+    }
+
+    ExitCode runCheckConfig(const std::vector<std::string>& arguments)
+    {
+        if (arguments.size() != 2)
+            return usageError("check-config needs a settings file");
+        try {
+            protocol::readSettings(arguments[1]);
+        } catch (const protocol::ProtocolError& error) {
+            std::cerr << error.what() << '\n';
+            return ExitCode::Usage;
+        }
+        std::cout << arguments[1] << ": valid\n";
+        return ExitCode::Success;
+    }
+
+    // Command that sends one call whose path ends in the command's only argument.
+    std::function<ExitCode(const std::vector<std::string>&)> callWithIdentifier(
+        const std::string& method, const std::string& prefix)
+    {
+        return [method, prefix](const std::vector<std::string>& arguments) {
+            if (arguments.size() != 2)
+                return usageError(arguments[0] + " needs one identifier");
+            return report(makeClient().call(method, prefix + arguments[1]));
+        };
+    }
+
+    std::function<ExitCode(const std::vector<std::string>&)> callWithoutArgument(
+        const std::string& method, const std::string& path)
+    {
+        return [method, path](const std::vector<std::string>&) { return report(makeClient().call(method, path)); };
+    }
+
+    ExitCode runTimeline(const std::vector<std::string>& arguments)
+    {
+        std::string subject = arguments.size() > 1 ? "&id=" + arguments[1] : "";
+        return report(makeClient().call("GET", "/v1/timeline?scope=" + FLAGS_scope + subject));
+    }
+
+    const std::map<std::string, std::function<ExitCode(const std::vector<std::string>&)>>& commands()
+    {
+        static const std::map<std::string, std::function<ExitCode(const std::vector<std::string>&)>> table {
+            { "request", runRequest },
+            { "submit", runSubmit },
+            { "job", callWithIdentifier("GET", "/v1/jobs/") },
+            { "cancel", callWithIdentifier("DELETE", "/v1/jobs/") },
+            { "patch", runPatch },
+            { "patch-outcome", callWithIdentifier("GET", "/v1/configuration/patches/") },
+            { "configuration", callWithoutArgument("GET", "/v1/configuration") },
+            { "status", callWithoutArgument("GET", "/v1/status") },
+            { "drain", callWithoutArgument("POST", "/v1/drain") },
+            { "timeline", runTimeline },
+            { "check-config", runCheckConfig },
+        };
+        return table;
+    }
+
+} // namespace
+
+ExitCode runCommand(const std::vector<std::string>& arguments)
+{
+    if (FLAGS_output != "table" && FLAGS_output != "json")
+        return usageError("--output must be table or json");
+    if (arguments.empty())
+        return usageError("a command is needed");
+    auto command = commands().find(arguments[0]);
+    if (command == commands().end())
+        return usageError("unknown command '" + arguments[0] + "'");
+    return command->second(arguments);
+}
+
+std::string usageText()
+{
+    return R"(Usage: lentilsaddle [flags] COMMAND
+
+Commands:
+  request --service S --account A [--body B]   send a service request
+  submit --account A --tasks N [flags]         submit a gang job
+  job ID                                       show a job
+  cancel ID                                    cancel a job
+  patch --base N --file F                      submit a configuration patch
+  patch-outcome ID                             show what became of a patch
+  configuration                                show the configuration in force
+  status                                       show the state of the instance
+  drain                                        stop taking work, without exit
+  timeline [ID]                                show the events of a request, job or patch
+  check-config FILE                            check a settings file offline
+
+Exit codes: 0 success, 1 refused or failed, 2 usage, 3 unreachable, 4 outcome unknown.
+
+Flags:
+)";
+}
+
+} // namespace lentilsaddle::cli
--- /dev/null
+++ b/coordination/ApiTask.cpp
@@ -0,0 +1,360 @@
+#include "coordination/ApiTask.h"
+
+#include "coordination/ApiAnswers.h"
+#include "coordination/ConfigurationMessage.h"
+#include "coordination/PeerMessage.h"
+#include "coordination/RequestMessage.h"
+#include "coordination/SchedulerMessage.h"
+#include "coordination/TimelineMessage.h"
+#include "protocol/ApiCodec.h"
+#include "protocol/ApiStatus.h"
+#include "protocol/CallerCodec.h"
+#include "protocol/ConfigurationCodec.h"
+#include "protocol/ProtocolError.h"
+#include "transport/Logger.h"
+#include "transport/Metrics.h"
+
+#include <sstream>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+    constexpr std::chrono::milliseconds idleCheckInterval { 50 };
+
+    std::vector<std::string> splitPath(const std::string& path)
+    {
+        std::vector<std::string> parts;
+        std::istringstream input(path);
+        std::string part;
+        while (std::getline(input, part, '/')) {
+            if (!part.empty())
+                parts.push_back(part);
+        }
+        return parts;
+    }
+
+} // namespace
+
+ApiTask::ApiTask(TaskEnvironment environment, const transport::HttpServerOptions& server, ApiTaskHooks hooks)
+    : m_environment(std::move(environment))
+    , m_serverOptions(server)
+    , m_hooks(std::move(hooks))
+{
+}
+
+ApiTask::~ApiTask()
+{
+    stop();
+}
+
+void ApiTask::onStart()
+{
+    m_server = std::make_unique<transport::HttpServer>(
+        loop(), m_serverOptions, [this](const HttpRequest& request, const Responder& respond) {
+            Responder respondAndClose = [this, respond](HttpResponse response) {
+                if (m_draining)
+                    response.headers["connection"] = "close";
+                respond(std::move(response));
+            };
+            route(request, respondAndClose);
+        });
+    transport::writeLog(transport::LogLevel::Info, "api", "listening",
+        { { "address", m_serverOptions.address }, { "port", std::to_string(m_server->port()) } });
+}
+
+void ApiTask::onStop()
+{
+    m_server.reset();
+}
+
+void ApiTask::onMessage(ApiMessage message)
+{
+    if (auto* reply = std::get_if<ApiMessage::Reply>(&message.body)) {
+        reply->deliver();
+        return;
+    }
+    if (std::holds_alternative<ApiMessage::StartDraining>(message.body)) {
+        m_draining = true;
+        return;
+    }
+    m_onIdle = std::move(std::get<ApiMessage::StopListening>(message.body).onIdle);
+    m_server->stopListening();
+    checkIdle();
+}
+
+void ApiTask::checkIdle()
+{
+    if (m_server->pendingRequests() == 0) {
+        m_onIdle();
+        return;
+    }
+    loop().startTimer(idleCheckInterval, [this] { checkIdle(); });
+}
+
+template <typename Answer> std::function<void(Answer)> ApiTask::onThisThread(std::function<void(Answer)> handler)
+{
+    return [this, handler = std::move(handler)](Answer answer) {
+        post({ .body = ApiMessage::Reply { .deliver = [handler, answer = std::move(answer)] { handler(answer); } } });
+    };
+}
+
+std::string ApiTask::generateId(const char* prefix) const
+{
+    std::ostringstream id;
+    id << prefix << std::hex << m_environment.random() << m_environment.random();
+    return id.str();
+}
+
+void ApiTask::route(const HttpRequest& request, const Responder& respond)
+{
+    Path path = splitPath(request.path);
+    try {
+        if (path.size() == 1 && path[0] == "metrics" && request.method == "GET") {
+            respond({ .status = 200,
+                .headers = { { "content-type", "text/plain; version=0.0.4" } },
+                .body = m_environment.metrics->render() });
+            return;
+        }
+        if (path.size() < 2 || path[0] != "v1")
+            return respond(errorAnswer(404, "not_found", "path", "no such resource"));
+        if (path[1] == "services" && path.size() == 4 && path[3] == "requests" && request.method == "POST")
+            return submitRequest(request, path[2], respond);
+        if (path[1] == "jobs")
+            return routeJob(request, path, respond);
+        if (path[1] == "configuration")
+            return routeConfiguration(request, path, respond);
+        routeOperations(request, path, respond);
+    } catch (const protocol::ProtocolError& error) {
+        std::string message = error.what();
+        HttpResponse response = errorAnswer(400, "invalid", error.field(), message.substr(error.field().size() + 2));
+        if (path.size() > 1 && path[1] == "services")
+            response.headers["request-outcome"] = "not-run";
+        respond(std::move(response));
+    }
+}
+
+void ApiTask::routeJob(const HttpRequest& request, const Path& path, const Responder& respond)
+{
+    if (path.size() == 2 && request.method == "POST")
+        return submitJob(request, respond);
+    if (path.size() == 3 && request.method == "GET")
+        return queryJob(path[2], respond);
+    if (path.size() == 3 && request.method == "DELETE")
+        return cancelJob(path[2], respond);
+    respond(errorAnswer(405, "method_not_allowed", "method", "not supported by this resource"));
+}
+
+void ApiTask::routeConfiguration(const HttpRequest& request, const Path& path, const Responder& respond)
+{
+    if (path.size() == 2 && request.method == "GET")
+        return queryConfiguration(respond);
+    if (path.size() == 3 && path[2] == "patches" && request.method == "POST")
+        return submitPatch(request, respond);
+    if (path.size() == 4 && path[2] == "patches" && request.method == "GET")
+        return queryPatch(path[3], respond);
+    respond(errorAnswer(405, "method_not_allowed", "method", "not supported by this resource"));
+}
+
+void ApiTask::routeOperations(const HttpRequest& request, const Path& path, const Responder& respond)
+{
+    if (path.size() != 2)
+        return respond(errorAnswer(404, "not_found", "path", "no such resource"));
+    if (path[1] == "status" && request.method == "GET")
+        return reportStatus(respond);
+    if (path[1] == "ready" && request.method == "GET")
+        return reportReadiness(respond);
+    if (path[1] == "timeline" && request.method == "GET")
+        return readTimeline(request, respond);
+    if (path[1] == "drain" && request.method == "POST") {
+        m_hooks.startDrain();
+        return respond(jsonAnswer(202, R"({"status":"draining"})"));
+    }
+    respond(errorAnswer(404, "not_found", "path", "no such resource"));
+}
+
+void ApiTask::submitRequest(const HttpRequest& request, const std::string& service, const Responder& respond)
+{
+    protocol::CallerRequest caller = protocol::decodeCallerRequest(request.headers);
+    std::string id = caller.requestId.empty() ? generateId("r-") : caller.requestId;
+    RequestMessage::ServiceRequest serviceRequest {
+        .id = state::RequestId(id),
+        .service = state::ServiceId(service),
+        .account = state::AccountId(caller.account),
+        .idempotencyKey = caller.idempotencyKey,
+        .nonRepeatable = caller.nonRepeatable,
+        .timeout = caller.timeout,
+        .contentType = caller.contentType,
+        .body = request.body,
+    };
+    m_hooks.postRequest(
+        { .body = RequestMessage::Submit {
+              .request = std::move(serviceRequest),
+              .reply = onThisThread<RequestMessage::ServiceAnswer>(
+                  [respond, id](const RequestMessage::ServiceAnswer& answer) { respond(serviceAnswer(answer, id)); }),
+          } });
+}
+
+void ApiTask::submitJob(const HttpRequest& request, const Responder& respond)
+{
+    state::JobSpecification job = protocol::decodeJobSubmission(request.body);
+    if (job.id.empty())
+        job.id = state::JobId(generateId("j-"));
+    m_hooks.postScheduler(
+        { .body = SchedulerMessage::Submit {
+              .specification = std::move(job),
+              .reply = onThisThread<SchedulerMessage::JobAnswer>(
+                  [respond](const SchedulerMessage::JobAnswer& answer) { respond(jobAnswer(answer, "accepted")); }),
+          } });
+}
+
+void ApiTask::queryJob(const std::string& id, const Responder& respond)
+{
+    using Answer = std::optional<SchedulerMessage::JobView>;
+    m_hooks.postScheduler({ .body = SchedulerMessage::Query {
+                                .id = state::JobId(id),
+                                .reply = onThisThread<Answer>([respond](const Answer& job) { respond(jobView(job)); }),
+                            } });
+}
+
+void ApiTask::cancelJob(const std::string& id, const Responder& respond)
+{
+    m_hooks.postScheduler(
+        { .body = SchedulerMessage::Cancel {
+              .id = state::JobId(id),
+              .reply = onThisThread<SchedulerMessage::JobAnswer>(
+                  [respond](const SchedulerMessage::JobAnswer& answer) { respond(jobAnswer(answer, "cancelled")); }),
+          } });
+}
+
+void ApiTask::submitPatch(const HttpRequest& request, const Responder& respond)
+{
+    state::Record::ConfigurationPatch patch = protocol::decodePatchSubmission(request.body);
+    if (patch.id.empty())
+        patch.id = state::PatchId(generateId("p-"));
+    state::PatchId id = patch.id;
+    m_hooks.postConfiguration(
+        { .body = ConfigurationMessage::SubmitPatch {
+              .patch = std::move(patch),
+              .reply = onThisThread<ConfigurationMessage::PatchAnswer>(
+                  [respond, id](const ConfigurationMessage::PatchAnswer& answer) { respond(patchAnswer(answer, id)); }),
+          } });
+}
+
+void ApiTask::queryPatch(const std::string& id, const Responder& respond)
+{
+    using Answer = std::optional<state::Record::PatchOutcome>;
+    m_hooks.postConfiguration(
+        { .body = ConfigurationMessage::QueryPatch {
+              .id = state::PatchId(id),
+              .reply = onThisThread<Answer>([respond](const Answer& outcome) { respond(patchOutcome(outcome)); }),
+          } });
+}
+
+void ApiTask::queryConfiguration(const Responder& respond)
+{
+    m_hooks.postConfiguration(
+        { .body = ConfigurationMessage::Query {
+              .reply = onThisThread<ConfigurationMessage::View>(
+                  [respond](const ConfigurationMessage::View& view) { respond(configurationView(view)); }),
+          } });
+}
+
+void ApiTask::readTimeline(const HttpRequest& request, const Responder& respond)
+{
+    auto valueOf = [&request](const char* name) {
+        auto found = request.query.find(name);
+        return found == request.query.end() ? std::string() : found->second;
+    };
+    std::string scope = valueOf("scope");
+    if (!scope.empty() && scope != "all" && scope != "local")
+        throw protocol::ProtocolError("scope", "must be all or local");
+    if (scope == "local") {
+        using Answer = std::vector<state::Event>;
+        m_hooks.postTimeline({ .body = TimelineMessage::Read {
+                                   .subject = valueOf("id"),
+                                   .reply = onThisThread<Answer>([respond](const Answer& events) {
+                                       respond(jsonAnswer(200, protocol::encodeTimeline(events, {})));
+                                   }),
+                               } });
+        return;
+    }
+    using Answer = PeerMessage::TimelineAnswer;
+    m_hooks.postPeer({ .body = PeerMessage::ReadTimeline {
+                           .subject = valueOf("id"),
+                           .reply = onThisThread<Answer>([respond](const Answer& answer) {
+                               respond(jsonAnswer(200, protocol::encodeTimeline(answer.events, answer.missing)));
+                           }),
+                       } });
+}
+
+void ApiTask::reportReadiness(const Responder& respond)
+{
+    if (m_draining)
+        return respond(errorAnswer(503, "not_ready", "", "draining"));
+    m_hooks.postConfiguration(
+        { .body = ConfigurationMessage::Query {
+              .reply = onThisThread<ConfigurationMessage::View>([respond](const ConfigurationMessage::View& view) {
+                  respond(view.ready ? jsonAnswer(200, R"({"status":"ready"})")
+                                     : errorAnswer(503, "not_ready", "", view.reason));
+              }),
+          } });
+}
+
+void ApiTask::reportStatus(const Responder& respond)
+{
+    auto status = std::make_shared<protocol::ApiStatus>();
+    status->instance = m_environment.instance;
+    status->dataCentre = m_environment.dataCentre;
+    status->draining = m_draining;
+    m_hooks.postConfiguration({ .body = ConfigurationMessage::Query {
+                                    .reply = onThisThread<ConfigurationMessage::View>(
+                                        [this, status, respond](const ConfigurationMessage::View& view) {
+                                            status->ready = view.ready && !m_draining;
+                                            status->reason = m_draining ? "draining" : view.reason;
+                                            status->configurationVersion
+                                                = view.configuration ? view.configuration->version : 0;
+                                            collectScheduler(status, respond);
+                                        }),
+                                } });
+}
+
+void ApiTask::collectScheduler(const std::shared_ptr<protocol::ApiStatus>& status, const Responder& respond)
+{
+    m_hooks.postScheduler({ .body = SchedulerMessage::Status {
+                                .reply = onThisThread<SchedulerMessage::StatusView>(
+                                    [this, status, respond](const SchedulerMessage::StatusView& view) {
+                                        status->scheduler = view.scheduler;
+                                        status->schedulerEpoch = view.epoch;
+                                        status->queuedJobs = view.queued;
+                                        status->runningJobs = view.running;
+                                        status->accelerators = view.accelerators;
+                                        status->freeAccelerators = view.freeAccelerators;
+                                        collectPeers(status, respond);
+                                    }),
+                            } });
+}
+
+void ApiTask::collectPeers(const std::shared_ptr<protocol::ApiStatus>& status, const Responder& respond)
+{
+    using Answer = std::vector<PeerMessage::PeerView>;
+    m_hooks.postPeer({ .body = PeerMessage::QueryPeers {
+                           .reply = onThisThread<Answer>([status, respond](const Answer& peers) {
+                               for (const PeerMessage::PeerView& peer : peers) {
+                                   status->peers.push_back({
+                                       .instance = peer.instance,
+                                       .dataCentre = peer.dataCentre,
+                                       .reachable = peer.reachable,
+                                       .configurationVersion = peer.configurationVersion,
+                                   });
+                               }
+                               respond(jsonAnswer(200, protocol::encodeStatus(*status)));
+                           }),
+                       } });
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/ApiTask.h
@@ -0,0 +1,71 @@
+/// @file
+/// Task that serves the HTTP API of callers and operators.
+#pragma once
+
+#include "coordination/ApiMessage.h"
+#include "coordination/ApiTaskHooks.h"
+#include "coordination/TaskEnvironment.h"
+#include "transport/HttpServer.h"
+#include "transport/Task.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::protocol {
+struct ApiStatus;
+}
+
+namespace lentilsaddle::coordination {
+
+/// Translates HTTP requests into messages of the other tasks and their replies into HTTP responses.
+class ApiTask : public transport::Task<ApiMessage> {
+public:
+    /// @param server listening address and limits.
+    ApiTask(TaskEnvironment environment, const transport::HttpServerOptions& server, ApiTaskHooks hooks);
+    ~ApiTask() override;
+
+protected:
+    void onStart() override;
+    void onStop() override;
+    void onMessage(ApiMessage message) override;
+
+private:
+    /// Parts of the path, without empty ones.
+    using Path = std::vector<std::string>;
+    using Responder = transport::HttpResponder;
+
+    void route(const transport::HttpRequest& request, const Responder& respond);
+    void routeJob(const transport::HttpRequest& request, const Path& path, const Responder& respond);
+    void routeConfiguration(const transport::HttpRequest& request, const Path& path, const Responder& respond);
+    void routeOperations(const transport::HttpRequest& request, const Path& path, const Responder& respond);
+
+    void submitRequest(const transport::HttpRequest& request, const std::string& service, const Responder& respond);
+    void submitJob(const transport::HttpRequest& request, const Responder& respond);
+    void queryJob(const std::string& id, const Responder& respond);
+    void cancelJob(const std::string& id, const Responder& respond);
+    void submitPatch(const transport::HttpRequest& request, const Responder& respond);
+    void queryPatch(const std::string& id, const Responder& respond);
+    void queryConfiguration(const Responder& respond);
+    void readTimeline(const transport::HttpRequest& request, const Responder& respond);
+    void reportReadiness(const Responder& respond);
+    void reportStatus(const Responder& respond);
+    void collectScheduler(const std::shared_ptr<protocol::ApiStatus>& status, const Responder& respond);
+    void collectPeers(const std::shared_ptr<protocol::ApiStatus>& status, const Responder& respond);
+
+    /// @return a hook that other tasks may call from their threads; it runs the handler on this task's thread.
+    template <typename Answer> std::function<void(Answer)> onThisThread(std::function<void(Answer)> handler);
+
+    std::string generateId(const char* prefix) const;
+    void checkIdle();
+
+    TaskEnvironment m_environment;
+    transport::HttpServerOptions m_serverOptions;
+    ApiTaskHooks m_hooks;
+    std::unique_ptr<transport::HttpServer> m_server;
+    bool m_draining = false;
+    std::function<void()> m_onIdle;
+};
+
+} // namespace lentilsaddle::coordination
--- a/coordination/PeerMessage.h
+++ b/coordination/PeerMessage.h
@@ -56,7 +56,7 @@
     };
 
     using Body
-        = std::variant<ConfigurationVersion, SchedulerRole, LogReachability, Draining, ReadTimeline, QueryPeers, Run>;
+        = std::variant<Draining, ConfigurationVersion, SchedulerRole, LogReachability, ReadTimeline, QueryPeers, Run>;
     Body body;
 };
 
--- a/coordination/RequestMessage.h
+++ b/coordination/RequestMessage.h
@@ -74,7 +74,7 @@
         bool certainlyNotAppended = false;
     };
 
-    using Body = std::variant<Submit, Configure, Instances, LogBatch, LogReachability, Drain, ClaimAppended>;
+    using Body = std::variant<Drain, Submit, Configure, Instances, LogBatch, LogReachability, ClaimAppended>;
     Body body;
 };
 
--- /dev/null
+++ b/protocol/ApiCodec.h
@@ -0,0 +1,45 @@
+/// @file
+/// JSON bodies of the caller and operator API.
+#pragma once
+
+#include "state/Record.h"
+
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::state {
+struct Event;
+struct JobSpecification;
+} // namespace lentilsaddle::state
+
+namespace lentilsaddle::protocol {
+
+struct ApiJob;
+struct ApiStatus;
+
+/// Decodes and validates a job submission. The identifier is empty if the caller gave none.
+/// @throws ProtocolError naming the offending field.
+state::JobSpecification decodeJobSubmission(const std::string& body);
+
+/// Decodes a configuration patch. The identifier is empty if the operator gave none.
+/// @throws ProtocolError naming the offending field.
+state::Record::ConfigurationPatch decodePatchSubmission(const std::string& body);
+
+/// @param code machine-readable reason, such as `invalid`.
+/// @param field offending field; may be empty.
+std::string encodeError(const std::string& code, const std::string& field, const std::string& reason);
+
+std::string encodeJob(const ApiJob& job);
+
+/// @param status `accepted`, `cancelled` or `unknown`.
+std::string encodeJobAnswer(const state::JobId& id, const std::string& status, const std::string& reason);
+
+/// @param status `accepted`, `rejected` or `unknown`.
+std::string encodePatchOutcome(const state::Record::PatchOutcome& outcome, const std::string& status);
+
+std::string encodeStatus(const ApiStatus& status);
+
+/// @param missing instances that did not answer.
+std::string encodeTimeline(const std::vector<state::Event>& events, const std::vector<state::InstanceId>& missing);
+
+} // namespace lentilsaddle::protocol
--- /dev/null
+++ b/state/Settings.h
@@ -0,0 +1,46 @@
+/// @file
+/// Settings of one daemon process.
+#pragma once
+
+#include "state/Identifier.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace lentilsaddle::state {
+
+/// Values of the settings file; docs/configuration.md describes each key.
+struct Settings {
+    InstanceId instance;
+    DataCentreId dataCentre;
+
+    std::string httpAddress = "127.0.0.1";
+    std::uint16_t httpPort = 0;
+
+    std::string peerAddress = "127.0.0.1";
+    std::uint16_t peerPort = 0;
+
+    /// Base URL of the platform's services, without a trailing slash.
+    std::string platformUrl;
+
+    std::chrono::milliseconds leaseTtl { 30'000 };
+    std::chrono::milliseconds leaseRenewInterval { 10'000 };
+    std::chrono::milliseconds leaseMargin { 2'000 };
+
+    std::chrono::milliseconds checkpointLimit { 2'500 };
+    std::chrono::seconds isolationLimit { 7'200 };
+    /// `cells` or `first_fit`.
+    std::string placementPolicy = "cells";
+
+    std::size_t timelineCapacity = 20'000;
+    std::string logLevel = "info";
+
+    /// Time between reporting "not ready" and closing the listening socket, so that the balancer notices.
+    std::chrono::milliseconds shutdownNotice { 2'000 };
+    /// Limit for finishing the requests in hand.
+    std::chrono::seconds shutdownLimit { 60 };
+};
+
+} // namespace lentilsaddle::state
--- /dev/null
+++ b/tests/protocol/SettingsCodecTest.cpp
@@ -0,0 +1,52 @@
+#include "protocol/SettingsCodec.h"
+
+#include "protocol/ProtocolError.h"
+#include "state/Settings.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::protocol {
+
+namespace {
+
+    const std::string required = "instance: e-1\ndata_centre: d\nplatform:\n  url: http://127.0.0.1:7000\n";
+
+    std::string errorOf(const std::string& text)
+    {
+        try {
+            parseSettings(text, "s.yaml");
+        } catch (const ProtocolError& error) {
+            return error.what();
+        }
+        return "no error";
+    }
+
+} // namespace
+
+TEST(SettingsCodec, ReadsKeysAndKeepsDefaults)
+{
+    state::Settings settings = parseSettings(required + "leases:\n  ttl_ms: 40000\n", "s.yaml");
+    EXPECT_EQ(settings.instance.value(), "e-1");
+    EXPECT_EQ(settings.leaseTtl, std::chrono::seconds(40));
+    EXPECT_EQ(settings.leaseRenewInterval, std::chrono::seconds(10));
+}
+
+// Guards against a value in the wrong unit, or a mistyped key, taking effect or being dropped in silence.
+TEST(SettingsCodec, ErrorsNameFileLineKeyRangeAndUnit)
+{
+    EXPECT_EQ(errorOf(required + "leases:\n  ttl_ms: 30s\n"),
+        "s.yaml:6: leases.ttl_ms: must be an integer from 1000 to 600000 (milliseconds), got '30s'");
+    EXPECT_EQ(errorOf(required + "leases:\n  ttl_s: 30\n"), "s.yaml:6: leases.ttl_s: is unknown");
+    EXPECT_EQ(errorOf("data_centre: d\nplatform:\n  url: http://127.0.0.1:7000\n"),
+        "s.yaml:1: instance: is required; expected 1 to 63 characters of a-z, 0-9 and -");
+    EXPECT_EQ(errorOf(required + "log:\n  level: info\nlog:\n  level: debug\n"), "s.yaml:8: log.level: is given twice");
+}
+
+// Guards against leases that a single lost renewal would let lapse.
+TEST(SettingsCodec, LeaseMustOutliveTwoRenewals)
+{
+    EXPECT_NE(
+        errorOf(required + "leases:\n  ttl_ms: 10000\n").find("at least twice renew_interval_ms"), std::string::npos);
+}
+
+} // namespace lentilsaddle::protocol
--- /dev/null
+++ b/tests/transport/HttpTest.cpp
@@ -0,0 +1,177 @@
+#include "transport/HttpClient.h"
+#include "transport/HttpServer.h"
+
+#include "transport/EventLoop.h"
+#include "transport/TransportError.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+namespace lentilsaddle::transport {
+
+namespace {
+
+    // Server and client on one loop; run() ends when the given number of results has arrived.
+    class HttpTest : public testing::Test {
+    protected:
+        void serve(HttpHandler handler, std::size_t maximumBodyBytes = 1 << 20)
+        {
+            m_server = std::make_unique<HttpServer>(
+                m_loop, HttpServerOptions { .maximumBodyBytes = maximumBodyBytes }, std::move(handler));
+        }
+
+        HttpCall call(const std::string& body = "") const
+        {
+            return {
+                .method = "POST", .url = "http://127.0.0.1:" + std::to_string(m_server->port()) + "/p?q=1", .body = body
+            };
+        }
+
+        void send(const HttpCall& call)
+        {
+            ++m_expected;
+            m_client.send(call, [this](HttpResult result) {
+                m_results.push_back(std::move(result));
+                if (m_results.size() == m_expected)
+                    m_loop.requestStop();
+            });
+        }
+
+        EventLoop m_loop { [] {} };
+        HttpClient m_client { m_loop, {} };
+        std::unique_ptr<HttpServer> m_server;
+        std::size_t m_expected = 0;
+        std::vector<HttpResult> m_results;
+    };
+
+    // Accepts connections, reads a little of each and closes it without an answer.
+    class ClosingServer {
+    public:
+        ClosingServer()
+            : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+        {
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            (void)bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+            listen(m_socket, 8);
+            socklen_t length = sizeof address;
+            getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &length);
+            m_port = ntohs(address.sin_port);
+            m_thread = std::thread([this] {
+                for (int connection = accept(m_socket, nullptr, nullptr); connection >= 0;
+                     connection = accept(m_socket, nullptr, nullptr)) {
+                    char buffer[4096];
+                    if (recv(connection, buffer, sizeof buffer, 0) > 0)
+                        ++m_requests;
+                    close(connection);
+                }
+            });
+        }
+        ~ClosingServer()
+        {
+            shutdown(m_socket, SHUT_RDWR);
+            m_thread.join();
+            close(m_socket);
+        }
+        std::uint16_t port() const { return m_port; }
+        int requests() const { return m_requests; }
+
+    private:
+        int m_socket;
+        std::uint16_t m_port = 0;
+        std::atomic<int> m_requests = 0;
+        std::thread m_thread;
+    };
+
+} // namespace
+
+TEST_F(HttpTest, RequestAndAnswerArriveWhole)
+{
+    std::string large(500'000, 'x');
+    serve([](const HttpRequest& request, const HttpResponder& respond) {
+        respond({ .status = 201, .headers = { { "x-query", request.query.at("q") } }, .body = request.body });
+    });
+    send(call(large));
+    m_loop.run();
+    EXPECT_EQ(m_results[0].response.status, 201);
+    EXPECT_EQ(m_results[0].response.headers["x-query"], "1");
+    EXPECT_EQ(m_results[0].response.body, large);
+}
+
+// Guards against a caller getting the answer of another request when answers come in another order.
+TEST_F(HttpTest, AnswersOutOfOrderReachTheirOwnRequest)
+{
+    std::vector<std::pair<std::string, HttpResponder>> held;
+    serve([&](const HttpRequest& request, const HttpResponder& respond) {
+        held.emplace_back(request.body, respond);
+        if (held.size() < 3)
+            return;
+        for (auto entry = held.rbegin(); entry != held.rend(); ++entry)
+            entry->second({ .status = 200, .headers = {}, .body = "answer to " + entry->first });
+    });
+    std::map<std::string, std::string> answers;
+    for (const std::string id : { "a", "b", "c" }) {
+        m_client.send(call(id), [&, id](const HttpResult& result) {
+            answers[id] = result.response.body;
+            if (answers.size() == 3)
+                m_loop.requestStop();
+        });
+    }
+    m_loop.run();
+    EXPECT_EQ(answers["a"], "answer to a");
+    EXPECT_EQ(answers["b"], "answer to b");
+    EXPECT_EQ(answers["c"], "answer to c");
+}
+
+// Guards against unbounded memory for a body of any size.
+TEST_F(HttpTest, OversizedBodyIsRefused)
+{
+    bool handled = false;
+    serve([&](const HttpRequest&, const HttpResponder&) { handled = true; }, 1000);
+    send(call(std::string(5000, 'x')));
+    m_loop.run();
+    EXPECT_EQ(m_results[0].response.status, 413);
+    EXPECT_EQ(m_results[0].response.headers["request-outcome"], "not-run");
+    EXPECT_FALSE(handled);
+}
+
+// Guards against "not sent" being claimed for a request that the other side may have read.
+TEST_F(HttpTest, ClosedConnectionAfterSendingIsAnswerLost)
+{
+    ClosingServer server;
+    HttpCall request { .method = "POST",
+        .url = "http://127.0.0.1:" + std::to_string(server.port()) + "/",
+        .body = "x",
+        .freshConnection = true };
+    send(request);
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::AnswerLost);
+    EXPECT_EQ(server.requests(), 1);
+}
+
+TEST_F(HttpTest, RefusedConnectionIsNotSent)
+{
+    std::uint16_t port = 0;
+    {
+        ClosingServer server;
+        port = server.port();
+    }
+    send({ .method = "POST", .url = "http://127.0.0.1:" + std::to_string(port) + "/", .body = "x" });
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::NotSent);
+}
+
+TEST_F(HttpTest, OccupiedPortIsAnError)
+{
+    serve([](const HttpRequest&, const HttpResponder& respond) { respond({}); });
+    EXPECT_THROW(HttpServer(m_loop, HttpServerOptions { .port = m_server->port() }, {}), TransportError);
+}
+
+} // namespace lentilsaddle::transport
--- a/transport/Task.h
+++ b/transport/Task.h
@@ -5,6 +5,8 @@
 #include "transport/EventLoop.h"
 
 #include <deque>
+#include <exception>
+#include <future>
 #include <mutex>
 #include <thread>
 #include <utility>
@@ -26,14 +28,24 @@
     Task(const Task&) = delete;
     Task& operator=(const Task&) = delete;
 
-    /// Starts the thread.
+    /// Starts the thread and waits until onStart() has run.
+    /// @throws what onStart() throws; the thread has then ended.
     void start()
     {
-        m_thread = std::thread([this] {
-            onStart();
+        std::promise<void> started;
+        std::future<void> ready = started.get_future();
+        m_thread = std::thread([this, started = std::move(started)]() mutable {
+            try {
+                onStart();
+                started.set_value();
+            } catch (...) {
+                started.set_exception(std::current_exception());
+                return;
+            }
             m_loop.run();
             onStop();
         });
+        ready.get();
     }
 
     /// Puts a message into the mailbox. Safe from any thread; messages from one thread keep their order.
