Add the log task and the configuration task

LogTask batches appends with one in flight for each stream, retries them with the same origin until the record's deadline, and reports a record as not appended only if no byte of any append that held it was sent. Readers start at the oldest record, mark expired records as a gap, and follow by long poll. A failed append starts a probe, since all readers may wait in a long poll and no task appends while the log is reported unreachable.

ConfigurationTask answers a patch from replay. A peer's configuration is kept apart from the replayed history: restoring it into the history was ruled out, because replay from the start of the stream would then reject patches whose outcomes the peer no longer remembers.

LogMessage gains RelayRead and Run, ConfigurationMessage gains PatchAppended.

--- a/coordination/ConfigurationMessage.h
+++ b/coordination/ConfigurationMessage.h
@@ -2,6 +2,7 @@
 /// Mailbox message of ConfigurationTask.
 #pragma once
 
+#include "coordination/LogMessage.h"
 #include "state/Configuration.h"
 #include "state/Record.h"
 #include "state/StreamBatch.h"
@@ -67,8 +68,14 @@
         std::function<void(std::optional<state::Record::ConfigurationSnapshot>)> reply;
     };
 
-    using Body
-        = std::variant<SubmitPatch, QueryPatch, Query, Watch, LogBatch, PeerSnapshot, LogReachability, SnapshotForPeer>;
+    /// Result of an append, posted by the task to itself.
+    struct PatchAppended {
+        state::PatchId id;
+        LogMessage::AppendStatus status = LogMessage::AppendStatus::Unresolved;
+    };
+
+    using Body = std::variant<SubmitPatch, QueryPatch, Query, Watch, LogBatch, PeerSnapshot, LogReachability,
+        SnapshotForPeer, PatchAppended>;
     Body body;
 };
 
--- /dev/null
+++ b/coordination/ConfigurationTask.cpp
@@ -0,0 +1,308 @@
+#include "coordination/ConfigurationTask.h"
+
+#include "protocol/ConfigurationCodec.h"
+#include "protocol/ProtocolError.h"
+#include "transport/Logger.h"
+#include "transport/Metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using state::Record;
+using transport::LogLevel;
+
+namespace {
+
+    constexpr auto component = "configuration";
+
+    std::optional<state::Configuration> decodeSnapshot(const Record::ConfigurationSnapshot& snapshot)
+    {
+        try {
+            state::Configuration configuration = protocol::decodeConfiguration(snapshot.document);
+            configuration.version = snapshot.version;
+            return configuration;
+        } catch (const protocol::ProtocolError& error) {
+            transport::writeLog(LogLevel::Error, component, "ignored a configuration snapshot that cannot be decoded",
+                { { .key = "error", .value = error.what() } });
+            return std::nullopt;
+        }
+    }
+
+    /// A snapshot that cannot be decoded is no snapshot, so replay goes on to the next one.
+    std::optional<state::LogOffset> snapshotOffset(const Record& record)
+    {
+        const auto* snapshot = std::get_if<Record::ConfigurationSnapshot>(&record.body);
+        if (!snapshot || !decodeSnapshot(*snapshot))
+            return std::nullopt;
+        return snapshot->nextOffset;
+    }
+
+    std::string describe(const Record::PatchOutcome& outcome)
+    {
+        std::string text = outcome.accepted ? "accepted" : "rejected";
+        text += " version=" + std::to_string(outcome.version);
+        return outcome.reason.empty() ? text : text + " reason=" + outcome.reason;
+    }
+
+} // namespace
+
+ConfigurationTask::ConfigurationTask(
+    TaskEnvironment environment, ConfigurationTaskOptions options, std::function<void(LogMessage)> postLog)
+    : m_environment(std::move(environment))
+    , m_options(std::move(options))
+    , m_postLog(std::move(postLog))
+    , m_history(protocol::applyMergePatch)
+    , m_replay({
+          .snapshotOffset = snapshotOffset,
+          .loadSnapshot = [this](const Record& record) { loadSnapshot(record); },
+          .apply = [this](state::LogOffset, const Record& record) { applyRecord(record); },
+      })
+    , m_replayed(std::make_shared<state::Configuration>())
+    , m_published(view())
+{
+}
+
+ConfigurationTask::~ConfigurationTask()
+{
+    stop();
+}
+
+void ConfigurationTask::onStart()
+{
+    m_postLog({ LogMessage::Subscribe {
+        .stream = m_options.stream,
+        .onBatch
+        = [this](state::StreamBatch batch) { post({ ConfigurationMessage::LogBatch { .batch = std::move(batch) } }); },
+    } });
+    m_postLog({ LogMessage::WatchReachability { .onChange
+        = [this](bool reachable) { post({ ConfigurationMessage::LogReachability { .reachable = reachable } }); } } });
+}
+
+void ConfigurationTask::onMessage(ConfigurationMessage message)
+{
+    std::visit([this](auto& body) { handle(std::move(body)); }, message.body);
+}
+
+void ConfigurationTask::handle(ConfigurationMessage::SubmitPatch message)
+{
+    const state::PatchId id = message.patch.id;
+    m_environment.recordEvent(id.value(), "patch.submitted", "base=" + std::to_string(message.patch.base));
+    if (auto decided = outcome(id)) {
+        message.reply({ .status = PatchAnswer::Status::Decided, .outcome = *decided });
+        return;
+    }
+    auto waiting = m_waiting.find(id);
+    if (waiting != m_waiting.end()) {
+        waiting->second.replies.push_back(std::move(message.reply));
+        return;
+    }
+    if (m_logReachable == false) {
+        message.reply(refusal(id, "log_unavailable"));
+        return;
+    }
+    if (!m_caughtUpOnce || !m_replay.complete()) {
+        message.reply(refusal(id, "the configuration stream is not replayed: " + notReadyReason()));
+        return;
+    }
+    Waiting& entry = m_waiting[id];
+    entry.replies.push_back(std::move(message.reply));
+    entry.timer = loop().startTimer(m_options.answerLimit, [this, id] {
+        answer(id, { .status = PatchAnswer::Status::Unknown, .outcome = { .id = id, .reason = "no outcome in time" } });
+    });
+    appendPatch(message.patch);
+}
+
+void ConfigurationTask::appendPatch(const Record::ConfigurationPatch& patch)
+{
+    m_environment.faultPoint("patch.before_append");
+    m_unresolved.insert(patch.id);
+    m_postLog({ LogMessage::Append {
+        .stream = m_options.stream,
+        .body = patch,
+        .deadline = m_environment.monotonicClock() + m_options.appendLimit,
+        .onResult =
+            [this, id = patch.id](const LogMessage::AppendResult& result) {
+                post({ ConfigurationMessage::PatchAppended { .id = id, .status = result.status } });
+            },
+    } });
+}
+
+void ConfigurationTask::handle(const ConfigurationMessage::PatchAppended& message)
+{
+    m_environment.faultPoint("patch.after_append");
+    // Only replay tells the outcome of an append that was or may have been made.
+    if (message.status != LogMessage::AppendStatus::NotAppended)
+        return;
+    m_unresolved.erase(message.id);
+    answer(message.id, refusal(message.id, "log_unavailable"));
+}
+
+ConfigurationTask::PatchAnswer ConfigurationTask::refusal(const state::PatchId& id, const std::string& reason) const
+{
+    // An earlier submission of the same patch may still be in the log.
+    auto status = m_unresolved.contains(id) ? PatchAnswer::Status::Unknown : PatchAnswer::Status::NotAppended;
+    return { .status = status,
+        .outcome = { .id = id, .accepted = false, .version = view().configuration->version, .reason = reason } };
+}
+
+void ConfigurationTask::handle(const ConfigurationMessage::QueryPatch& message)
+{
+    message.reply(outcome(message.id));
+}
+
+void ConfigurationTask::handle(const ConfigurationMessage::Query& message)
+{
+    message.reply(view());
+}
+
+void ConfigurationTask::handle(ConfigurationMessage::Watch message)
+{
+    message.onChange(view());
+    m_watchers.push_back(std::move(message.onChange));
+}
+
+void ConfigurationTask::handle(const ConfigurationMessage::LogBatch& message)
+{
+    m_replay.accept(message.batch);
+    m_caughtUpOnce = m_caughtUpOnce || m_replay.caughtUp();
+    if (m_replayed->version != m_history.current().version)
+        m_replayed = std::make_shared<state::Configuration>(m_history.current());
+    publish();
+}
+
+void ConfigurationTask::applyRecord(const Record& record)
+{
+    const auto* patch = std::get_if<Record::ConfigurationPatch>(&record.body);
+    if (!patch)
+        return;
+    bool repeated = m_history.outcome(patch->id).has_value();
+    m_environment.faultPoint("patch.before_decision");
+    Record::PatchOutcome decided = m_history.apply(*patch);
+    m_unresolved.erase(patch->id);
+    // The replay of old records at start would push the recent events out of the time line.
+    if (!repeated && m_caughtUpOnce) {
+        m_environment.recordEvent(patch->id.value(), "patch.decided", describe(decided));
+        if (decided.accepted)
+            m_environment.recordEvent(
+                patch->id.value(), "configuration.in_force", "version=" + std::to_string(decided.version));
+    }
+    answer(patch->id, { .status = PatchAnswer::Status::Decided, .outcome = decided });
+}
+
+void ConfigurationTask::loadSnapshot(const Record& record)
+{
+    const auto& snapshot = std::get<Record::ConfigurationSnapshot>(record.body);
+    auto configuration = decodeSnapshot(snapshot);
+    if (!configuration)
+        return;
+    m_history.restore(std::move(*configuration), snapshot.outcomes);
+    for (const Record::PatchOutcome& outcome : snapshot.outcomes) {
+        m_unresolved.erase(outcome.id);
+        answer(outcome.id, { .status = PatchAnswer::Status::Decided, .outcome = outcome });
+    }
+}
+
+void ConfigurationTask::handle(ConfigurationMessage::PeerSnapshot message)
+{
+    if (m_told && m_told->configuration->version >= message.snapshot.version)
+        return;
+    auto configuration = decodeSnapshot(message.snapshot);
+    if (!configuration)
+        return;
+    m_told = Told {
+        .configuration = std::make_shared<state::Configuration>(std::move(*configuration)),
+        .snapshot = std::move(message.snapshot),
+    };
+    publish();
+}
+
+void ConfigurationTask::handle(const ConfigurationMessage::LogReachability& message)
+{
+    m_logReachable = message.reachable;
+    publish();
+}
+
+void ConfigurationTask::handle(const ConfigurationMessage::SnapshotForPeer& message)
+{
+    ConfigurationMessage::View current = view();
+    if (!current.ready)
+        message.reply(std::nullopt);
+    else if (m_told && current.configuration == m_told->configuration)
+        message.reply(m_told->snapshot);
+    else
+        message.reply(makeSnapshot());
+}
+
+Record::ConfigurationSnapshot ConfigurationTask::makeSnapshot() const
+{
+    return {
+        .version = m_replayed->version,
+        .document = protocol::encodeConfiguration(*m_replayed),
+        .outcomes = m_history.outcomes(),
+        .nextOffset = m_replay.nextOffset(),
+    };
+}
+
+std::optional<Record::PatchOutcome> ConfigurationTask::outcome(const state::PatchId& id) const
+{
+    if (auto decided = m_history.outcome(id))
+        return decided;
+    if (!m_told)
+        return std::nullopt;
+    const auto& told = m_told->snapshot.outcomes;
+    auto found = std::find_if(told.begin(), told.end(), [&id](const auto& outcome) { return outcome.id == id; });
+    if (found == told.end())
+        return std::nullopt;
+    return *found;
+}
+
+void ConfigurationTask::answer(const state::PatchId& id, const PatchAnswer& answer)
+{
+    auto node = m_waiting.extract(id);
+    if (node.empty())
+        return;
+    loop().cancelTimer(node.mapped().timer);
+    for (const auto& reply : node.mapped().replies)
+        reply(answer);
+}
+
+std::string ConfigurationTask::notReadyReason() const
+{
+    if (m_logReachable == false && m_replay.nextOffset() == 0)
+        return "log_unavailable: the configuration can be read neither from the log nor from a peer";
+    if (m_replay.nextOffset() > 0 && !m_replay.complete())
+        return "stream_gap: records of the configuration stream have expired and no snapshot has been read";
+    return "replaying: the configuration stream has not been read to its end";
+}
+
+ConfigurationMessage::View ConfigurationTask::view() const
+{
+    bool replayUsable = m_caughtUpOnce && m_replay.complete();
+    // What a peer told before records expired unread does not cover those records.
+    bool toldUsable = m_told && (m_replay.complete() || m_replay.nextOffset() == 0);
+    ConfigurationMessage::View view { .ready = replayUsable || toldUsable, .reason = {}, .configuration = m_replayed };
+    // A version in force never reverts, even if replay lags behind what a peer has told.
+    if (m_told && m_told->configuration->version >= m_replayed->version)
+        view.configuration = m_told->configuration;
+    if (!view.ready)
+        view.reason = notReadyReason();
+    return view;
+}
+
+void ConfigurationTask::publish()
+{
+    ConfigurationMessage::View next = view();
+    bool changed = next.ready != m_published.ready || next.reason != m_published.reason
+        || next.configuration->version != m_published.configuration->version;
+    m_published = next;
+    if (!changed)
+        return;
+    m_environment.metrics->setGauge(
+        "lentilsaddle_configuration_version", static_cast<double>(next.configuration->version));
+    for (const auto& watcher : m_watchers)
+        watcher(next);
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/ConfigurationTask.h
@@ -0,0 +1,94 @@
+/// @file
+/// Task that replays the configuration stream.
+#pragma once
+
+#include "coordination/ConfigurationMessage.h"
+#include "coordination/ConfigurationTaskOptions.h"
+#include "coordination/LogMessage.h"
+#include "coordination/TaskEnvironment.h"
+#include "state/ConfigurationHistory.h"
+#include "state/StreamReplay.h"
+#include "transport/Task.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+/// Decides patches in log order and tells which configuration is in force.
+///
+/// The configuration in force is the newer one of what replay has reached and what a peer has told. A peer's
+/// configuration never enters the replayed history, because a patch must be decided from the stream alone.
+class ConfigurationTask : public transport::Task<ConfigurationMessage> {
+public:
+    /// @param postLog posts a message to the log task.
+    ConfigurationTask(
+        TaskEnvironment environment, ConfigurationTaskOptions options, std::function<void(LogMessage)> postLog);
+    ~ConfigurationTask() override;
+
+protected:
+    void onStart() override;
+    void onMessage(ConfigurationMessage message) override;
+
+private:
+    using PatchAnswer = ConfigurationMessage::PatchAnswer;
+
+    /// Submissions of one patch that wait for replay.
+    struct Waiting {
+        std::vector<std::function<void(PatchAnswer)>> replies;
+        transport::EventLoop::TimerId timer = 0;
+    };
+
+    /// Configuration that a peer has told.
+    struct Told {
+        std::shared_ptr<const state::Configuration> configuration;
+        state::Record::ConfigurationSnapshot snapshot;
+    };
+
+    void handle(ConfigurationMessage::SubmitPatch message);
+    void handle(const ConfigurationMessage::QueryPatch& message);
+    void handle(const ConfigurationMessage::Query& message);
+    void handle(ConfigurationMessage::Watch message);
+    void handle(const ConfigurationMessage::LogBatch& message);
+    void handle(ConfigurationMessage::PeerSnapshot message);
+    void handle(const ConfigurationMessage::LogReachability& message);
+    void handle(const ConfigurationMessage::SnapshotForPeer& message);
+    void handle(const ConfigurationMessage::PatchAppended& message);
+
+    void appendPatch(const state::Record::ConfigurationPatch& patch);
+    void applyRecord(const state::Record& record);
+    void loadSnapshot(const state::Record& record);
+    /// @return the outcome by replay or as a peer has told it.
+    std::optional<state::Record::PatchOutcome> outcome(const state::PatchId& id) const;
+    void answer(const state::PatchId& id, const PatchAnswer& answer);
+    PatchAnswer refusal(const state::PatchId& id, const std::string& reason) const;
+    state::Record::ConfigurationSnapshot makeSnapshot() const;
+
+    std::string notReadyReason() const;
+    ConfigurationMessage::View view() const;
+    void publish();
+
+    TaskEnvironment m_environment;
+    ConfigurationTaskOptions m_options;
+    std::function<void(LogMessage)> m_postLog;
+    state::ConfigurationHistory m_history;
+    state::StreamReplay m_replay;
+    /// Copy of the replayed configuration that is shared with the watchers.
+    std::shared_ptr<const state::Configuration> m_replayed;
+    std::optional<Told> m_told;
+    /// Replay has reached the end of the stream at least once.
+    bool m_caughtUpOnce = false;
+    std::optional<bool> m_logReachable;
+    std::map<state::PatchId, Waiting> m_waiting;
+    /// Patches whose append may still take effect.
+    std::set<state::PatchId> m_unresolved;
+    std::vector<std::function<void(ConfigurationMessage::View)>> m_watchers;
+    ConfigurationMessage::View m_published;
+};
+
+} // namespace lentilsaddle::coordination
--- a/coordination/LogMessage.h
+++ b/coordination/LogMessage.h
@@ -2,9 +2,11 @@
 /// Mailbox message of LogTask.
 #pragma once
 
+#include "protocol/LogClient.h"
 #include "state/StreamBatch.h"
 #include "state/Time.h"
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <variant>
@@ -56,7 +58,21 @@
         std::function<void(bool appended, state::LogOffset firstOffset)> onResult;
     };
 
-    using Body = std::variant<Append, Subscribe, WatchReachability, RelayAppend>;
+    /// Reads encoded records for a peer that cannot reach the log service.
+    struct RelayRead {
+        std::string stream;
+        state::LogOffset offset = 0;
+        /// Time that the answer may be held back until there is a record.
+        std::chrono::milliseconds wait { 0 };
+        std::function<void(protocol::LogClient::ReadResult)> onResult;
+    };
+
+    /// Work that another thread hands to the task.
+    struct Run {
+        std::function<void()> work;
+    };
+
+    using Body = std::variant<Append, Subscribe, WatchReachability, RelayAppend, RelayRead, Run>;
     Body body;
 };
 
--- /dev/null
+++ b/coordination/LogTask.cpp
@@ -0,0 +1,234 @@
+#include "coordination/LogTask.h"
+
+#include "protocol/RecordCodec.h"
+#include "transport/Logger.h"
+#include "transport/Metrics.h"
+
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using protocol::LogClient;
+using transport::LogLevel;
+
+namespace {
+
+    constexpr auto component = "log";
+
+    std::string toString(LogMessage::AppendStatus status)
+    {
+        switch (status) {
+        case LogMessage::AppendStatus::Appended:
+            return "appended";
+        case LogMessage::AppendStatus::NotAppended:
+            return "not_appended";
+        case LogMessage::AppendStatus::Unresolved:
+            break;
+        }
+        return "unresolved";
+    }
+
+} // namespace
+
+LogTask::LogTask(TaskEnvironment environment, LogTaskOptions options)
+    : m_environment(std::move(environment))
+    , m_options(std::move(options))
+{
+}
+
+LogTask::~LogTask()
+{
+    stop();
+}
+
+void LogTask::onStart()
+{
+    m_client = std::make_unique<LogClient>(loop(), m_options.platformUrl);
+}
+
+void LogTask::onStop()
+{
+    loop().cancelTimer(m_probeTimer);
+    m_readers.clear();
+    m_appenders.clear();
+    m_client.reset();
+}
+
+void LogTask::onMessage(LogMessage message)
+{
+    std::visit([this](auto& body) { handle(std::move(body)); }, message.body);
+}
+
+void LogTask::handle(LogMessage::Append message)
+{
+    state::Record record {
+        .origin = {
+            .instance = m_environment.instance,
+            .incarnation = m_environment.incarnation,
+            .sequence = ++m_lastSequence,
+        },
+        .body = std::move(message.body),
+    };
+    appender(message.stream)
+        .add({
+            .bytes = protocol::encodeRecord(record),
+            .origin = record.origin,
+            .deadline = message.deadline,
+            .onResult = std::move(message.onResult),
+        });
+}
+
+void LogTask::handle(LogMessage::Subscribe message)
+{
+    std::string stream = message.stream;
+    std::size_t index = m_readers.size();
+    m_readers.push_back(std::make_unique<StreamReader>(loop(), m_options,
+        StreamReader::Hooks {
+            .random = m_environment.random,
+            .read = [this, stream](state::LogOffset offset, std::chrono::milliseconds wait,
+                        LogClient::ReadCallback callback) { sendRead(stream, offset, wait, std::move(callback)); },
+            .onBatch = std::move(message.onBatch),
+            .onRead =
+                [this, index](bool succeeded) {
+                    if (succeeded)
+                        m_failingReaders.erase(index);
+                    else
+                        m_failingReaders.insert(index);
+                    updateReachability();
+                },
+            .onSkipped
+            = [this, stream](state::LogOffset offset, const std::string& error) { onSkipped(stream, offset, error); },
+        }));
+    m_readers.back()->start();
+}
+
+void LogTask::handle(LogMessage::WatchReachability message)
+{
+    if (m_reachable)
+        message.onChange(*m_reachable);
+    m_reachabilityWatchers.push_back(std::move(message.onChange));
+}
+
+void LogTask::handle(LogMessage::RelayAppend message)
+{
+    m_client->append(message.stream, message.records, m_options.appendTimeout,
+        [reply = std::move(message.onResult)](const LogClient::AppendResult& result) {
+            reply(result.status == LogClient::AppendResult::Status::Appended, result.firstOffset);
+        });
+}
+
+void LogTask::handle(LogMessage::RelayRead message)
+{
+    m_client->read(message.stream, message.offset, m_options.maximumReadRecords, message.wait, m_options.readTimeout,
+        std::move(message.onResult));
+}
+
+void LogTask::handle(const LogMessage::Run& message)
+{
+    message.work();
+}
+
+StreamAppender& LogTask::appender(const std::string& stream)
+{
+    std::unique_ptr<StreamAppender>& entry = m_appenders[stream];
+    if (!entry) {
+        entry = std::make_unique<StreamAppender>(loop(), m_options,
+            StreamAppender::Hooks {
+                .clock = m_environment.monotonicClock,
+                .random = m_environment.random,
+                .send = [this, stream](const std::vector<std::string>& records,
+                            LogClient::AppendCallback callback) { sendAppend(stream, records, std::move(callback)); },
+                .onReported =
+                    [this](LogMessage::AppendStatus status) {
+                        m_environment.metrics->increment(
+                            "lentilsaddle_log_appends_total", { { "result", toString(status) } });
+                    },
+            });
+    }
+    return *entry;
+}
+
+void LogTask::sendAppend(
+    const std::string& stream, const std::vector<std::string>& records, LogClient::AppendCallback callback)
+{
+    m_environment.faultPoint("log.before_append");
+    m_client->append(stream, records, m_options.appendTimeout,
+        [this, stream, callback = std::move(callback)](const LogClient::AppendResult& result) {
+            m_environment.faultPoint("log.after_append");
+            onAppendAnswer(stream, result);
+            callback(result);
+        });
+}
+
+void LogTask::onAppendAnswer(const std::string& stream, const LogClient::AppendResult& result)
+{
+    bool failed = result.status != LogClient::AppendResult::Status::Appended;
+    bool first = failed && !m_appendFailing;
+    m_appendFailing = failed;
+    if (failed) {
+        transport::writeLog(first ? LogLevel::Warning : LogLevel::Debug, component,
+            "append failed; retrying until the records' deadlines",
+            { { .key = "stream", .value = stream }, { .key = "error", .value = result.error } });
+        probe(stream);
+    }
+    updateReachability();
+}
+
+void LogTask::sendRead(const std::string& stream, state::LogOffset offset, std::chrono::milliseconds wait,
+    LogClient::ReadCallback callback)
+{
+    m_client->read(stream, offset, m_options.maximumReadRecords, wait, m_options.readTimeout, std::move(callback));
+}
+
+void LogTask::onSkipped(const std::string& stream, state::LogOffset offset, const std::string& error)
+{
+    transport::writeLog(LogLevel::Error, component, "skipped a record that cannot be decoded",
+        { { .key = "stream", .value = stream }, { .key = "offset", .value = std::to_string(offset) },
+            { .key = "error", .value = error } });
+    m_environment.metrics->increment("lentilsaddle_log_records_skipped_total", { { "stream", stream } });
+}
+
+void LogTask::probe(const std::string& stream)
+{
+    if (m_probeTimer != 0)
+        return;
+    m_probeTimer = loop().startTimer(m_options.probeInterval, [this, stream] {
+        m_client->read(stream, 0, 1, std::chrono::milliseconds(0), m_options.readTimeout,
+            [this, stream](const LogClient::ReadResult& result) {
+                m_probeTimer = 0;
+                if (!m_appendFailing)
+                    return;
+                if (result.status == LogClient::ReadResult::Status::Failed) {
+                    probe(stream);
+                    return;
+                }
+                m_appendFailing = false;
+                updateReachability();
+            });
+    });
+}
+
+void LogTask::updateReachability()
+{
+    bool reachable = !m_appendFailing && m_failingReaders.empty();
+    if (m_reachable == reachable)
+        return;
+    m_reachable = reachable;
+    transport::writeLog(reachable ? LogLevel::Info : LogLevel::Warning, component,
+        reachable ? "log service is reachable" : "log service is unreachable");
+    m_environment.metrics->setGauge("lentilsaddle_log_reachable", reachable ? 1 : 0);
+    for (const auto& watcher : m_reachabilityWatchers)
+        watcher(reachable);
+    if (reachable)
+        retryAll();
+}
+
+void LogTask::retryAll()
+{
+    for (const auto& [stream, appender] : m_appenders)
+        appender->retryNow();
+    for (const auto& reader : m_readers)
+        reader->retryNow();
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/LogTask.h
@@ -0,0 +1,69 @@
+/// @file
+/// Task that owns the connection to the log service.
+#pragma once
+
+#include "coordination/LogMessage.h"
+#include "coordination/LogTaskOptions.h"
+#include "coordination/StreamAppender.h"
+#include "coordination/StreamReader.h"
+#include "coordination/TaskEnvironment.h"
+#include "protocol/LogClient.h"
+#include "transport/Task.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+/// Appends records and delivers streams for all tasks of the process.
+class LogTask : public transport::Task<LogMessage> {
+public:
+    LogTask(TaskEnvironment environment, LogTaskOptions options);
+    ~LogTask() override;
+
+protected:
+    void onStart() override;
+    void onStop() override;
+    void onMessage(LogMessage message) override;
+
+private:
+    void handle(LogMessage::Append message);
+    void handle(LogMessage::Subscribe message);
+    void handle(LogMessage::WatchReachability message);
+    void handle(LogMessage::RelayAppend message);
+    void handle(LogMessage::RelayRead message);
+    void handle(const LogMessage::Run& message);
+
+    StreamAppender& appender(const std::string& stream);
+    void sendAppend(const std::string& stream, const std::vector<std::string>& records,
+        protocol::LogClient::AppendCallback callback);
+    void onAppendAnswer(const std::string& stream, const protocol::LogClient::AppendResult& result);
+    void sendRead(const std::string& stream, state::LogOffset offset, std::chrono::milliseconds wait,
+        protocol::LogClient::ReadCallback callback);
+    void onSkipped(const std::string& stream, state::LogOffset offset, const std::string& error);
+
+    /// Asks the service in regular intervals while appends fail, because the readers may all wait in a long poll.
+    void probe(const std::string& stream);
+    void updateReachability();
+    void retryAll();
+
+    TaskEnvironment m_environment;
+    LogTaskOptions m_options;
+    std::unique_ptr<protocol::LogClient> m_client;
+    std::uint64_t m_lastSequence = 0;
+    std::map<std::string, std::unique_ptr<StreamAppender>> m_appenders;
+    std::vector<std::unique_ptr<StreamReader>> m_readers;
+    std::vector<std::function<void(bool)>> m_reachabilityWatchers;
+    bool m_appendFailing = false;
+    std::set<std::size_t> m_failingReaders;
+    std::optional<bool> m_reachable;
+    transport::EventLoop::TimerId m_probeTimer = 0;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/LogTaskOptions.h
@@ -0,0 +1,32 @@
+/// @file
+/// Options of LogTask.
+#pragma once
+
+#include "coordination/decisions/Backoff.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace lentilsaddle::coordination {
+
+struct LogTaskOptions {
+    /// Base URL of the platform, without a trailing slash.
+    std::string platformUrl;
+    std::chrono::milliseconds appendTimeout { 2'000 };
+    /// Shortest time between two appends to one stream; the next batch collects meanwhile.
+    std::chrono::milliseconds appendInterval { 20 };
+    /// Time that the service may hold back the answer to a read at the end of the stream.
+    std::chrono::milliseconds longPoll { 25'000 };
+    /// Limit of a read beyond the long poll.
+    std::chrono::milliseconds readTimeout { 2'000 };
+    /// Time between questions whether the service is back while appends fail.
+    std::chrono::milliseconds probeInterval { 1'000 };
+    Backoff backoff;
+    /// Limits of one append, so that a long queue after an outage does not exceed the service's body limit.
+    std::size_t maximumAppendRecords = 256;
+    std::size_t maximumAppendBytes = 524'288;
+    std::size_t maximumReadRecords = 1'000;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/StreamReader.cpp
@@ -0,0 +1,108 @@
+#include "coordination/StreamReader.h"
+
+#include "protocol/ProtocolError.h"
+#include "protocol/RecordCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using protocol::LogClient;
+
+StreamReader::StreamReader(transport::EventLoop& loop, const LogTaskOptions& options, Hooks hooks)
+    : m_loop(loop)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+{
+}
+
+StreamReader::~StreamReader()
+{
+    *m_alive = false;
+    m_loop.cancelTimer(m_retryTimer);
+}
+
+void StreamReader::retryNow()
+{
+    if (m_retryTimer == 0)
+        return;
+    m_loop.cancelTimer(m_retryTimer);
+    m_retryTimer = 0;
+    read();
+}
+
+void StreamReader::read()
+{
+    // Until the end of the stream is reached, the service must answer at once, so that an empty answer shows the end.
+    auto wait = m_following ? m_options.longPoll : std::chrono::milliseconds(0);
+    m_hooks.read(m_offset, wait, [this, alive = m_alive](const LogClient::ReadResult& result) {
+        if (*alive)
+            onAnswer(result);
+    });
+}
+
+void StreamReader::readLater()
+{
+    ++m_failures;
+    m_retryTimer = m_loop.startTimer(retryDelay(m_options.backoff, m_failures, m_hooks.random()), [this] {
+        m_retryTimer = 0;
+        read();
+    });
+}
+
+void StreamReader::onAnswer(const LogClient::ReadResult& result)
+{
+    bool expired = result.status == LogClient::ReadResult::Status::Expired;
+    // An expired answer that names no later offset would be repeated for ever.
+    bool succeeded
+        = result.status == LogClient::ReadResult::Status::Records || (expired && result.oldestOffset > m_offset);
+    m_hooks.onRead(succeeded);
+    if (!succeeded) {
+        readLater();
+        return;
+    }
+    m_failures = 0;
+    if (expired)
+        restartAt(result.oldestOffset);
+    else
+        deliver(result);
+    read();
+}
+
+void StreamReader::restartAt(state::LogOffset oldest)
+{
+    m_offset = oldest;
+    m_gap = true;
+    m_following = false;
+}
+
+void StreamReader::deliver(const LogClient::ReadResult& result)
+{
+    state::LogOffset first = result.records.empty() ? m_offset : result.records.front().offset;
+    if (first > m_offset)
+        restartAt(first);
+    bool reachedEnd = m_following ? result.records.size() < m_options.maximumReadRecords : result.records.empty();
+    // An empty long poll tells the subscriber nothing new.
+    bool worthTelling = !result.records.empty() || m_gap || reachedEnd != m_following;
+    m_following = reachedEnd;
+
+    state::StreamBatch batch {
+        .entries = {}, .firstOffset = m_offset, .nextOffset = m_offset, .gap = m_gap, .caughtUp = reachedEnd
+    };
+    for (const LogClient::EncodedRecord& record : result.records) {
+        try {
+            batch.entries.push_back({ .offset = record.offset, .record = protocol::decodeRecord(record.bytes) });
+        } catch (const protocol::ProtocolError& error) {
+            m_hooks.onSkipped(record.offset, error.what());
+        }
+        batch.nextOffset = std::max(batch.nextOffset, record.offset + 1);
+    }
+    batch.nextOffset = std::max(batch.nextOffset, result.nextOffset);
+    m_offset = batch.nextOffset;
+    m_gap = false;
+    if (worthTelling)
+        m_hooks.onBatch(std::move(batch));
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/tests/coordination/ConfigurationTaskTest.cpp
@@ -0,0 +1,165 @@
+#include "coordination/ConfigurationTask.h"
+
+#include "tests/coordination/Mailbox.h"
+#include "tests/coordination/TestEnvironment.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::coordination {
+
+using state::Record;
+using state::StreamBatch;
+using PatchAnswer = ConfigurationMessage::PatchAnswer;
+
+namespace {
+
+    class ConfigurationTaskTest : public testing::Test {
+    protected:
+        ConfigurationTaskTest()
+            : m_task(makeTestEnvironment("e1", m_metrics),
+                {
+                    .stream = "configuration",
+                    .appendLimit = std::chrono::milliseconds(50),
+                    .answerLimit = std::chrono::milliseconds(100),
+                },
+                [this](LogMessage message) {
+                    if (auto* append = std::get_if<LogMessage::Append>(&message.body))
+                        m_appends.put(std::move(*append));
+                })
+        {
+            m_task.start();
+        }
+        ~ConfigurationTaskTest() override { m_task.stop(); }
+
+        static Record patch(const std::string& id, state::ConfigurationVersion base)
+        {
+            return { .origin = {},
+                .body = Record::ConfigurationPatch {
+                    .id = state::PatchId(id),
+                    .base = base,
+                    .mergePatch = R"({"accounts":{")" + id + R"(":{}}})",
+                } };
+        }
+
+        void replay(state::LogOffset first, const std::vector<Record>& records, bool gap = false)
+        {
+            StreamBatch batch {
+                .entries = {}, .firstOffset = first, .nextOffset = first, .gap = gap, .caughtUp = true
+            };
+            for (const Record& record : records)
+                batch.entries.push_back({ .offset = batch.nextOffset++, .record = record });
+            m_task.post({ ConfigurationMessage::LogBatch { .batch = std::move(batch) } });
+        }
+
+        void submit(const Record& record)
+        {
+            m_task.post({ ConfigurationMessage::SubmitPatch {
+                .patch = std::get<Record::ConfigurationPatch>(record.body),
+                .reply = [this](PatchAnswer answer) { m_answers.put(std::move(answer)); },
+            } });
+        }
+
+        void tell(state::ConfigurationVersion version, state::LogOffset nextOffset = 0)
+        {
+            m_task.post({ ConfigurationMessage::PeerSnapshot {
+                .snapshot = { .version = version, .document = "{}", .outcomes = {}, .nextOffset = nextOffset } } });
+        }
+
+        ConfigurationMessage::View view()
+        {
+            Mailbox<ConfigurationMessage::View> views;
+            m_task.post({ ConfigurationMessage::Query { .reply = [&](auto view) { views.put(std::move(view)); } } });
+            return views.take();
+        }
+
+        void setLogReachable(bool reachable)
+        {
+            m_task.post({ ConfigurationMessage::LogReachability { .reachable = reachable } });
+        }
+
+        transport::Metrics m_metrics;
+        Mailbox<LogMessage::Append> m_appends;
+        Mailbox<PatchAnswer> m_answers;
+        ConfigurationTask m_task;
+    };
+
+} // namespace
+
+// Guards against the append call, instead of log order, deciding which of two racing operators wins.
+TEST_F(ConfigurationTaskTest, ReplayDecidesAndNotTheAppend)
+{
+    replay(0, {});
+    submit(patch("mine", 0));
+    m_appends.take().onResult({ .status = LogMessage::AppendStatus::Appended, .origin = {} });
+    replay(0, { patch("theirs", 0), patch("mine", 0) });
+    PatchAnswer answer = m_answers.take();
+    EXPECT_EQ(answer.status, PatchAnswer::Status::Decided);
+    EXPECT_FALSE(answer.outcome.accepted);
+    EXPECT_EQ(answer.outcome.version, 1U);
+}
+
+// Guards against an operator being told that a patch will not come into force while its append may still take effect.
+TEST_F(ConfigurationTaskTest, PatchThatMayBeInTheLogIsUnknown)
+{
+    replay(0, {});
+    submit(patch("p", 0));
+    m_appends.take().onResult({ .status = LogMessage::AppendStatus::Unresolved, .origin = {} });
+    EXPECT_EQ(m_answers.take().status, PatchAnswer::Status::Unknown);
+    setLogReachable(false);
+    submit(patch("p", 0));
+    EXPECT_EQ(m_answers.take().status, PatchAnswer::Status::Unknown);
+    replay(0, { patch("p", 0) });
+    submit(patch("p", 0));
+    EXPECT_TRUE(m_answers.take().outcome.accepted);
+}
+
+// Guards against a patch hanging, or being queued for later, while the log is unavailable.
+TEST_F(ConfigurationTaskTest, PatchIsRefusedDuringAnOutage)
+{
+    replay(0, {});
+    setLogReachable(false);
+    submit(patch("p", 0));
+    EXPECT_EQ(m_answers.take().status, PatchAnswer::Status::NotAppended);
+    EXPECT_TRUE(m_appends.empty());
+}
+
+// Guards against serving without a configuration, and against an older one than a peer has told.
+TEST_F(ConfigurationTaskTest, StartDuringAnOutageTakesThePeersVersion)
+{
+    setLogReachable(false);
+    EXPECT_FALSE(view().ready);
+    EXPECT_EQ(view().reason.substr(0, 15), "log_unavailable");
+    tell(2);
+    tell(1);
+    EXPECT_TRUE(view().ready);
+    EXPECT_EQ(view().configuration->version, 2U);
+    replay(0, { patch("a", 0) });
+    EXPECT_EQ(view().configuration->version, 2U);
+    replay(1, { patch("b", 1), patch("c", 2) });
+    EXPECT_EQ(view().configuration->version, 3U);
+    EXPECT_EQ(view().configuration->accounts.size(), 3U);
+}
+
+// Guards against serving from a stream whose oldest records expired unread, with what a peer told earlier as a cover.
+TEST_F(ConfigurationTaskTest, GapMakesTheInstanceNotReady)
+{
+    tell(1, 1);
+    replay(0, { patch("a", 0) });
+    EXPECT_TRUE(view().ready);
+    replay(9, { patch("z", 7) }, true);
+    EXPECT_FALSE(view().ready);
+    EXPECT_EQ(view().reason.substr(0, 10), "stream_gap");
+    replay(10,
+        { { .origin = {},
+            .body = Record::ConfigurationSnapshot {
+                .version = 8, .document = "no document", .outcomes = {}, .nextOffset = 10 } } });
+    EXPECT_FALSE(view().ready);
+    replay(11,
+        { { .origin = {},
+            .body
+            = Record::ConfigurationSnapshot { .version = 8, .document = "{}", .outcomes = {}, .nextOffset = 10 } } });
+    EXPECT_TRUE(view().ready);
+    EXPECT_EQ(view().configuration->version, 8U);
+}
+
+} // namespace lentilsaddle::coordination
