Route service requests to backend servers

Non-repeatable requests are claimed in the stream of their service before hand-over; the first claim in log order wins at any instance, and a claim that ended as not run releases its key.

RequestEnded names the claim that it ends. Without that, a late duplicate of an earlier outcome of the same process could release a later claim of the same key while its request runs. Matching by the order of sequences alone was ruled out: an outcome that is appended again has a higher sequence than a claim made in between.

The variant in RequestMessage starts with Instances, because the default constructor of a variant needs that of its first alternative, which is unknown inside the class for a nested struct with default member initializers.

--- /dev/null
+++ b/coordination/AnswerCache.h
@@ -0,0 +1,35 @@
+/// @file
+/// Recent answers of non-repeatable requests.
+#pragma once
+
+#include "coordination/RequestMessage.h"
+#include "state/KeyDigest.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+
+namespace lentilsaddle::coordination {
+
+/// Bounded cache; the oldest answers are dropped first.
+class AnswerCache {
+public:
+    /// @param capacityBytes bodies kept, in bytes.
+    explicit AnswerCache(std::size_t capacityBytes);
+
+    void store(const state::KeyDigest& key, const RequestMessage::ServiceAnswer& answer);
+
+    /// @return the answer, or null if it is not kept.
+    const RequestMessage::ServiceAnswer* find(const state::KeyDigest& key) const;
+
+private:
+    /// Size counted for an answer besides its body.
+    static constexpr std::size_t overheadBytes = 256;
+
+    std::size_t m_capacityBytes;
+    std::size_t m_bytes = 0;
+    std::map<state::KeyDigest, RequestMessage::ServiceAnswer> m_answers;
+    std::deque<state::KeyDigest> m_order;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/RequestAnswers.cpp
@@ -0,0 +1,98 @@
+#include "coordination/RequestAnswers.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+namespace {
+
+    constexpr int badRequest = 400;
+    constexpr int forbidden = 403;
+    constexpr int notFound = 404;
+    constexpr int serviceUnavailable = 503;
+    constexpr int gatewayTimeout = 504;
+
+    int statusOf(std::string_view reason)
+    {
+        if (reason == "idempotency_key_required")
+            return badRequest;
+        if (reason == "unknown_account")
+            return forbidden;
+        if (reason == "unknown_service")
+            return notFound;
+        return serviceUnavailable;
+    }
+
+} // namespace
+
+RequestMessage::ServiceAnswer notRunAnswer(std::string_view reason, std::chrono::seconds retryAfter)
+{
+    RequestMessage::ServiceAnswer answer;
+    answer.outcome = state::RequestOutcome::NotRun;
+    answer.status = statusOf(reason);
+    answer.reason = reason;
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
+RequestMessage::ServiceAnswer unknownAnswer(std::string_view reason)
+{
+    RequestMessage::ServiceAnswer answer;
+    answer.outcome = state::RequestOutcome::Unknown;
+    answer.status = gatewayTimeout;
+    answer.reason = reason;
+    return answer;
+}
+
+RequestMessage::ServiceAnswer doneAnswer(transport::HttpResponse response)
+{
+    RequestMessage::ServiceAnswer answer;
+    answer.outcome = state::RequestOutcome::Done;
+    answer.status = response.status;
+    answer.contentType = response.headers["content-type"];
+    answer.body = std::move(response.body);
+    return answer;
+}
+
+std::chrono::seconds retryAfter(std::chrono::milliseconds estimatedWait)
+{
+    return std::max(std::chrono::seconds(1), std::chrono::ceil<std::chrono::seconds>(estimatedWait));
+}
+
+std::string_view refusalReason(AdmissionQueue::Verdict verdict)
+{
+    switch (verdict) {
+    case AdmissionQueue::Verdict::Accepted:
+        return {};
+    case AdmissionQueue::Verdict::QueueFull:
+        return "queue_full";
+    case AdmissionQueue::Verdict::DeadlineTooClose:
+        return "deadline_too_close";
+    }
+    return {};
+}
+
+transport::HttpCall backendCall(
+    const RequestMessage::ServiceRequest& request, int attempt, std::chrono::milliseconds remaining)
+{
+    transport::HttpCall call {
+        .method = "POST",
+        .headers = {
+            { "Request-Id", request.id.value() },
+            { "Request-Attempt", std::to_string(attempt) },
+            { "Request-Deadline-Ms", std::to_string(remaining.count()) },
+            { "Client-Account", request.account.value() },
+            { "Content-Type", request.contentType.empty() ? "application/octet-stream" : request.contentType },
+        },
+        .body = request.body,
+        .timeout = remaining,
+        .freshConnection = request.nonRepeatable,
+    };
+    if (!request.idempotencyKey.empty())
+        call.headers["Idempotency-Key"] = request.idempotencyKey;
+    return call;
+}
+
+} // namespace lentilsaddle::coordination
--- a/coordination/RequestMessage.h
+++ b/coordination/RequestMessage.h
@@ -5,10 +5,13 @@
 #include "state/Configuration.h"
 #include "state/Identifier.h"
 #include "state/InstanceInfo.h"
+#include "state/KeyDigest.h"
+#include "state/Origin.h"
 #include "state/RequestOutcome.h"
 #include "state/StreamBatch.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -72,9 +75,24 @@
     struct ClaimAppended {
         state::RequestId request;
         bool certainlyNotAppended = false;
+        state::ServiceId service;
+        /// The task's own number of the request, since callers may repeat identifiers.
+        std::uint64_t ticket = 0;
+        /// Origin that the claim was given.
+        state::Origin origin;
+    };
+    /// Result of an append, posted by the task to itself.
+    struct OutcomeAppended {
+        state::ServiceId service;
+        state::KeyDigest key;
+        std::uint64_t claimSequence = 0;
+        bool appended = false;
     };
 
-    using Body = std::variant<Submit, Configure, Instances, LogBatch, LogReachability, Drain, ClaimAppended>;
+    // Submit is not first: the default constructor of a variant needs that of its first alternative, which is not yet
+    // known for a nested struct with default member initializers.
+    using Body
+        = std::variant<Instances, Submit, Configure, LogBatch, LogReachability, Drain, ClaimAppended, OutcomeAppended>;
     Body body;
 };
 
--- /dev/null
+++ b/coordination/ServiceRouter.cpp
@@ -0,0 +1,393 @@
+#include "coordination/ServiceRouter.h"
+
+#include "coordination/RequestAnswers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+ServiceRouter::ServiceRouter(
+    state::ServiceId service, const TaskEnvironment& environment, const RequestTaskOptions& options, Hooks hooks)
+    : m_service(std::move(service))
+    , m_environment(environment)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+    , m_report(environment)
+    , m_claims(m_service, environment, options,
+          { .postLog = m_hooks.postLog, .post = m_hooks.post, .startTimer = m_hooks.startTimer })
+    , m_dispatcher(m_service, environment, options, dispatcherHooks())
+    , m_answers(options.answerCacheBytes)
+{
+}
+
+ServiceDispatcher::Hooks ServiceRouter::dispatcherHooks()
+{
+    return {
+        .send = m_hooks.send,
+        .startTimer = m_hooks.startTimer,
+        .previousRunner =
+            [this](Ticket ticket) {
+                PendingRequest* pending = find(ticket);
+                return pending ? pending->runner : state::InstanceId();
+            },
+        .prepare = [this](Ticket ticket, const state::InstanceId& runner) { return prepare(ticket, runner); },
+        .onHandedOver = [this](Ticket ticket) { onHandedOver(ticket); },
+        .onResult = [this](Ticket ticket, int attempt, RequestPolicy::Result result,
+                        transport::HttpResponse response) { onResult(ticket, attempt, result, std::move(response)); },
+        .onEvicted =
+            [this](Ticket ticket, std::chrono::milliseconds estimatedWait) {
+                if (PendingRequest* pending = find(ticket))
+                    endUnserved(*pending, "queue_full", retryAfter(estimatedWait));
+            },
+    };
+}
+
+PendingRequest* ServiceRouter::find(Ticket ticket)
+{
+    auto found = m_pending.find(ticket);
+    return found == m_pending.end() ? nullptr : &found->second;
+}
+
+AdmissionQueue::Item ServiceRouter::itemOf(const PendingRequest& pending) const
+{
+    return { .ticket = pending.ticket, .account = pending.request.account, .deadline = pending.deadline };
+}
+
+void ServiceRouter::submit(RequestMessage::Submit message)
+{
+    Ticket ticket = ++m_lastTicket;
+    PendingRequest& pending = m_pending[ticket];
+    pending.ticket = ticket;
+    pending.request = std::move(message.request);
+    pending.reply = std::move(message.reply);
+    pending.deadline = m_environment.monotonicClock() + pending.request.timeout;
+    if (pending.request.nonRepeatable && pending.request.idempotencyKey.empty())
+        return finish(pending, notRunAnswer("idempotency_key_required"));
+    budgetOf(pending.request.account).countRequest(m_environment.monotonicClock());
+    startDeadlineTimer(pending);
+    begin(pending);
+    m_dispatcher.pump();
+}
+
+void ServiceRouter::begin(PendingRequest& pending)
+{
+    if (pending.request.nonRepeatable)
+        beginNonRepeatable(pending);
+    else if (!m_dispatcher.anyRunner())
+        endUnserved(pending, "no_backend_server", retryAfter({}));
+    else
+        enqueue(pending);
+}
+
+void ServiceRouter::beginNonRepeatable(PendingRequest& pending)
+{
+    const RequestMessage::ServiceRequest& request = pending.request;
+    pending.key = state::KeyDigest::of(request.account.value(), request.service.value(), request.idempotencyKey);
+    auto [leader, isLeader] = m_leaders.try_emplace(pending.key, pending.ticket);
+    if (!isLeader) {
+        pending.phase = PendingRequest::Phase::Following;
+        m_pending.at(leader->second).followers.push_back(pending.ticket);
+        return;
+    }
+    pending.phase = PendingRequest::Phase::Claiming;
+    if (!refusedBeforeClaim(pending))
+        advanceClaim(pending);
+}
+
+bool ServiceRouter::refusedBeforeClaim(PendingRequest& pending)
+{
+    RequestClaims::Standing standing = m_claims.standing(pending.key);
+    std::string_view reason;
+    // What the ledger knows of the key comes before any refusal, which would invite the caller to try again.
+    if (standing != RequestClaims::Standing::Free && standing != RequestClaims::Standing::Incomplete)
+        return false;
+    if (!m_claims.logReachable())
+        reason = "log_unavailable";
+    else if (standing == RequestClaims::Standing::Incomplete)
+        reason = "ledger_incomplete";
+    else if (!m_dispatcher.anyRunner())
+        reason = "no_backend_server";
+    else
+        reason = refusalReason(m_dispatcher.check(itemOf(pending)));
+    if (reason.empty())
+        return false;
+    endUnserved(pending, reason, retryAfter({}));
+    return true;
+}
+
+void ServiceRouter::advanceClaim(PendingRequest& pending)
+{
+    if (pending.phase != PendingRequest::Phase::Claiming)
+        return;
+    RequestClaims::Standing standing = m_claims.standing(pending.key);
+    switch (standing) {
+    case RequestClaims::Standing::Incomplete:
+    case RequestClaims::Standing::Releasing:
+    case RequestClaims::Standing::InHand:
+        return;
+    case RequestClaims::Standing::Free:
+        return advanceFreeKey(pending);
+    case RequestClaims::Standing::Taken:
+    case RequestClaims::Standing::Done:
+    case RequestClaims::Standing::Unknown:
+        return answerFromLedger(pending, standing);
+    case RequestClaims::Standing::Ours:
+        break;
+    }
+    m_environment.faultPoint("request.after_claim");
+    pending.takenClaim = m_claims.take(pending.key);
+    m_report.claimed(pending.request);
+    enqueue(pending);
+}
+
+void ServiceRouter::advanceFreeKey(PendingRequest& pending)
+{
+    if (pending.claimInFlight || (pending.claim && !m_claims.isSpent(pending.key, *pending.claim)))
+        return;
+    m_environment.faultPoint("request.before_claim");
+    pending.claim.reset();
+    pending.claimInFlight = true;
+    m_claims.claim(pending.key, pending.request.id, pending.ticket, pending.deadline);
+}
+
+void ServiceRouter::answerFromLedger(PendingRequest& pending, RequestClaims::Standing standing)
+{
+    if (standing == RequestClaims::Standing::Taken)
+        return finish(pending, unknownAnswer("claimed_by_another_attempt"));
+    if (standing == RequestClaims::Standing::Unknown)
+        return finish(pending, unknownAnswer("answer_lost"));
+    if (const Answer* kept = m_answers.find(pending.key))
+        return finish(pending, *kept);
+    Answer answer;
+    answer.outcome = state::RequestOutcome::Done;
+    answer.status = m_claims.doneStatus(pending.key);
+    finish(pending, answer);
+}
+
+void ServiceRouter::enqueue(PendingRequest& pending)
+{
+    pending.phase = PendingRequest::Phase::Queued;
+    AdmissionQueue::Admission admission = m_dispatcher.offer(itemOf(pending));
+    if (admission.verdict != AdmissionQueue::Verdict::Accepted)
+        return endUnserved(pending, refusalReason(admission.verdict), retryAfter(admission.estimatedWait));
+    m_report.queued(pending.request);
+}
+
+std::optional<ServiceDispatcher::Delivery> ServiceRouter::prepare(Ticket ticket, const state::InstanceId& runner)
+{
+    PendingRequest* pending = find(ticket);
+    if (!pending)
+        return std::nullopt;
+    m_environment.faultPoint("request.before_hand_over");
+    // The process may have been paused since the request was queued.
+    state::MonotonicTime now = m_environment.monotonicClock();
+    if (now >= pending->deadline) {
+        endUnserved(*pending, "deadline_passed");
+        return std::nullopt;
+    }
+    ++pending->attempt;
+    pending->runner = runner;
+    pending->phase = PendingRequest::Phase::HandedOver;
+    auto remaining = std::max(
+        std::chrono::milliseconds(1), std::chrono::floor<std::chrono::milliseconds>(pending->deadline - now));
+    ServiceDispatcher::Delivery delivery {
+        .call = backendCall(pending->request, pending->attempt, remaining),
+        .request = pending->request.id,
+        .attempt = pending->attempt,
+    };
+    if (pending->request.nonRepeatable)
+        delivery.call.timeout = remaining + m_options.lateAnswerGrace;
+    m_report.handedOver(pending->request, runner, pending->attempt);
+    return delivery;
+}
+
+void ServiceRouter::onHandedOver(Ticket)
+{
+    m_environment.faultPoint("request.after_hand_over");
+}
+
+void ServiceRouter::onResult(Ticket ticket, int attempt, RequestPolicy::Result result, transport::HttpResponse response)
+{
+    PendingRequest* pending = find(ticket);
+    if (!pending || pending->attempt != attempt || pending->phase != PendingRequest::Phase::HandedOver) {
+        if (result == RequestPolicy::Result::Answered)
+            m_report.lateAnswerDropped(m_service);
+        return;
+    }
+    if (pending->answered)
+        return onLateResult(*pending, result, response);
+    state::MonotonicTime now = m_environment.monotonicClock();
+    RequestPolicy::Verdict verdict = RequestPolicy::decide(result,
+        {
+            .repeatable = !pending->request.nonRepeatable,
+            .mayHaveRun = pending->mayHaveRun,
+            .deadlinePassed = now >= pending->deadline,
+            .takeRetry = [&] { return budgetOf(pending->request.account).tryTake(now); },
+        });
+    pending->mayHaveRun = pending->mayHaveRun || !RequestPolicy::provesNotStarted(result);
+    switch (verdict.action) {
+    case RequestPolicy::Action::Retry:
+        return retry(*pending, verdict.reason);
+    case RequestPolicy::Action::AnswerDone:
+        return finish(*pending, doneAnswer(std::move(response)));
+    case RequestPolicy::Action::AnswerNotRun:
+        return finish(*pending, notRunAnswer(verdict.reason, retryAfter({})));
+    case RequestPolicy::Action::AnswerUnknown:
+        return finish(*pending, unknownAnswer(verdict.reason));
+    }
+}
+
+void ServiceRouter::onLateResult(
+    PendingRequest& pending, RequestPolicy::Result result, const transport::HttpResponse& response)
+{
+    if (result == RequestPolicy::Result::Answered) {
+        m_report.lateAnswerDropped(m_service);
+        return finish(pending, doneAnswer(response));
+    }
+    bool notRun = !pending.mayHaveRun && RequestPolicy::provesNotStarted(result);
+    finish(pending, notRun ? notRunAnswer("deadline_passed") : unknownAnswer("answer_lost"));
+}
+
+void ServiceRouter::retry(PendingRequest& pending, std::string_view reason)
+{
+    m_report.retried(pending.request, reason);
+    enqueue(pending);
+}
+
+RetryBudget& ServiceRouter::budgetOf(const state::AccountId& account)
+{
+    return m_budgets.try_emplace(account, m_options.retryBudget).first->second;
+}
+
+void ServiceRouter::startDeadlineTimer(PendingRequest& pending)
+{
+    auto delay = std::chrono::ceil<std::chrono::microseconds>(pending.deadline - m_environment.monotonicClock());
+    pending.deadlineTimer = m_hooks.startTimer(delay, [this, ticket = pending.ticket] { onDeadline(ticket); });
+}
+
+void ServiceRouter::onDeadline(Ticket ticket)
+{
+    PendingRequest* pending = find(ticket);
+    if (!pending || pending->answered)
+        return;
+    if (m_environment.monotonicClock() < pending->deadline)
+        return startDeadlineTimer(*pending);
+    switch (pending->phase) {
+    case PendingRequest::Phase::Queued:
+        for (const AdmissionQueue::Item& item : m_dispatcher.takeExpired()) {
+            if (PendingRequest* expired = find(item.ticket))
+                endUnserved(*expired, "deadline_passed");
+        }
+        return;
+    case PendingRequest::Phase::Claiming:
+        return endUnserved(*pending, "deadline_passed");
+    case PendingRequest::Phase::Following:
+        return finish(*pending, unknownAnswer("in_progress"));
+    case PendingRequest::Phase::HandedOver:
+        break;
+    }
+    if (!pending->request.nonRepeatable)
+        return finish(*pending, unknownAnswer("deadline_passed"));
+    // The call goes on, so that its outcome can be recorded.
+    reply(*pending, unknownAnswer("deadline_passed"));
+}
+
+void ServiceRouter::endUnserved(PendingRequest& pending, std::string_view reason, std::chrono::seconds retryAfter)
+{
+    finish(pending, pending.mayHaveRun ? unknownAnswer(reason) : notRunAnswer(reason, retryAfter));
+}
+
+void ServiceRouter::reply(PendingRequest& pending, const Answer& answer)
+{
+    if (pending.answered)
+        return;
+    pending.answered = true;
+    m_report.answered(pending.request, answer);
+    pending.reply(answer);
+}
+
+void ServiceRouter::finish(PendingRequest& pending, const Answer& answer)
+{
+    reply(pending, answer);
+    m_hooks.cancelTimer(pending.deadlineTimer);
+    if (pending.takenClaim) {
+        if (answer.outcome == state::RequestOutcome::Done)
+            m_answers.store(pending.key, answer);
+        m_environment.faultPoint("request.before_outcome");
+        m_claims.end(pending.key, *pending.takenClaim, answer.outcome, answer.status);
+    }
+    PendingRequest ended = std::move(m_pending.extract(pending.ticket).mapped());
+    auto leader = m_leaders.find(ended.key);
+    if (ended.request.nonRepeatable && leader != m_leaders.end() && leader->second == ended.ticket) {
+        m_leaders.erase(leader);
+        releaseIfAbandoned(ended.key);
+    }
+    finishFollowers(ended.followers, answer);
+    m_hooks.onIdle();
+}
+
+void ServiceRouter::finishFollowers(const std::vector<Ticket>& followers, const Answer& answer)
+{
+    for (Ticket ticket : followers) {
+        PendingRequest* follower = find(ticket);
+        if (!follower)
+            continue;
+        // A follower may still succeed where the first request did not run.
+        if (answer.outcome == state::RequestOutcome::NotRun)
+            begin(*follower);
+        else
+            finish(*follower, answer);
+    }
+}
+
+void ServiceRouter::releaseIfAbandoned(const state::KeyDigest& key)
+{
+    if (m_leaders.contains(key) || m_claims.standing(key) != RequestClaims::Standing::Ours)
+        return;
+    m_claims.end(key, m_claims.take(key), state::RequestOutcome::NotRun, 0);
+}
+
+void ServiceRouter::acceptLog(const state::StreamBatch& batch)
+{
+    for (const state::KeyDigest& key : m_claims.accept(batch)) {
+        auto leader = m_leaders.find(key);
+        if (leader == m_leaders.end())
+            releaseIfAbandoned(key);
+        else
+            advanceClaim(m_pending.at(leader->second));
+    }
+    m_dispatcher.pump();
+    m_hooks.onIdle();
+}
+
+void ServiceRouter::claimAppended(const RequestMessage::ClaimAppended& message)
+{
+    PendingRequest* pending = find(message.ticket);
+    if (!pending || pending->phase != PendingRequest::Phase::Claiming)
+        return;
+    pending->claimInFlight = false;
+    if (message.certainlyNotAppended)
+        return endUnserved(*pending, "log_unavailable", retryAfter({}));
+    pending->claim = message.origin;
+    advanceClaim(*pending);
+}
+
+void ServiceRouter::outcomeAppended(const RequestMessage::OutcomeAppended& message)
+{
+    m_claims.outcomeAppended(message);
+    m_hooks.onIdle();
+}
+
+void ServiceRouter::setLogReachable(bool reachable)
+{
+    m_claims.setLogReachable(reachable);
+    m_hooks.onIdle();
+}
+
+bool ServiceRouter::idle() const
+{
+    return m_pending.empty() && (!m_claims.logReachable() || !m_claims.hasUnrecordedOutcomes());
+}
+
+} // namespace lentilsaddle::coordination
--- a/protocol/RecordCodec.cpp
+++ b/protocol/RecordCodec.cpp
@@ -208,6 +208,7 @@
         outcome->set_key_digest(encode(body.key));
         outcome->set_outcome(std::string(state::toString(body.outcome)));
         outcome->set_status(static_cast<std::uint32_t>(body.status));
+        outcome->set_claim_sequence(body.claimSequence);
     }
 
     void encodeBody(const Record::RequestSnapshot& body, wire::Record& out)
@@ -285,6 +286,7 @@
                     .key = request.key,
                     .outcome = decodeOutcome(entry.outcome()),
                     .status = static_cast<int>(entry.status()),
+                    .claimSequence = request.issuer.sequence,
                 };
             }
             snapshot.entries.push_back(std::move(request));
@@ -336,6 +338,7 @@
                 .key = decodeDigest(in.request_outcome().key_digest()),
                 .outcome = decodeOutcome(in.request_outcome().outcome()),
                 .status = static_cast<int>(in.request_outcome().status()),
+                .claimSequence = in.request_outcome().claim_sequence(),
             };
         case wire::Record::kRequestSnapshot:
             return decode(in.request_snapshot());
--- a/state/Record.h
+++ b/state/Record.h
@@ -96,6 +96,9 @@
         RequestOutcome outcome = RequestOutcome::Unknown;
         /// HTTP status of the backend server's answer if the outcome is Done.
         int status = 0;
+        /// Sequence of the claim that ended, which has the same instance and incarnation. Without it, a late duplicate
+        /// of an earlier outcome could release a claim that is in use.
+        std::uint64_t claimSequence = 0;
     };
     struct RequestSnapshotEntry {
         KeyDigest key;
--- /dev/null
+++ b/state/RequestLedger.h
@@ -0,0 +1,66 @@
+/// @file
+/// Replay of the claims and outcomes of non-repeatable requests.
+#pragma once
+
+#include "state/KeyDigest.h"
+#include "state/Origin.h"
+#include "state/Record.h"
+#include "state/Time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lentilsaddle::state {
+
+/// Who may hand over the request of an idempotency key, and how the request ended.
+///
+/// Replay is deterministic: the first claim in log order holds the key, until its issuer reports that the request did
+/// not run. Every claim that was read stays remembered for the idempotency window, so that a late duplicate of it never
+/// wins the key later.
+class RequestLedger {
+public:
+    /// How long a key is remembered. Shorter than the log's retention, so that replay always covers it.
+    static constexpr std::chrono::hours idempotencyWindow { 24 };
+
+    struct Entry {
+        /// Claim that holds the key; none after its request ended as not run.
+        std::optional<Origin> issuer;
+        /// Done or Unknown, once the issuer has reported it.
+        std::optional<Record::RequestEnded> ended;
+        /// Claims that came second or were released. They never win.
+        std::vector<Origin> spent;
+        /// When the latest claim was read. A replica that still remembers an expired key must not lose sight of the
+        /// claim that another replica takes as the new winner, so the window starts again at each claim.
+        MonotonicTime lastClaim;
+    };
+
+    /// Applies a claim or an outcome; other records are ignored.
+    /// @param now when the record was read, which is never before it was written.
+    void apply(const Record& record, MonotonicTime now);
+
+    /// Replaces the state by a snapshot.
+    void restore(const Record::RequestSnapshot& snapshot, MonotonicTime now);
+
+    /// @param nextOffset offset up to which records have been applied.
+    /// @return the state as a record, without expired keys.
+    Record::RequestSnapshot snapshot(LogOffset nextOffset, MonotonicTime now) const;
+
+    /// @return the entry of a key, or null if the key is unknown or has expired.
+    const Entry* find(const KeyDigest& key, MonotonicTime now) const;
+
+    /// Forgets the keys whose window has passed.
+    void expire(MonotonicTime now);
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    void applyClaim(const KeyDigest& key, const Origin& claim, MonotonicTime now);
+    void applyEnded(const Record::RequestEnded& ended, const Origin& origin, MonotonicTime now);
+
+    std::map<KeyDigest, Entry> m_entries;
+};
+
+} // namespace lentilsaddle::state
--- /dev/null
+++ b/tests/coordination/FakeBackend.h
@@ -0,0 +1,178 @@
+/// @file
+/// Backend server that counts how often each request runs.
+#pragma once
+
+#include "transport/HttpServer.h"
+#include "transport/Task.h"
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+class FakeBackend : public transport::Task<std::function<void()>> {
+public:
+    enum class Behaviour {
+        Answer,
+        /// Refuses before start.
+        Refuse,
+        /// Runs the request, then closes the connection without an answer.
+        RunAndDrop,
+        /// Runs the request and answers when releaseHeld() is called.
+        RunAndHold,
+        /// Runs the request and answers with the identifier of another request.
+        RunAndCross,
+        /// Runs the request and announces that the server leaves.
+        RunAndLeave,
+        Fail,
+    };
+
+    FakeBackend() { startServer(0).wait(); }
+    ~FakeBackend() override { stop(); }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+    void setBehaviour(std::function<Behaviour(const transport::HttpRequest&)> behaviour)
+    {
+        std::lock_guard lock(m_mutex);
+        m_behaviour = std::move(behaviour);
+    }
+
+    /// @return how often requests with this idempotency key ran, or with this request identifier if they have none.
+    int runs(const std::string& key) const
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_runs.find(key);
+        return found == m_runs.end() ? 0 : found->second;
+    }
+
+    int totalRuns() const
+    {
+        std::lock_guard lock(m_mutex);
+        int sum = 0;
+        for (const auto& [key, count] : m_runs)
+            sum += count;
+        return sum;
+    }
+
+    /// @return requests that arrived, refused ones included.
+    int arrivals() const { return m_arrivals; }
+
+    transport::HttpHeaders lastHeaders() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_lastHeaders;
+    }
+
+    /// Answers the held requests, the last one first.
+    void releaseHeld()
+    {
+        post([this] {
+            for (auto held = m_held.rbegin(); held != m_held.rend(); ++held)
+                (*held)();
+            m_held.clear();
+        });
+    }
+
+    /// Stops listening and closes all connections.
+    void close()
+    {
+        std::promise<void> closed;
+        post([&] {
+            m_server.reset();
+            closed.set_value();
+        });
+        closed.get_future().wait();
+    }
+
+protected:
+    void onMessage(std::function<void()> work) override { work(); }
+    void onStop() override { m_server.reset(); }
+
+private:
+    std::future<void> startServer(std::uint16_t port)
+    {
+        auto started = std::make_shared<std::promise<void>>();
+        post([this, port, started] {
+            listen(port);
+            started->set_value();
+        });
+        start();
+        return started->get_future();
+    }
+
+    void listen(std::uint16_t port)
+    {
+        m_server = std::make_unique<transport::HttpServer>(loop(), transport::HttpServerOptions { .port = port },
+            [this](transport::HttpRequest request, const transport::HttpResponder& respond) {
+                handle(std::move(request), respond);
+            });
+        m_port = m_server->port();
+    }
+
+    void handle(transport::HttpRequest request, const transport::HttpResponder& respond)
+    {
+        ++m_arrivals;
+        std::unique_lock lock(m_mutex);
+        m_lastHeaders = request.headers;
+        Behaviour behaviour = m_behaviour ? m_behaviour(request) : Behaviour::Answer;
+        if (behaviour != Behaviour::Refuse)
+            ++m_runs[request.headers[request.headers.contains("idempotency-key") ? "idempotency-key" : "request-id"]];
+        lock.unlock();
+        transport::HttpResponse response {
+            .status = 200,
+            .headers = { { "request-id", request.headers["request-id"] },
+                { "request-attempt", request.headers["request-attempt"] }, { "content-type", "text/plain" } },
+            .body = "answer to " + request.body,
+        };
+        respondAs(behaviour, std::move(response), respond);
+    }
+
+    void respondAs(Behaviour behaviour, transport::HttpResponse response, const transport::HttpResponder& respond)
+    {
+        switch (behaviour) {
+        case Behaviour::Answer:
+            break;
+        case Behaviour::Refuse:
+            response.status = 503;
+            response.headers["request-not-started"] = "true";
+            break;
+        case Behaviour::RunAndDrop:
+            loop().startTimer(std::chrono::microseconds(0), [this] {
+                m_server.reset();
+                listen(m_port);
+            });
+            return;
+        case Behaviour::RunAndHold:
+            m_held.push_back([respond, response] { respond(response); });
+            return;
+        case Behaviour::RunAndCross:
+            response.headers["request-id"] = "another request";
+            break;
+        case Behaviour::RunAndLeave:
+            response.headers["connection"] = "close";
+            break;
+        case Behaviour::Fail:
+            response.status = 500;
+            break;
+        }
+        respond(std::move(response));
+    }
+
+    mutable std::mutex m_mutex;
+    std::function<Behaviour(const transport::HttpRequest&)> m_behaviour;
+    std::map<std::string, int> m_runs;
+    transport::HttpHeaders m_lastHeaders;
+    std::atomic<int> m_arrivals = 0;
+    std::atomic<std::uint16_t> m_port = 0;
+    std::vector<std::function<void()>> m_held;
+    std::unique_ptr<transport::HttpServer> m_server;
+};
+
+} // namespace lentilsaddle::coordination
