--- a/transport/HttpMessage.h
+++ b/transport/HttpMessage.h
@@ -23,6 +23,8 @@
     int status = 200;
     HttpHeaders headers;
     std::string body;
+    /// A server closes the connection instead of sending this response.
+    bool dropConnection = false;
 };
 
 } // namespace lentilsaddle::transport
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -139,6 +139,8 @@
 MHD_Result HttpServer::Implementation::sendResponse(Exchange& exchange)
 {
     const HttpResponse& content = *exchange.response;
+    if (content.dropConnection)
+        return MHD_NO;
     MHD_Response* response = MHD_create_response_from_buffer(
         content.body.size(), const_cast<char*>(content.body.data()), MHD_RESPMEM_MUST_COPY);
     for (const auto& [name, value] : content.headers)
