--- /dev/null
+++ b/coordination/GangRunner.cpp
@@ -0,0 +1,305 @@
+#include "coordination/GangRunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using protocol::WorkerAnswer;
+using protocol::WorkerLease;
+using state::MonotonicTime;
+using state::WorkerId;
+using state::WorkerTask;
+using CallResult = GangCoordinator::CallResult;
+using Phase = GangCoordinator::Phase;
+
+namespace {
+
+    CallResult toResult(const WorkerAnswer& answer)
+    {
+        switch (answer.status) {
+        case WorkerAnswer::Status::Ok:
+            return CallResult::Ok;
+        case WorkerAnswer::Status::Unknown:
+            return CallResult::Unknown;
+        default:
+            return CallResult::Refused;
+        }
+    }
+
+    std::vector<WorkerId> workersOf(const state::Record::StartClaim& claim)
+    {
+        std::vector<WorkerId> workers;
+        for (const state::TaskPlacement& placement : claim.placements)
+            workers.push_back(placement.worker);
+        return workers;
+    }
+
+} // namespace
+
+GangRunner::GangRunner(protocol::WorkerClient& client, const TaskEnvironment& environment, Options options, Hooks hooks)
+    : m_client(client)
+    , m_environment(environment)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void GangRunner::beginEpoch(std::uint64_t epoch)
+{
+    m_epoch = epoch;
+    m_gangs.clear();
+}
+
+void GangRunner::endEpoch()
+{
+    m_epoch = 0;
+    m_gangs.clear();
+}
+
+GangRunner::Gang& GangRunner::add(const state::JobSpecification& job, const state::Record::StartClaim& claim)
+{
+    GangCoordinator::Options options = m_options.gang;
+    options.repeatable = job.repeatable;
+    auto [entry, added] = m_gangs.insert_or_assign(
+        job.id, Gang { .job = job, .claim = claim, .coordinator = GangCoordinator(options, workersOf(claim)) });
+    return entry->second;
+}
+
+GangRunner::AttemptKey GangRunner::key(const Gang& gang) const
+{
+    return { .job = gang.job.id, .attempt = gang.claim.attempt, .epoch = m_epoch };
+}
+
+void GangRunner::begin(const state::JobSpecification& job, const state::Record::StartClaim& claim)
+{
+    feed(key(add(job, claim)), [](GangCoordinator& gang) { return gang.begin(); });
+}
+
+void GangRunner::recover(const state::JobSpecification& job, const state::Record::StartClaim& claim,
+    const GangCoordinator::RecoveryReports& reports, MonotonicTime silentUntil)
+{
+    Gang& gang = add(job, claim);
+    // Adopted leases may be close to their end.
+    m_renewAt = m_environment.monotonicClock();
+    feed(key(gang), [&](GangCoordinator& coordinator) {
+        return coordinator.recover(reports, silentUntil, m_environment.monotonicClock());
+    });
+}
+
+void GangRunner::cancel(const state::JobId& job)
+{
+    if (auto found = m_gangs.find(job); found != m_gangs.end())
+        feed(key(found->second), [this](GangCoordinator& gang) { return gang.cancel(m_environment.monotonicClock()); });
+}
+
+void GangRunner::preempt(const state::JobId& job)
+{
+    if (auto found = m_gangs.find(job); found != m_gangs.end())
+        feed(
+            key(found->second), [this](GangCoordinator& gang) { return gang.preempt(m_environment.monotonicClock()); });
+}
+
+void GangRunner::endRecorded(const state::JobId& job)
+{
+    if (auto found = m_gangs.find(job); found != m_gangs.end())
+        feed(key(found->second), [](GangCoordinator& gang) { return gang.endRecorded(); });
+}
+
+void GangRunner::feed(const AttemptKey& key, const Event& event)
+{
+    auto found = m_gangs.find(key.job);
+    if (key.epoch != m_epoch || found == m_gangs.end() || found->second.claim.attempt != key.attempt)
+        return;
+    execute(found->second, event(found->second.coordinator));
+    noteProgress(found->second);
+}
+
+void GangRunner::feedResult(const AttemptKey& key, const WorkerAnswer& answer,
+    const std::function<GangCoordinator::Commands(GangCoordinator&, CallResult)>& event)
+{
+    if (key.epoch != m_epoch)
+        return;
+    m_hooks.onChange();
+    if (answer.status == WorkerAnswer::Status::Fenced) {
+        m_hooks.onDeposed(answer.epoch);
+        return;
+    }
+    feed(key, [&](GangCoordinator& gang) { return event(gang, toResult(answer)); });
+}
+
+void GangRunner::execute(Gang& gang, const GangCoordinator::Commands& commands)
+{
+    bool first = true;
+    for (const GangCommand& command : commands) {
+        if (command.kind == GangCommand::Kind::RecordEnd) {
+            m_hooks.onOutcome(gang.job.id);
+            continue;
+        }
+        const state::Worker* worker = m_hooks.findWorker(command.worker);
+        // A worker that left the platform's list keeps its identity but has no address to call.
+        state::Worker unlisted { .id = command.worker, .address = "0.0.0.0:0" };
+        const state::Worker& target = worker ? *worker : unlisted;
+        switch (command.kind) {
+        case GangCommand::Kind::Lease:
+            if (!first)
+                m_environment.faultPoint("job.between_leases");
+            sendLease(gang, target);
+            break;
+        case GangCommand::Kind::Start:
+            m_environment.faultPoint(first ? "job.before_start" : "job.between_starts");
+            sendStart(gang, target);
+            break;
+        case GangCommand::Kind::Checkpoint:
+            sendCheckpoint(gang, target);
+            break;
+        default:
+            sendRelease(gang, target);
+            break;
+        }
+        first = false;
+    }
+}
+
+WorkerLease GangRunner::lease(const Gang& gang) const
+{
+    return { .job = gang.job.id,
+        .attempt = gang.claim.attempt,
+        .token = { .epoch = m_epoch, .sequence = gang.claim.token.sequence } };
+}
+
+void GangRunner::sendLease(Gang& gang, const state::Worker& worker)
+{
+    auto placement = std::find_if(gang.claim.placements.begin(), gang.claim.placements.end(),
+        [&worker](const state::TaskPlacement& entry) { return entry.worker == worker.id; });
+    MonotonicTime sentAt = m_environment.monotonicClock();
+    m_client.lease(worker, lease(gang), placement->accelerators, m_options.gang.leaseTtl,
+        [this, key = key(gang), id = worker.id, sentAt](const WorkerAnswer& answer) {
+            feedResult(key, answer, [&](GangCoordinator& coordinator, CallResult result) {
+                return coordinator.leaseAnswered(id, result, sentAt, m_environment.monotonicClock());
+            });
+        });
+}
+
+void GangRunner::sendStart(Gang& gang, const state::Worker& worker)
+{
+    MonotonicTime now = m_environment.monotonicClock();
+    if (!gang.coordinator.mayStart(now)) {
+        execute(gang, gang.coordinator.startHeldBack(now));
+        return;
+    }
+    gang.coordinator.startSent(worker.id);
+    m_client.start(
+        worker, lease(gang), gang.job.payload, [this, key = key(gang), id = worker.id](const WorkerAnswer& answer) {
+            bool failed = answer.status != WorkerAnswer::Status::Ok && answer.status != WorkerAnswer::Status::Fenced;
+            if (failed && key.epoch == m_epoch)
+                m_hooks.onStartResult(id, key.job, false);
+            feedResult(key, answer, [&](GangCoordinator& coordinator, CallResult result) {
+                return coordinator.startAnswered(id, result, m_environment.monotonicClock());
+            });
+        });
+}
+
+void GangRunner::sendCheckpoint(Gang& gang, const state::Worker& worker)
+{
+    m_client.checkpoint(worker, lease(gang), m_options.gang.checkpointLimit,
+        [this, key = key(gang), id = worker.id](const WorkerAnswer& answer) {
+            feedResult(key, answer, [&](GangCoordinator& coordinator, CallResult result) {
+                return coordinator.checkpointAnswered(id, result, m_environment.monotonicClock());
+            });
+        });
+}
+
+void GangRunner::sendRelease(Gang& gang, const state::Worker& worker)
+{
+    m_client.release(worker, lease(gang), [this, key = key(gang), id = worker.id](const WorkerAnswer& answer) {
+        feedResult(key, answer, [&](GangCoordinator& coordinator, CallResult result) {
+            bool gone = answer.status == WorkerAnswer::Status::NoLease;
+            return coordinator.releaseAnswered(id, gone ? CallResult::Ok : result, m_environment.monotonicClock());
+        });
+    });
+}
+
+void GangRunner::noteProgress(Gang& gang)
+{
+    Phase phase = gang.coordinator.phase();
+    state::JobId job = gang.job.id;
+    if (phase == Phase::Starting && !gang.reportedLeased) {
+        gang.reportedLeased = true;
+        event(gang, "job.leased", "");
+    }
+    if (phase == Phase::Running && !gang.reportedRunning) {
+        gang.reportedRunning = true;
+        m_environment.faultPoint("job.after_start");
+        event(gang, "job.started", "attempt " + std::to_string(gang.claim.attempt));
+    }
+    if ((phase == Phase::Settled || phase == Phase::Ended) && !gang.reportedFree) {
+        gang.reportedFree = true;
+        m_hooks.onWorkersFree(job);
+    }
+    if (phase != Phase::Ended)
+        return;
+    m_gangs.erase(job);
+    m_hooks.onEnded(job);
+}
+
+void GangRunner::tick(MonotonicTime now)
+{
+    std::vector<AttemptKey> keys;
+    for (const auto& [job, gang] : m_gangs) {
+        auto next = gang.coordinator.nextTick();
+        if (next && *next <= now)
+            keys.push_back(key(gang));
+    }
+    for (const AttemptKey& key : keys)
+        feed(key, [now](GangCoordinator& gang) { return gang.tick(now); });
+    if (m_epoch == 0 || m_gangs.empty() || now < m_renewAt)
+        return;
+    m_renewAt = now + m_options.renewInterval;
+    renewAll();
+}
+
+std::optional<MonotonicTime> GangRunner::nextTick() const
+{
+    if (m_epoch == 0 || m_gangs.empty())
+        return std::nullopt;
+    MonotonicTime next = m_renewAt;
+    for (const auto& [job, gang] : m_gangs) {
+        if (auto time = gang.coordinator.nextTick())
+            next = std::min(next, *time);
+    }
+    return next;
+}
+
+const GangCoordinator* GangRunner::find(const state::JobId& job) const
+{
+    auto found = m_gangs.find(job);
+    return found == m_gangs.end() ? nullptr : &found->second.coordinator;
+}
+
+const state::Record::StartClaim* GangRunner::claim(const state::JobId& job) const
+{
+    auto found = m_gangs.find(job);
+    return found == m_gangs.end() ? nullptr : &found->second.claim;
+}
+
+bool GangRunner::startInFlight() const
+{
+    return std::any_of(m_gangs.begin(), m_gangs.end(), [](const auto& entry) {
+        Phase phase = entry.second.coordinator.phase();
+        return phase == Phase::Reserving || phase == Phase::Starting;
+    });
+}
+
+std::size_t GangRunner::running() const
+{
+    return static_cast<std::size_t>(std::count_if(m_gangs.begin(), m_gangs.end(),
+        [](const auto& entry) { return entry.second.coordinator.phase() == Phase::Running; }));
+}
+
+void GangRunner::event(const Gang& gang, const char* kind, const std::string& detail) const
+{
+    m_environment.recordEvent(gang.job.id.value(), kind, detail);
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/GangRunnerRenewal.cpp
@@ -0,0 +1,104 @@
+// Lease renewal of GangRunner and what its answers report.
+#include "coordination/GangRunner.h"
+
+#include <algorithm>
+
+namespace lentilsaddle::coordination {
+
+using protocol::WorkerAnswer;
+using protocol::WorkerLease;
+using state::MonotonicTime;
+using state::WorkerId;
+using state::WorkerTask;
+
+namespace {
+
+    bool contains(const std::vector<state::JobId>& jobs, const state::JobId& job)
+    {
+        return std::find(jobs.begin(), jobs.end(), job) != jobs.end();
+    }
+
+} // namespace
+
+void GangRunner::releaseStrays(const WorkerId& worker, const std::vector<WorkerTask>& tasks)
+{
+    const state::Worker* target = m_hooks.findWorker(worker);
+    for (const WorkerTask& task : tasks) {
+        auto found = m_gangs.find(task.job);
+        bool known = found != m_gangs.end() && found->second.claim.attempt == task.attempt;
+        if (known || !target)
+            continue;
+        WorkerLease stray {
+            .job = task.job, .attempt = task.attempt, .token = { .epoch = m_epoch, .sequence = task.token.sequence }
+        };
+        m_client.release(*target, stray, [](const WorkerAnswer&) {});
+    }
+}
+
+void GangRunner::renewAll()
+{
+    std::map<WorkerId, std::vector<WorkerLease>> batches;
+    for (const auto& [job, gang] : m_gangs) {
+        for (const state::TaskPlacement& placement : gang.claim.placements) {
+            if (gang.coordinator.wantsRenewal(placement.worker))
+                batches[placement.worker].push_back(lease(gang));
+        }
+    }
+    for (const auto& [id, leases] : batches) {
+        if (const state::Worker* worker = m_hooks.findWorker(id))
+            renew(*worker, leases);
+        else
+            renewAnswered(id, leases, {}, m_environment.monotonicClock());
+    }
+}
+
+void GangRunner::renew(const state::Worker& worker, const std::vector<WorkerLease>& leases)
+{
+    MonotonicTime sentAt = m_environment.monotonicClock();
+    m_client.renew(worker, m_epoch, leases, m_options.gang.leaseTtl,
+        [this, id = worker.id, leases, epoch = m_epoch, sentAt](const WorkerAnswer& answer) {
+            if (epoch != m_epoch)
+                return;
+            m_hooks.onChange();
+            if (answer.status == WorkerAnswer::Status::Fenced)
+                m_hooks.onDeposed(answer.epoch);
+            else
+                renewAnswered(id, leases, answer, sentAt);
+        });
+}
+
+void GangRunner::renewAnswered(
+    const WorkerId& worker, const std::vector<WorkerLease>& leases, const WorkerAnswer& answer, MonotonicTime sentAt)
+{
+    MonotonicTime now = m_environment.monotonicClock();
+    // A finished task counts before its missing lease does.
+    for (const WorkerTask& task : answer.tasks)
+        reportTask(worker, task);
+    for (const WorkerLease& lease : leases) {
+        AttemptKey key { .job = lease.job, .attempt = lease.attempt, .epoch = m_epoch };
+        feed(key, [&](GangCoordinator& gang) {
+            if (answer.status != WorkerAnswer::Status::Ok)
+                return gang.renewalFailed(worker, now);
+            if (contains(answer.lost, lease.job))
+                return gang.leaseLost(worker, now);
+            return contains(answer.renewed, lease.job) ? gang.renewed(worker, sentAt) : gang.renewalFailed(worker, now);
+        });
+    }
+    releaseStrays(worker, answer.tasks);
+}
+
+void GangRunner::reportTask(const WorkerId& worker, const WorkerTask& task)
+{
+    auto found = m_gangs.find(task.job);
+    if (found == m_gangs.end() || found->second.claim.attempt != task.attempt)
+        return;
+    if (task.state == WorkerTask::State::Failed)
+        m_hooks.onStartResult(worker, task.job, false);
+    if (task.state == WorkerTask::State::Running || task.state == WorkerTask::State::Succeeded)
+        m_hooks.onStartResult(worker, task.job, true);
+    feed(key(found->second), [&](GangCoordinator& gang) {
+        return gang.taskReported(worker, task.state, task.reason, m_environment.monotonicClock());
+    });
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/GangScheduler.cpp
@@ -0,0 +1,354 @@
+#include "coordination/GangScheduler.h"
+
+#include "coordination/decisions/AttemptPolicy.h"
+#include "coordination/decisions/FirstFitPlacement.h"
+#include "state/StateError.h"
+#include "transport/Logger.h"
+#include "transport/Metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using state::JobId;
+using state::JobTable;
+using state::MonotonicTime;
+using state::Record;
+using state::WorkerId;
+using Phase = GangCoordinator::Phase;
+
+namespace {
+
+    std::string attemptEndKey(const JobId& job)
+    {
+        return "attempt-end/" + job.value();
+    }
+    std::string jobEndKey(const JobId& job)
+    {
+        return "job-end/" + job.value();
+    }
+
+} // namespace
+
+std::string GangScheduler::claimKey(const JobId& job)
+{
+    return "claim/" + job.value();
+}
+
+GangScheduler::GangScheduler(transport::HttpClient& http, const JobTable& table, const TaskEnvironment& environment,
+    const SchedulerTaskOptions& options, Hooks hooks)
+    : m_table(table)
+    , m_environment(environment)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+    , m_client(http, options.workerTimeout)
+    , m_directory(http, options.platformUrl, options.workerTimeout)
+    , m_fleet(m_client, m_directory, m_placement,
+          { .dataCentre = environment.dataCentre,
+              .listInterval = options.workerListInterval,
+              .fenceRetry = options.fenceRetry },
+          fleetHooks())
+    , m_runner(m_client, environment,
+          { .gang = { .leaseTtl = options.leaseTtl,
+                .leaseMargin = options.leaseMargin,
+                .checkpointLimit = options.checkpointLimit },
+              .renewInterval = options.renewInterval },
+          runnerHooks())
+    , m_outbox(m_hooks.append, environment.monotonicClock)
+    , m_takeover(
+          { .leaseTtl = options.leaseTtl, .margin = options.leaseMargin, .isolationLimit = options.isolationLimit })
+{
+}
+
+WorkerFleet::Hooks GangScheduler::fleetHooks()
+{
+    return {
+        .clock = m_environment.monotonicClock,
+        .onWorkers = [this] { m_planDue = true; },
+        .onFenced =
+            [this](const WorkerId& worker, const std::vector<state::WorkerTask>& tasks) {
+                if (m_recovering) {
+                    m_reports[worker] = tasks;
+                    return;
+                }
+                m_takeover.workerAnswered(worker);
+                m_runner.releaseStrays(worker, tasks);
+                m_planDue = true;
+            },
+        .onFenceRoundDone = [this] { recover(); },
+        .onDeposed = [this](std::uint64_t) { m_hooks.onDeposed(); },
+        .onChange = [this] { m_hooks.onChange(); },
+    };
+}
+
+GangRunner::Hooks GangScheduler::runnerHooks()
+{
+    return {
+        .findWorker = [this](const WorkerId& worker) { return m_fleet.find(worker); },
+        .onOutcome = [this](const JobId& job) { m_outcomes.insert(job); },
+        .onWorkersFree =
+            [this](const JobId& job) {
+                abandonProbes(*m_runner.claim(job));
+                m_placement.release(job);
+                m_planDue = true;
+            },
+        .onEnded = [this](const JobId&) { m_planDue = true; },
+        .onStartResult
+        = [this](const WorkerId& worker, const JobId& job, bool succeeded) { startResult(worker, job, succeeded); },
+        .onDeposed = [this](std::uint64_t) { m_hooks.onDeposed(); },
+        .onChange = [this] { m_hooks.onChange(); },
+    };
+}
+
+void GangScheduler::beginEpoch(
+    std::uint64_t epoch, const state::InstanceId& predecessor, std::uint64_t predecessorIncarnation)
+{
+    endEpoch();
+    m_epoch = epoch;
+    m_epochSince = m_environment.monotonicClock();
+    m_predecessor = predecessor;
+    m_predecessorIncarnation = predecessorIncarnation;
+    m_sequence = 0;
+    m_recovering = true;
+    m_outbox.confirmAt(m_epochSince);
+    m_runner.beginEpoch(epoch);
+    m_fleet.beginEpoch(epoch);
+}
+
+void GangScheduler::endEpoch()
+{
+    m_epoch = 0;
+    m_recovering = false;
+    m_runner.endEpoch();
+    m_fleet.endEpoch();
+    m_outbox.clear();
+    m_claiming.clear();
+    m_outcomes.clear();
+    m_reports.clear();
+    std::vector<JobId> occupants;
+    for (const auto& [job, occupant] : m_placement.occupants())
+        occupants.push_back(job);
+    for (const JobId& job : occupants)
+        m_placement.release(job);
+}
+
+bool GangScheduler::fromSelf(const state::Origin& origin) const
+{
+    return origin.instance == m_environment.instance && origin.incarnation == m_environment.incarnation;
+}
+
+void GangScheduler::recordRead(const Record& record, bool applied)
+{
+    MonotonicTime now = m_environment.monotonicClock();
+    if (const auto* submitted = std::get_if<Record::JobSubmitted>(&record.body)) {
+        m_queue.notice(submitted->specification.id, now);
+        m_planDue = true;
+    } else if (const auto* ended = std::get_if<Record::JobEnded>(&record.body)) {
+        jobEndRead(*ended);
+    } else if (const auto* cancelled = std::get_if<Record::JobCancelled>(&record.body)) {
+        cancelRead(cancelled->job);
+    }
+    if (!active())
+        return;
+    if (record.origin.instance == m_predecessor && record.origin.incarnation != m_predecessorIncarnation)
+        m_takeover.predecessorEnded(now);
+    if (!fromSelf(record.origin))
+        return;
+    if (const auto* claim = std::get_if<Record::StartClaim>(&record.body))
+        claimRead(*claim, applied);
+    else if (const auto* attempt = std::get_if<Record::AttemptEnded>(&record.body))
+        attemptEndRead(*attempt, applied);
+}
+
+void GangScheduler::claimRead(const Record::StartClaim& claim, bool applied)
+{
+    const JobTable::Job* job = m_table.find(claim.job);
+    const Record::StartClaim* running = m_runner.claim(claim.job);
+    auto claiming = m_claiming.find(claim.job);
+    if (claiming != m_claiming.end() && claiming->second.token == claim.token) {
+        m_outbox.remove(claimKey(claim.job));
+        m_claiming.erase(claiming);
+        if (!applied) {
+            m_placement.release(claim.job);
+            return;
+        }
+        m_queue.started(*job, m_table.openJobs());
+        m_environment.recordEvent(claim.job.value(), "job.claimed", "attempt " + std::to_string(claim.attempt));
+        m_environment.faultPoint("job.after_claim");
+        m_runner.begin(job->specification, claim);
+        return;
+    }
+    if (running && running->token == claim.token) {
+        // The attempt began while the log was unavailable.
+        m_outbox.remove(claimKey(claim.job));
+        if (!applied && !(job && job->claim && job->claim->token == claim.token))
+            m_runner.cancel(claim.job);
+        return;
+    }
+    if (applied)
+        m_outbox.put(attemptEndKey(claim.job),
+            Record::AttemptEnded { .job = claim.job,
+                .attempt = claim.attempt,
+                .outcome = "released",
+                .reason = "the claim was given up",
+                .failedWorkers = {} });
+}
+
+void GangScheduler::attemptEndRead(const Record::AttemptEnded& ended, bool applied)
+{
+    const Record::StartClaim* running = m_runner.claim(ended.job);
+    if (applied || (running && running->attempt == ended.attempt))
+        m_outbox.remove(attemptEndKey(ended.job));
+    if (running && running->attempt == ended.attempt)
+        m_runner.endRecorded(ended.job);
+    const JobTable::Job* job = m_table.find(ended.job);
+    if (applied && job && !m_recovering)
+        decideNext(*job);
+    m_planDue = true;
+}
+
+void GangScheduler::cancelRead(const JobId& job)
+{
+    dropClaim(job);
+    m_runner.cancel(job);
+    const JobTable::Job* entry = m_table.find(job);
+    if (entry && state::isFinal(entry->state))
+        m_queue.forget(job);
+}
+
+void GangScheduler::jobEndRead(const Record::JobEnded& ended)
+{
+    const JobTable::Job* job = m_table.find(ended.job);
+    if (!job || !state::isFinal(job->state))
+        return;
+    m_queue.forget(ended.job);
+    if (!m_outbox.contains(jobEndKey(ended.job)))
+        return;
+    m_outbox.remove(jobEndKey(ended.job));
+    m_environment.recordEvent(ended.job.value(), "job.ended", ended.outcome + " " + ended.reason);
+    m_environment.metrics->increment("lentilsaddle_jobs_ended_total", { { "outcome", ended.outcome } });
+}
+
+void GangScheduler::appended(const std::string& key, LogMessage::AppendStatus status)
+{
+    m_outbox.result(key, status);
+    if (status != LogMessage::AppendStatus::NotAppended)
+        return;
+    // The claim is certainly not in the log: begin without it or give it up, so that it holds no space.
+    std::vector<JobId> failed;
+    for (const auto& [job, claim] : m_claiming) {
+        if (claimKey(job) == key)
+            failed.push_back(job);
+    }
+    for (const JobId& job : failed) {
+        const JobTable::Job* entry = m_table.find(job);
+        if (!m_logReachable && entry && mayStartWithoutLog(entry->specification)) {
+            Record::StartClaim claim = m_claiming.at(job);
+            m_claiming.erase(job);
+            m_runner.begin(entry->specification, claim);
+        } else {
+            dropClaim(job);
+            m_queue.holdBack(job, m_environment.monotonicClock() + m_options.workerTimeout);
+        }
+    }
+}
+
+void GangScheduler::setLogReachable(bool reachable)
+{
+    m_logReachable = reachable;
+    m_planDue = true;
+    if (reachable)
+        m_outbox.retryNow();
+}
+
+void GangScheduler::configure(const state::Configuration& configuration)
+{
+    m_placement.setGuarantees(configuration, m_environment.dataCentre);
+    m_planDue = true;
+}
+
+bool GangScheduler::quiet() const
+{
+    return m_claiming.empty() && !m_runner.startInFlight() && (m_outbox.empty() || !m_logReachable);
+}
+
+void GangScheduler::recordOutcomes()
+{
+    std::set<JobId> outcomes = std::exchange(m_outcomes, {});
+    for (const JobId& id : outcomes) {
+        const GangCoordinator* gang = m_runner.find(id);
+        if (!gang || !active())
+            continue;
+        if (m_outbox.contains(claimKey(id))) {
+            // The end of an attempt counts only after its claim.
+            m_outcomes.insert(id);
+            continue;
+        }
+        const Record::StartClaim claim = *m_runner.claim(id);
+        const JobTable::Job* job = m_table.find(id);
+        if (!job || !job->claim || job->claim->token != claim.token) {
+            m_runner.endRecorded(id);
+            continue;
+        }
+        m_environment.faultPoint("job.before_end");
+        const GangOutcome& outcome = gang->outcome();
+        m_outbox.put(attemptEndKey(id),
+            Record::AttemptEnded { .job = id,
+                .attempt = claim.attempt,
+                .outcome = outcome.outcome,
+                .reason = outcome.reason,
+                .failedWorkers = { outcome.failedWorkers.begin(), outcome.failedWorkers.end() } });
+    }
+}
+
+void GangScheduler::decideNext(const JobTable::Job& job)
+{
+    if (state::isFinal(job.state) || job.claim)
+        return;
+    const JobId id = job.specification.id;
+    AttemptDecision decision = decideNextAttempt(job);
+    if (decision.action == AttemptDecision::Action::End) {
+        m_outbox.put(
+            jobEndKey(id), Record::JobEnded { .job = id, .outcome = decision.outcome, .reason = decision.reason });
+        return;
+    }
+    if (decision.delay.count() > 0)
+        m_queue.holdBack(id, m_environment.monotonicClock() + decision.delay);
+    m_planDue = true;
+}
+
+void GangScheduler::startResult(const WorkerId& worker, const JobId& job, bool succeeded)
+{
+    WorkerQuarantine& quarantine = m_fleet.quarantine();
+    MonotonicTime now = m_environment.monotonicClock();
+    if (succeeded) {
+        quarantine.startSucceeded(worker);
+    } else if (quarantine.startFailed(worker, job, now)) {
+        m_environment.recordEvent(job.value(), "worker.quarantined", worker.value());
+        m_environment.metrics->increment("lentilsaddle_workers_quarantined_total");
+    }
+    m_fleet.updateAvailability(now);
+}
+
+std::optional<std::string> GangScheduler::attemptState(const JobId& job) const
+{
+    if (m_claiming.contains(job))
+        return "claimed";
+    const GangCoordinator* gang = m_runner.find(job);
+    if (!gang)
+        return std::nullopt;
+    switch (gang->phase()) {
+    case Phase::Reserving:
+        return "reserving";
+    case Phase::Starting:
+        return "starting";
+    case Phase::Running:
+    case Phase::Succeeded:
+        return "running";
+    default:
+        return "stopping";
+    }
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/GangScheduler.h
@@ -0,0 +1,144 @@
+/// @file
+/// What the elected scheduler does.
+#pragma once
+
+#include "coordination/GangRunner.h"
+#include "coordination/RecordOutbox.h"
+#include "coordination/SchedulerTaskOptions.h"
+#include "coordination/TaskEnvironment.h"
+#include "coordination/WorkerFleet.h"
+#include "coordination/decisions/JobQueue.h"
+#include "coordination/decisions/PlacementPolicy.h"
+#include "coordination/decisions/TakeoverPolicy.h"
+#include "protocol/WorkerClient.h"
+#include "protocol/WorkerDirectory.h"
+#include "state/JobTable.h"
+#include "state/PlacementState.h"
+#include "state/Record.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::transport {
+class HttpClient;
+}
+
+namespace lentilsaddle::coordination {
+
+struct PlacementPlan;
+
+/// Starts, watches and ends the gangs of one data centre while its instance is the scheduler.
+///
+/// Belongs to the scheduler task's thread. The job table stays the task's own; what the log decides reaches this object
+/// through recordRead().
+class GangScheduler {
+public:
+    struct Hooks {
+        PlacementPolicy placementPolicy;
+        /// Appends a record; the result returns through appended().
+        RecordOutbox::Append append;
+        /// A worker has seen a higher epoch, so this instance is no longer the scheduler.
+        std::function<void()> onDeposed;
+        /// An answer changed the state, so tick() is to be called.
+        std::function<void()> onChange;
+    };
+
+    /// @param http, table and environment outlive this object.
+    GangScheduler(transport::HttpClient& http, const state::JobTable& table, const TaskEnvironment& environment,
+        const SchedulerTaskOptions& options, Hooks hooks);
+
+    /// The log gave the role to this instance.
+    /// @param predecessor scheduler of the epoch before; empty if there was none or it gave up the role.
+    void beginEpoch(std::uint64_t epoch, const state::InstanceId& predecessor, std::uint64_t predecessorIncarnation);
+    void endEpoch();
+    bool active() const { return m_epoch != 0; }
+    /// @return epoch that this instance schedules in; 0 if it does not.
+    std::uint64_t epoch() const { return m_epoch; }
+
+    /// A record was read and applied to the table.
+    /// @param applied whether it changed the table.
+    void recordRead(const state::Record& record, bool applied);
+    /// Notes the result of an append under one of this object's keys.
+    void appended(const std::string& key, LogMessage::AppendStatus status);
+    void setLogReachable(bool reachable);
+    void configure(const state::Configuration& configuration);
+
+    /// Starts nothing more, so that the role can be handed over.
+    void stopStarting() { m_starting = false; }
+    /// @return whether the role can be handed over without leaving a start or an end half recorded.
+    bool quiet() const;
+
+    /// Does what is due and plans if something changed.
+    void tick(state::MonotonicTime now);
+    std::optional<state::MonotonicTime> nextTick(state::MonotonicTime now) const;
+
+    /// @return the state of a running attempt as told to callers, or nothing if there is none.
+    std::optional<std::string> attemptState(const state::JobId& job) const;
+    const state::PlacementState& placement() const { return m_placement; }
+    const WorkerFleet& fleet() const { return m_fleet; }
+    protocol::WorkerClient& workerClient() { return m_client; }
+    std::size_t running() const { return m_runner.running(); }
+
+private:
+    WorkerFleet::Hooks fleetHooks();
+    GangRunner::Hooks runnerHooks();
+    static std::string claimKey(const state::JobId& job);
+    bool fromSelf(const state::Origin& origin) const;
+    void claimRead(const state::Record::StartClaim& claim, bool applied);
+    void attemptEndRead(const state::Record::AttemptEnded& ended, bool applied);
+    void cancelRead(const state::JobId& job);
+    void jobEndRead(const state::Record::JobEnded& ended);
+
+    void recover();
+    void recoverJob(const state::JobTable::Job& job);
+    bool mayFitOnSilent(const state::JobTable::Job& job, const std::set<state::WorkerId>& silent) const;
+    void decideNext(const state::JobTable::Job& job);
+    void recordOutcomes();
+
+    void plan(state::MonotonicTime now);
+    void planProbes(const std::vector<QueuedJob>& queue, state::MonotonicTime now);
+    std::vector<QueuedJob> eligibleJobs(state::MonotonicTime now);
+    bool eligible(const state::JobTable::Job& job, state::MonotonicTime now) const;
+    void claimStart(const state::JobId& job, const std::vector<state::TaskPlacement>& placements);
+    void abandonProbes(const state::Record::StartClaim& claim);
+    void dropClaim(const state::JobId& job);
+    bool mayStartWithoutLog(const state::JobSpecification& job) const;
+    void startResult(const state::WorkerId& worker, const state::JobId& job, bool succeeded);
+    void preempt(const state::JobId& job);
+    void publishMetrics() const;
+
+    const state::JobTable& m_table;
+    const TaskEnvironment& m_environment;
+    SchedulerTaskOptions m_options;
+    Hooks m_hooks;
+    protocol::WorkerClient m_client;
+    protocol::WorkerDirectory m_directory;
+    state::PlacementState m_placement;
+    WorkerFleet m_fleet;
+    GangRunner m_runner;
+    RecordOutbox m_outbox;
+    JobQueue m_queue;
+    TakeoverPolicy m_takeover;
+
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_recovering = false;
+    bool m_starting = true;
+    bool m_planDue = false;
+    bool m_logReachable = true;
+    state::MonotonicTime m_epochSince;
+    state::MonotonicTime m_plannedAt;
+    state::InstanceId m_predecessor;
+    std::uint64_t m_predecessorIncarnation = 0;
+    /// Claims that were appended and not yet read back.
+    std::map<state::JobId, state::Record::StartClaim> m_claiming;
+    /// Attempts whose coordinator wants its outcome recorded.
+    std::set<state::JobId> m_outcomes;
+    std::map<state::WorkerId, std::vector<state::WorkerTask>> m_reports;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/GangSchedulerPlanning.cpp
@@ -0,0 +1,264 @@
+// Planning and recovery of GangScheduler.
+#include "coordination/GangScheduler.h"
+
+#include "coordination/decisions/AttemptPolicy.h"
+#include "coordination/decisions/FirstFitPlacement.h"
+#include "coordination/decisions/PlacementPlan.h"
+#include "state/StateError.h"
+#include "transport/Logger.h"
+#include "transport/Metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using state::JobId;
+using state::JobTable;
+using state::MonotonicTime;
+using state::Record;
+using state::WorkerId;
+
+namespace {
+
+    /// A worker takes one lease for each attempt, so the tasks of a gang on the same worker share a placement.
+    std::vector<state::TaskPlacement> mergeByWorker(const std::vector<state::TaskPlacement>& placements)
+    {
+        std::map<WorkerId, std::vector<int>> merged;
+        for (const state::TaskPlacement& placement : placements) {
+            std::vector<int>& accelerators = merged[placement.worker];
+            accelerators.insert(accelerators.end(), placement.accelerators.begin(), placement.accelerators.end());
+        }
+        std::vector<state::TaskPlacement> result;
+        for (auto& [worker, accelerators] : merged) {
+            std::sort(accelerators.begin(), accelerators.end());
+            result.push_back({ .worker = worker, .accelerators = std::move(accelerators) });
+        }
+        return result;
+    }
+
+} // namespace
+
+void GangScheduler::recover()
+{
+    if (!m_recovering)
+        return;
+    m_recovering = false;
+    std::set<WorkerId> silent = m_fleet.silent();
+    std::set<JobId> queued;
+    for (const JobTable::Job* job : m_table.openJobs()) {
+        if (JobTable::startable(*job) && job->specification.repeatable && mayFitOnSilent(*job, silent))
+            queued.insert(job->specification.id);
+    }
+    m_takeover.begin({ .claimRead = m_epochSince,
+        .predecessorGone = m_predecessor.empty() || m_predecessor == m_environment.instance,
+        .queued = std::move(queued),
+        .silent = std::move(silent) });
+    for (const JobTable::Job* job : m_table.openJobs()) {
+        if (job->claim)
+            recoverJob(*job);
+        else
+            decideNext(*job);
+    }
+    for (const auto& [worker, tasks] : m_reports)
+        m_runner.releaseStrays(worker, tasks);
+    m_reports.clear();
+    m_planDue = true;
+}
+
+bool GangScheduler::mayFitOnSilent(const JobTable::Job& job, const std::set<WorkerId>& silent) const
+{
+    std::set<WorkerId> answered;
+    for (const auto& [id, slots] : m_placement.workers()) {
+        if (!silent.contains(id))
+            answered.insert(id);
+    }
+    const state::GangShape& shape = job.specification.shape;
+    return largestGang(m_placement, shape, answered) >= shape.accelerators();
+}
+
+void GangScheduler::recoverJob(const JobTable::Job& job)
+{
+    const Record::StartClaim claim = *job.claim;
+    GangCoordinator::RecoveryReports reports;
+    for (const state::TaskPlacement& placement : claim.placements) {
+        auto report = m_reports.find(placement.worker);
+        if (report == m_reports.end())
+            continue;
+        auto task = std::find_if(report->second.begin(), report->second.end(), [&](const state::WorkerTask& entry) {
+            return entry.job == claim.job && entry.attempt == claim.attempt && entry.token == claim.token;
+        });
+        reports[placement.worker] = task == report->second.end() ? std::nullopt : std::optional(task->state);
+    }
+    try {
+        m_placement.occupy(claim.job, job.specification.account, claim.placements);
+    } catch (const state::StateError& error) {
+        transport::writeLog(transport::LogLevel::Warning, "scheduler", "cannot occupy the place of a claimed attempt",
+            { { "job", claim.job.value() }, { "error", error.what() } });
+    }
+    const JobTable::Job copy = job;
+    m_runner.recover(copy.specification, claim, reports, m_takeover.silentUntil());
+    if (copy.cancelRequested)
+        m_runner.cancel(claim.job);
+}
+
+void GangScheduler::tick(MonotonicTime now)
+{
+    m_fleet.tick(now);
+    m_fleet.updateAvailability(now);
+    if (!active())
+        return;
+    m_runner.tick(now);
+    recordOutcomes();
+    if (m_logReachable)
+        m_outbox.resend(now);
+    auto release = m_queue.nextRelease(m_plannedAt);
+    auto change = m_fleet.quarantine().nextChange(m_plannedAt);
+    bool due = (release && *release <= now) || (change && *change <= now);
+    if (m_planDue || due)
+        plan(now);
+}
+
+std::optional<MonotonicTime> GangScheduler::nextTick(MonotonicTime now) const
+{
+    std::optional<MonotonicTime> next;
+    auto consider = [&next](std::optional<MonotonicTime> time) {
+        if (time)
+            next = next ? std::min(*next, *time) : *time;
+    };
+    consider(m_fleet.nextTick(now));
+    if (!active())
+        return next;
+    consider(m_runner.nextTick());
+    consider(m_queue.nextRelease(now));
+    if (m_logReachable)
+        consider(m_outbox.nextRetry());
+    if (m_takeover.silentUntil() > now)
+        consider(m_takeover.silentUntil());
+    return next;
+}
+
+bool GangScheduler::mayStartWithoutLog(const state::JobSpecification& job) const
+{
+    return m_takeover.mayStartWithoutLog(job, m_outbox.lastConfirmed(), m_environment.monotonicClock());
+}
+
+bool GangScheduler::eligible(const JobTable::Job& job, MonotonicTime now) const
+{
+    const JobId& id = job.specification.id;
+    if (m_claiming.contains(id) || m_runner.find(id))
+        return false;
+    if (decideNextAttempt(job).action != AttemptDecision::Action::Queue || m_takeover.heldUntil(id, now))
+        return false;
+    return m_logReachable || mayStartWithoutLog(job.specification);
+}
+
+std::vector<QueuedJob> GangScheduler::eligibleJobs(MonotonicTime now)
+{
+    std::vector<QueuedJob> queue = m_queue.build(
+        m_table.openJobs(), [this, now](const JobTable::Job& job) { return eligible(job, now); }, now);
+    for (QueuedJob& job : queue) {
+        const state::GangShape& shape = job.specification.shape;
+        // In a small data centre the job may not fit without the workers that failed it.
+        if (!job.avoidedWorkers.empty() && largestGang(m_placement, shape, job.avoidedWorkers) < shape.accelerators())
+            job.avoidedWorkers.clear();
+    }
+    return queue;
+}
+
+void GangScheduler::plan(MonotonicTime now)
+{
+    m_planDue = false;
+    m_plannedAt = now;
+    if (m_recovering || !m_starting || !m_fleet.listed())
+        return;
+    std::vector<QueuedJob> queue = eligibleJobs(now);
+    PlacementPlan plan = m_hooks.placementPolicy(m_placement, queue, now);
+    for (const JobId& victim : plan.preemptions)
+        preempt(victim);
+    for (const PlacementPlan::Start& start : plan.starts)
+        claimStart(start.job, start.placements);
+    planProbes(queue, now);
+    publishMetrics();
+}
+
+void GangScheduler::planProbes(const std::vector<QueuedJob>& queue, MonotonicTime now)
+{
+    for (const WorkerId& worker : m_fleet.halfOpen(now)) {
+        state::PlacementState only = m_placement;
+        for (const auto& [id, slots] : m_placement.workers())
+            only.setAvailable(id, id == worker);
+        std::vector<QueuedJob> small;
+        for (const QueuedJob& job : queue) {
+            if (job.specification.shape.tasks == 1 && !m_claiming.contains(job.specification.id))
+                small.push_back(job);
+        }
+        PlacementPlan plan = firstFitPlacement(only, small, now);
+        if (plan.starts.empty())
+            continue;
+        const PlacementPlan::Start& probe = plan.starts.front();
+        m_fleet.quarantine().probeStarted(worker, probe.job);
+        claimStart(probe.job, probe.placements);
+    }
+}
+
+void GangScheduler::claimStart(const JobId& id, const std::vector<state::TaskPlacement>& placements)
+{
+    const JobTable::Job* job = m_table.find(id);
+    if (!job || m_claiming.contains(id) || m_runner.find(id))
+        return;
+    Record::StartClaim claim { .job = id,
+        .attempt = job->attempts + 1,
+        .token = { .epoch = m_epoch, .sequence = ++m_sequence },
+        .placements = mergeByWorker(placements) };
+    try {
+        m_placement.occupy(id, job->specification.account, claim.placements);
+    } catch (const state::StateError& error) {
+        transport::writeLog(transport::LogLevel::Error, "scheduler", "the placement policy chose occupied space",
+            { { "job", id.value() }, { "error", error.what() } });
+        return;
+    }
+    m_environment.faultPoint("job.before_claim");
+    m_outbox.put(claimKey(id), claim);
+    if (m_logReachable)
+        m_claiming[id] = claim;
+    else
+        m_runner.begin(job->specification, claim);
+}
+
+void GangScheduler::dropClaim(const JobId& job)
+{
+    auto found = m_claiming.find(job);
+    if (found == m_claiming.end())
+        return;
+    abandonProbes(found->second);
+    m_claiming.erase(found);
+    m_outbox.remove(claimKey(job));
+    m_placement.release(job);
+    m_planDue = true;
+}
+
+void GangScheduler::abandonProbes(const Record::StartClaim& claim)
+{
+    for (const state::TaskPlacement& placement : claim.placements)
+        m_fleet.quarantine().probeAbandoned(placement.worker, claim.job);
+}
+
+void GangScheduler::preempt(const JobId& job)
+{
+    const GangCoordinator* gang = m_runner.find(job);
+    if (!gang || gang->phase() != GangCoordinator::Phase::Running)
+        return;
+    m_environment.recordEvent(job.value(), "job.preempted", "");
+    m_environment.metrics->increment("lentilsaddle_jobs_preempted_total");
+    m_runner.preempt(job);
+}
+
+void GangScheduler::publishMetrics() const
+{
+    m_environment.metrics->setGauge("lentilsaddle_accelerators", m_placement.accelerators());
+    m_environment.metrics->setGauge("lentilsaddle_accelerators_free", m_placement.freeAccelerators());
+    m_environment.metrics->setGauge("lentilsaddle_jobs_running", static_cast<double>(m_runner.running()));
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/LeaseGuardian.cpp
@@ -0,0 +1,60 @@
+#include "coordination/LeaseGuardian.h"
+
+#include "coordination/decisions/Rendezvous.h"
+#include "transport/Metrics.h"
+
+#include <algorithm>
+#include <map>
+
+namespace lentilsaddle::coordination {
+
+LeaseGuardian::LeaseGuardian(protocol::WorkerClient& client, const state::JobTable& table,
+    const state::PlacementState& placement, const TaskEnvironment& environment, const Options& options)
+    : m_client(client)
+    , m_table(table)
+    , m_placement(placement)
+    , m_environment(environment)
+    , m_options(options)
+{
+}
+
+void LeaseGuardian::tick(bool needed, const std::vector<state::InstanceId>& members, state::MonotonicTime now)
+{
+    // The leases may be close to their end when the need arises.
+    if (needed && !m_needed)
+        m_renewAt = now;
+    m_needed = needed;
+    if (!m_needed || now < m_renewAt)
+        return;
+    m_renewAt = now + m_options.renewInterval;
+    renewAll(members);
+}
+
+std::optional<state::MonotonicTime> LeaseGuardian::nextTick() const
+{
+    return m_needed ? std::optional(m_renewAt) : std::nullopt;
+}
+
+void LeaseGuardian::renewAll(const std::vector<state::InstanceId>& members)
+{
+    std::map<state::WorkerId, std::vector<protocol::WorkerLease>> batches;
+    for (const state::JobTable::Job* job : m_table.openJobs()) {
+        if (!job->claim || job->cancelRequested)
+            continue;
+        for (const state::TaskPlacement& placement : job->claim->placements)
+            batches[placement.worker].push_back(
+                { .job = job->claim->job, .attempt = job->claim->attempt, .token = job->claim->token });
+    }
+    for (const auto& [id, leases] : batches) {
+        auto worker = m_placement.workers().find(id);
+        std::vector<state::InstanceId> order = rendezvousOrder(members, "lease/" + id.value());
+        bool mine = order.empty() || order.front() == m_environment.instance;
+        if (!mine || worker == m_placement.workers().end())
+            continue;
+        m_client.renew(
+            worker->second.worker, m_table.epoch(), leases, m_options.leaseTtl, [](const protocol::WorkerAnswer&) {});
+        m_environment.metrics->increment("lentilsaddle_guardian_renewals_total");
+    }
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/LeaseGuardian.h
@@ -0,0 +1,48 @@
+/// @file
+/// Keeps running gangs alive while nobody can become scheduler.
+#pragma once
+
+#include "coordination/TaskEnvironment.h"
+#include "protocol/WorkerClient.h"
+#include "state/JobTable.h"
+#include "state/PlacementState.h"
+#include "state/Time.h"
+
+#include <chrono>
+#include <optional>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+/// Renews the leases of claimed attempts when the scheduler is gone and the log is unavailable, so that no successor
+/// can be elected. Starts nothing. Rendezvous hashing shares the workers between the instances; two instances that
+/// renew the same lease do no harm.
+class LeaseGuardian {
+public:
+    struct Options {
+        std::chrono::milliseconds leaseTtl;
+        std::chrono::milliseconds renewInterval;
+    };
+
+    /// @param client, table, placement and environment outlive this object.
+    LeaseGuardian(protocol::WorkerClient& client, const state::JobTable& table, const state::PlacementState& placement,
+        const TaskEnvironment& environment, const Options& options);
+
+    /// @param needed whether the scheduler is gone and the log is unavailable.
+    /// @param members live instances of the data centre.
+    void tick(bool needed, const std::vector<state::InstanceId>& members, state::MonotonicTime now);
+    std::optional<state::MonotonicTime> nextTick() const;
+
+private:
+    void renewAll(const std::vector<state::InstanceId>& members);
+
+    protocol::WorkerClient& m_client;
+    const state::JobTable& m_table;
+    const state::PlacementState& m_placement;
+    const TaskEnvironment& m_environment;
+    Options m_options;
+    bool m_needed = false;
+    state::MonotonicTime m_renewAt;
+};
+
+} // namespace lentilsaddle::coordination
--- a/coordination/SchedulerMessage.h
+++ b/coordination/SchedulerMessage.h
@@ -2,6 +2,7 @@
 /// Mailbox message of SchedulerTask.
 #pragma once
 
+#include "coordination/LogMessage.h"
 #include "state/Configuration.h"
 #include "state/InstanceInfo.h"
 #include "state/JobSpecification.h"
@@ -92,7 +93,15 @@
         std::function<void()> onDrained;
     };
 
-    using Body = std::variant<Submit, Query, Cancel, Status, Configure, Members, LogBatch, LogReachability, Drain>;
+    /// Result of an append, posted by the task to itself.
+    struct Appended {
+        /// Identifies the record among the task's own appends.
+        std::string key;
+        LogMessage::AppendStatus status = LogMessage::AppendStatus::NotAppended;
+    };
+
+    using Body
+        = std::variant<Submit, Query, Cancel, Status, Configure, Members, LogBatch, LogReachability, Drain, Appended>;
     Body body;
 };
 
--- /dev/null
+++ b/coordination/SchedulerTask.h
@@ -0,0 +1,108 @@
+/// @file
+/// Task that keeps the jobs of its data centre and schedules them while its instance is the scheduler.
+#pragma once
+
+#include "coordination/GangScheduler.h"
+#include "coordination/LeaseGuardian.h"
+#include "coordination/SchedulerMessage.h"
+#include "coordination/SchedulerTaskHooks.h"
+#include "coordination/SchedulerTaskOptions.h"
+#include "coordination/SubmissionTracker.h"
+#include "coordination/TaskEnvironment.h"
+#include "coordination/decisions/SchedulerElection.h"
+#include "state/JobTable.h"
+#include "state/StreamReplay.h"
+#include "transport/HttpClient.h"
+#include "transport/Task.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+/// Replays `jobs.<data centre>`, answers callers, takes part in the election and, as the elected scheduler, runs a
+/// GangScheduler.
+class SchedulerTask : public transport::Task<SchedulerMessage> {
+public:
+    SchedulerTask(TaskEnvironment environment, SchedulerTaskOptions options, SchedulerTaskHooks hooks);
+    ~SchedulerTask() override;
+
+protected:
+    void onStart() override;
+    void onStop() override;
+    void onMessage(SchedulerMessage message) override;
+
+private:
+    void handle(SchedulerMessage::Submit message);
+    void handle(const SchedulerMessage::Query& message);
+    void handle(SchedulerMessage::Cancel message);
+    void handle(const SchedulerMessage::Status& message);
+    void handle(const SchedulerMessage::Configure& message);
+    void handle(SchedulerMessage::Members message);
+    void handle(const SchedulerMessage::LogBatch& message);
+    void handle(const SchedulerMessage::LogReachability& message);
+    void handle(SchedulerMessage::Drain message);
+    void handle(const SchedulerMessage::Appended& message);
+
+    state::StreamReplay::Hooks replayHooks();
+    void recordRead(const state::Record& record);
+    void updateRole();
+    /// Calls afterEvent() soon, once for all answers that arrive together.
+    void scheduleEvent();
+    void afterEvent();
+    void rearm();
+    void append(const std::string& key, const state::Record::Body& body);
+    std::optional<SchedulerMessage::JobAnswer> refusal(const state::JobSpecification& specification) const;
+    SchedulerElection::View electionView() const;
+    void elect(state::MonotonicTime now);
+    void appendRole(bool vacant);
+    void roleAppended();
+    void advanceDrain();
+    void appendSnapshotIfDue();
+    state::MonotonicTime now() const { return m_environment.monotonicClock(); }
+
+    TaskEnvironment m_environment;
+    SchedulerTaskOptions m_options;
+    SchedulerTaskHooks m_hooks;
+    std::string m_stream;
+
+    state::JobTable m_table;
+    state::StreamReplay m_replay;
+    SubmissionTracker m_submissions;
+    SchedulerElection m_election;
+    std::shared_ptr<const state::Configuration> m_configuration;
+    SchedulerMessage::Members m_members;
+    bool m_membersKnown = false;
+    bool m_logReachable = false;
+
+    /// Last role told by the onRole hook.
+    std::optional<PeerMessage::SchedulerRole> m_toldRole;
+    state::InstanceId m_previousScheduler;
+    std::uint64_t m_previousIncarnation = 0;
+    bool m_roleAppendInFlight = false;
+    /// A claim that was appended may not have been read back yet.
+    state::MonotonicTime m_roleRetryAt;
+    /// Epoch of this instance that a worker's answer ended before the log did.
+    std::uint64_t m_deposedEpoch = 0;
+    bool m_deposedByWorker = false;
+    bool m_eventScheduled = false;
+    std::optional<state::MonotonicTime> m_claimAt;
+
+    bool m_draining = false;
+    std::vector<std::function<void()>> m_onDrained;
+
+    int m_recordsSinceSnapshot = 0;
+    bool m_snapshotDue = false;
+    bool m_snapshotInFlight = false;
+
+    std::unique_ptr<transport::HttpClient> m_http;
+    std::unique_ptr<GangScheduler> m_scheduler;
+    std::unique_ptr<LeaseGuardian> m_guardian;
+    transport::EventLoop::TimerId m_timer = 0;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/SchedulerTaskRole.cpp
@@ -0,0 +1,201 @@
+// Replay, election, hand-over and timers of SchedulerTask.
+#include "coordination/SchedulerTask.h"
+
+#include "transport/Logger.h"
+#include "transport/Metrics.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using state::MonotonicTime;
+using state::Record;
+
+namespace {
+
+    /// Keeps a deadline that cannot be served yet from turning into a loop.
+    constexpr std::chrono::milliseconds minimumPause { 20 };
+    constexpr std::chrono::milliseconds roleRetryDelay { 1'000 };
+
+} // namespace
+
+void SchedulerTask::handle(const SchedulerMessage::LogBatch& message)
+{
+    m_replay.accept(message.batch);
+    if (m_replay.caughtUp())
+        updateRole();
+}
+
+void SchedulerTask::recordRead(const Record& record)
+{
+    state::InstanceId scheduler = m_table.scheduler();
+    std::uint64_t incarnation = m_table.schedulerIncarnation();
+    bool applied = m_table.apply(record);
+    ++m_recordsSinceSnapshot;
+    if (applied && std::holds_alternative<Record::SchedulerClaim>(record.body)) {
+        m_previousScheduler = scheduler;
+        m_previousIncarnation = incarnation;
+    }
+    if (const auto* submitted = std::get_if<Record::JobSubmitted>(&record.body)) {
+        const state::JobTable::Job* job = m_table.find(submitted->specification.id);
+        if (applied && record.origin.instance == m_environment.instance)
+            m_environment.recordEvent(job->specification.id.value(), "job.accepted", "");
+        if (job)
+            m_submissions.submissionRead(job->specification);
+    } else if (const auto* cancelled = std::get_if<Record::JobCancelled>(&record.body)) {
+        m_submissions.cancellationRead(cancelled->job);
+    }
+    m_scheduler->recordRead(record, applied);
+}
+
+void SchedulerTask::updateRole()
+{
+    std::uint64_t epoch = m_table.epoch();
+    if (!m_toldRole || m_toldRole->epoch != epoch || m_toldRole->scheduler != m_table.scheduler()) {
+        m_toldRole = { .epoch = epoch, .scheduler = m_table.scheduler() };
+        m_hooks.onRole(*m_toldRole);
+    }
+    bool mine = m_table.isScheduler(m_environment.instance, m_environment.incarnation);
+    if (mine && m_scheduler->epoch() != epoch && m_deposedEpoch != epoch) {
+        m_environment.recordEvent(m_environment.instance.value(), "scheduler.elected", std::to_string(epoch));
+        m_environment.metrics->increment("lentilsaddle_scheduler_elections_total");
+        transport::writeLog(transport::LogLevel::Info, "scheduler", "elected", { { "epoch", std::to_string(epoch) } });
+        m_snapshotDue = true;
+        m_scheduler->beginEpoch(epoch, m_previousScheduler, m_previousIncarnation);
+    } else if (!mine && m_scheduler->active()) {
+        transport::writeLog(transport::LogLevel::Info, "scheduler", "another epoch began",
+            { { "epoch", std::to_string(epoch) }, { "scheduler", m_table.scheduler().value() } });
+        m_scheduler->endEpoch();
+    }
+}
+
+SchedulerElection::View SchedulerTask::electionView() const
+{
+    const state::InstanceId& scheduler = m_table.scheduler();
+    bool listed = std::any_of(m_members.members.begin(), m_members.members.end(),
+        [&scheduler](const state::InstanceInfo& member) { return member.name == scheduler; });
+    bool mine = m_table.isScheduler(m_environment.instance, m_environment.incarnation);
+    SchedulerElection::View view { .self = m_environment.instance,
+        .dataCentre = m_environment.dataCentre,
+        .members = {},
+        .epoch = m_table.epoch(),
+        // A scheduler of this name with another incarnation is this instance's predecessor, which has ended.
+        .vacant = scheduler.empty() || (scheduler == m_environment.instance && !mine),
+        .suspected = !mine && m_members.schedulerSuspected,
+        .unlisted = !mine && !listed,
+        .eligible = m_membersKnown && m_replay.caughtUp() && m_logReachable && !m_draining };
+    for (const state::InstanceInfo& member : m_members.members) {
+        bool live = member.state == state::InstanceInfo::State::Live;
+        bool gone = (view.suspected || view.unlisted) && member.name == scheduler;
+        if (live && !gone)
+            view.members.push_back(member.name);
+    }
+    return view;
+}
+
+void SchedulerTask::elect(MonotonicTime now)
+{
+    m_claimAt.reset();
+    if (m_roleAppendInFlight)
+        return;
+    m_claimAt = m_election.claimTime(electionView(), now);
+    if (!m_claimAt)
+        return;
+    m_claimAt = std::max(*m_claimAt, m_roleRetryAt);
+    if (now < *m_claimAt)
+        return;
+    m_claimAt.reset();
+    appendRole(false);
+}
+
+void SchedulerTask::appendRole(bool vacant)
+{
+    m_roleAppendInFlight = true;
+    append("role", Record::SchedulerClaim { .epoch = m_table.epoch() + 1, .vacant = vacant });
+}
+
+void SchedulerTask::roleAppended()
+{
+    m_roleAppendInFlight = false;
+    m_roleRetryAt = now() + roleRetryDelay;
+}
+
+void SchedulerTask::advanceDrain()
+{
+    if (!m_draining || m_onDrained.empty())
+        return;
+    bool mine = m_table.isScheduler(m_environment.instance, m_environment.incarnation) && m_scheduler->active();
+    if (mine && !m_scheduler->quiet())
+        return;
+    // Without the log the role cannot be handed over; the others take it over when heartbeats end.
+    if (mine && m_logReachable) {
+        if (!m_roleAppendInFlight && now() >= m_roleRetryAt)
+            appendRole(true);
+        return;
+    }
+    for (const auto& onDrained : std::exchange(m_onDrained, {}))
+        onDrained();
+}
+
+void SchedulerTask::appendSnapshotIfDue()
+{
+    bool due = m_snapshotDue || m_recordsSinceSnapshot >= m_options.snapshotInterval;
+    if (!due || m_snapshotInFlight || !m_scheduler->active() || !m_logReachable || !m_replay.caughtUp())
+        return;
+    m_snapshotDue = false;
+    m_recordsSinceSnapshot = 0;
+    m_snapshotInFlight = true;
+    append("snapshot", m_table.snapshot(m_replay.nextOffset()));
+}
+
+void SchedulerTask::scheduleEvent()
+{
+    if (std::exchange(m_eventScheduled, true))
+        return;
+    loop().startTimer(std::chrono::microseconds(0), [this] {
+        m_eventScheduled = false;
+        afterEvent();
+    });
+}
+
+void SchedulerTask::afterEvent()
+{
+    MonotonicTime time = now();
+    if (std::exchange(m_deposedByWorker, false)) {
+        // The log that names the successor may be read later; until then this instance must not act.
+        m_deposedEpoch = m_scheduler->epoch();
+        m_scheduler->endEpoch();
+    }
+    m_submissions.expire(time);
+    m_scheduler->tick(time);
+    std::vector<state::InstanceId> members;
+    for (const state::InstanceInfo& member : m_members.members)
+        members.push_back(member.name);
+    bool guard = !m_scheduler->active() && !m_logReachable && m_members.schedulerSuspected && m_replay.complete();
+    m_guardian->tick(guard, members, time);
+    elect(time);
+    advanceDrain();
+    appendSnapshotIfDue();
+    rearm();
+}
+
+void SchedulerTask::rearm()
+{
+    MonotonicTime time = now();
+    std::optional<MonotonicTime> next;
+    for (const auto& candidate : { m_submissions.nextDeadline(), m_scheduler->nextTick(time), m_guardian->nextTick(),
+             m_claimAt, m_onDrained.empty() ? std::nullopt : std::optional(m_roleRetryAt) }) {
+        if (candidate)
+            next = next ? std::min(*next, *candidate) : candidate;
+    }
+    loop().cancelTimer(m_timer);
+    m_timer = 0;
+    if (!next)
+        return;
+    auto delay = std::max(*next - time, MonotonicTime::duration(minimumPause));
+    m_timer = loop().startTimer(std::chrono::ceil<std::chrono::microseconds>(delay), [this] { afterEvent(); });
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/WorkerFleet.cpp
@@ -0,0 +1,185 @@
+#include "coordination/WorkerFleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+using protocol::WorkerAnswer;
+using state::MonotonicTime;
+using state::WorkerId;
+
+WorkerFleet::WorkerFleet(protocol::WorkerClient& client, protocol::WorkerDirectory& directory,
+    state::PlacementState& placement, Options options, Hooks hooks)
+    : m_client(client)
+    , m_directory(directory)
+    , m_placement(placement)
+    , m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+{
+}
+
+const state::Worker* WorkerFleet::find(const WorkerId& worker) const
+{
+    auto found = m_placement.workers().find(worker);
+    return found == m_placement.workers().end() ? nullptr : &found->second.worker;
+}
+
+void WorkerFleet::readList(MonotonicTime now)
+{
+    m_reading = true;
+    m_readAt = now + m_options.listInterval;
+    m_directory.read(m_options.dataCentre, [this](std::optional<std::vector<state::Worker>> workers) {
+        m_reading = false;
+        if (workers)
+            acceptList(*workers);
+        else if (!m_listed)
+            m_readAt = m_hooks.clock() + m_options.fenceRetry;
+        m_hooks.onWorkers();
+        m_hooks.onChange();
+    });
+}
+
+void WorkerFleet::acceptList(const std::vector<state::Worker>& workers)
+{
+    // A worker that runs a gang stays known even if the lagging list drops it.
+    std::vector<state::Worker> kept = workers;
+    for (const auto& [id, slots] : m_placement.workers()) {
+        bool occupied = std::any_of(
+            slots.occupants.begin(), slots.occupants.end(), [](const state::JobId& job) { return !job.empty(); });
+        bool listed = std::any_of(
+            workers.begin(), workers.end(), [&id = id](const state::Worker& worker) { return worker.id == id; });
+        if (occupied && !listed)
+            kept.push_back(slots.worker);
+    }
+    m_placement.setWorkers(kept);
+    m_listed = true;
+    std::erase_if(m_fences, [this](const auto& entry) { return !find(entry.first); });
+    if (m_epoch != 0) {
+        for (const state::Worker& worker : kept)
+            fence(worker.id);
+        checkRound();
+    }
+    updateAvailability(m_hooks.clock());
+}
+
+void WorkerFleet::beginEpoch(std::uint64_t epoch)
+{
+    m_epoch = epoch;
+    m_roundDone = false;
+    m_fences.clear();
+    // Workers may have joined since the list was read.
+    m_readAt = m_hooks.clock();
+    for (const auto& [id, slots] : m_placement.workers())
+        fence(id);
+    updateAvailability(m_hooks.clock());
+    tick(m_hooks.clock());
+}
+
+void WorkerFleet::endEpoch()
+{
+    m_epoch = 0;
+    m_fences.clear();
+    updateAvailability(m_hooks.clock());
+}
+
+void WorkerFleet::fence(const WorkerId& worker)
+{
+    Fence& fence = m_fences[worker];
+    if (fence.answered || fence.inFlight)
+        return;
+    fence.inFlight = true;
+    m_client.fence(*find(worker), m_epoch, [this, worker, epoch = m_epoch](const WorkerAnswer& answer) {
+        if (epoch == m_epoch)
+            fenceAnswered(worker, answer);
+        m_hooks.onChange();
+    });
+}
+
+void WorkerFleet::fenceAnswered(const WorkerId& worker, const WorkerAnswer& answer)
+{
+    auto found = m_fences.find(worker);
+    if (found == m_fences.end())
+        return;
+    found->second.inFlight = false;
+    if (answer.status == WorkerAnswer::Status::Fenced) {
+        m_hooks.onDeposed(answer.epoch);
+        return;
+    }
+    if (answer.status == WorkerAnswer::Status::Ok) {
+        found->second.answered = true;
+        updateAvailability(m_hooks.clock());
+        m_hooks.onFenced(worker, answer.tasks);
+    } else {
+        found->second.retryAt = m_hooks.clock() + m_options.fenceRetry;
+    }
+    checkRound();
+}
+
+void WorkerFleet::checkRound()
+{
+    bool pending
+        = std::any_of(m_fences.begin(), m_fences.end(), [](const auto& entry) { return entry.second.inFlight; });
+    if (m_roundDone || pending || !m_listed || m_reading)
+        return;
+    m_roundDone = true;
+    m_hooks.onFenceRoundDone();
+}
+
+std::set<WorkerId> WorkerFleet::silent() const
+{
+    std::set<WorkerId> workers;
+    for (const auto& [id, fence] : m_fences) {
+        if (!fence.answered)
+            workers.insert(id);
+    }
+    return workers;
+}
+
+void WorkerFleet::updateAvailability(MonotonicTime now)
+{
+    for (const auto& [id, slots] : m_placement.workers()) {
+        auto fence = m_fences.find(id);
+        bool fenced = fence != m_fences.end() && fence->second.answered;
+        m_placement.setAvailable(id, fenced && m_quarantine.state(id, now) == WorkerQuarantine::State::Open);
+    }
+}
+
+std::vector<WorkerId> WorkerFleet::halfOpen(MonotonicTime now) const
+{
+    std::vector<WorkerId> workers;
+    for (const auto& [id, fence] : m_fences) {
+        if (fence.answered && m_quarantine.state(id, now) == WorkerQuarantine::State::HalfOpen)
+            workers.push_back(id);
+    }
+    return workers;
+}
+
+void WorkerFleet::tick(MonotonicTime now)
+{
+    if (!m_reading && now >= m_readAt)
+        readList(now);
+    if (m_epoch == 0)
+        return;
+    for (const auto& [id, fenceState] : m_fences) {
+        if (!fenceState.answered && !fenceState.inFlight && now >= fenceState.retryAt)
+            fence(id);
+    }
+}
+
+std::optional<MonotonicTime> WorkerFleet::nextTick(MonotonicTime now) const
+{
+    std::optional<MonotonicTime> next;
+    auto consider = [&next](MonotonicTime time) { next = next ? std::min(*next, time) : time; };
+    if (!m_reading)
+        consider(m_readAt);
+    for (const auto& [id, fence] : m_fences) {
+        if (!fence.answered && !fence.inFlight)
+            consider(fence.retryAt);
+    }
+    if (auto change = m_quarantine.nextChange(now))
+        consider(*change);
+    return next;
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/WorkerFleet.h
@@ -0,0 +1,98 @@
+/// @file
+/// Workers of the data centre as the scheduler sees them.
+#pragma once
+
+#include "coordination/decisions/WorkerQuarantine.h"
+#include "protocol/WorkerAnswer.h"
+#include "protocol/WorkerClient.h"
+#include "protocol/WorkerDirectory.h"
+#include "state/PlacementState.h"
+#include "state/Time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+/// Reads the list of workers, fences each worker once in an epoch, and keeps the availability of the placement state up
+/// to date. A worker is available once it answered the fence of the current epoch and while it is not quarantined.
+class WorkerFleet {
+public:
+    struct Hooks {
+        state::MonotonicClock clock;
+        /// The list of workers changed.
+        std::function<void()> onWorkers;
+        /// A worker answered the fence of the current epoch with the tasks that it holds.
+        std::function<void(const state::WorkerId&, const std::vector<state::WorkerTask>&)> onFenced;
+        /// Every worker was asked once; the silent ones are asked again later.
+        std::function<void()> onFenceRoundDone;
+        /// A worker has seen a higher epoch.
+        std::function<void(std::uint64_t epoch)> onDeposed;
+        /// Called after each answer.
+        std::function<void()> onChange;
+    };
+    struct Options {
+        state::DataCentreId dataCentre;
+        std::chrono::milliseconds listInterval;
+        std::chrono::milliseconds fenceRetry;
+    };
+
+    /// @param placement outlives this object.
+    WorkerFleet(protocol::WorkerClient& client, protocol::WorkerDirectory& directory, state::PlacementState& placement,
+        Options options, Hooks hooks);
+
+    /// Fences all workers for a new epoch of this instance.
+    void beginEpoch(std::uint64_t epoch);
+    /// The instance is no longer the scheduler.
+    void endEpoch();
+
+    /// Reads the list and repeats fences when they are due.
+    void tick(state::MonotonicTime now);
+    std::optional<state::MonotonicTime> nextTick(state::MonotonicTime now) const;
+
+    /// @return the worker, or null if the list does not name it.
+    const state::Worker* find(const state::WorkerId& worker) const;
+    bool listed() const { return m_listed; }
+    /// @return workers that did not answer the fence of the current epoch.
+    std::set<state::WorkerId> silent() const;
+
+    WorkerQuarantine& quarantine() { return m_quarantine; }
+    /// Takes over changes of the quarantine.
+    void updateAvailability(state::MonotonicTime now);
+    /// @return available but for the quarantine, and due for a probe.
+    std::vector<state::WorkerId> halfOpen(state::MonotonicTime now) const;
+
+private:
+    struct Fence {
+        bool answered = false;
+        bool inFlight = false;
+        state::MonotonicTime retryAt;
+    };
+
+    void readList(state::MonotonicTime now);
+    void acceptList(const std::vector<state::Worker>& workers);
+    void fence(const state::WorkerId& worker);
+    void fenceAnswered(const state::WorkerId& worker, const protocol::WorkerAnswer& answer);
+    void checkRound();
+
+    protocol::WorkerClient& m_client;
+    protocol::WorkerDirectory& m_directory;
+    state::PlacementState& m_placement;
+    Options m_options;
+    Hooks m_hooks;
+    WorkerQuarantine m_quarantine { {} };
+    bool m_listed = false;
+    bool m_reading = false;
+    state::MonotonicTime m_readAt;
+    /// 0 while this instance is not the scheduler.
+    std::uint64_t m_epoch = 0;
+    bool m_roundDone = false;
+    std::map<state::WorkerId, Fence> m_fences;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/decisions/SchedulerElection.cpp
@@ -0,0 +1,36 @@
+#include "coordination/decisions/SchedulerElection.h"
+
+#include "coordination/decisions/Rendezvous.h"
+
+#include <algorithm>
+
+namespace lentilsaddle::coordination {
+
+SchedulerElection::SchedulerElection(std::chrono::milliseconds rankDelay, std::chrono::milliseconds unlistedDelay)
+    : m_rankDelay(rankDelay)
+    , m_unlistedDelay(unlistedDelay)
+{
+}
+
+std::optional<state::MonotonicTime> SchedulerElection::claimTime(const View& view, state::MonotonicTime now)
+{
+    if (!view.vacant && !view.suspected && !view.unlisted) {
+        m_since.reset();
+        return std::nullopt;
+    }
+    if (!m_since || m_sinceEpoch != view.epoch) {
+        m_since = now;
+        m_sinceEpoch = view.epoch;
+    }
+    if (!view.eligible)
+        return std::nullopt;
+    std::vector<state::InstanceId> candidates = view.members;
+    if (std::find(candidates.begin(), candidates.end(), view.self) == candidates.end())
+        candidates.push_back(view.self);
+    candidates = rendezvousOrder(std::move(candidates), "scheduler/" + view.dataCentre.value());
+    auto rank = std::find(candidates.begin(), candidates.end(), view.self) - candidates.begin();
+    bool weak = !view.vacant && !view.suspected;
+    return *m_since + rank * m_rankDelay + (weak ? m_unlistedDelay : std::chrono::milliseconds(0));
+}
+
+} // namespace lentilsaddle::coordination
--- a/protocol/RecordCodec.cpp
+++ b/protocol/RecordCodec.cpp
@@ -148,6 +148,7 @@
     void encodeBody(const Record::SchedulerClaim& body, wire::Record& out)
     {
         out.mutable_scheduler_claim()->set_epoch(body.epoch);
+        out.mutable_scheduler_claim()->set_vacant(body.vacant);
     }
 
     void encodeBody(const Record::StartClaim& body, wire::Record& out)
@@ -162,6 +163,8 @@
         ended->set_attempt(static_cast<std::uint32_t>(body.attempt));
         ended->set_outcome(body.outcome);
         ended->set_reason(body.reason);
+        for (const state::WorkerId& worker : body.failedWorkers)
+            ended->add_failed_workers(worker.value());
     }
 
     void encodeBody(const Record::JobEnded& body, wire::Record& out)
@@ -193,6 +196,10 @@
                 encode(*job.claim, *entry->mutable_claim());
             entry->set_state(job.state);
             entry->set_reason(job.reason);
+            entry->set_last_outcome(job.lastOutcome);
+            entry->set_cancel_requested(job.cancelRequested);
+            for (const state::WorkerId& worker : job.failedWorkers)
+                entry->add_failed_workers(worker.value());
         }
     }
 
@@ -245,6 +252,14 @@
         return snapshot;
     }
 
+    std::vector<state::WorkerId> decodeWorkers(const google::protobuf::RepeatedPtrField<std::string>& names)
+    {
+        std::vector<state::WorkerId> workers;
+        for (const std::string& name : names)
+            workers.emplace_back(name);
+        return workers;
+    }
+
     Record::JobSnapshot decode(const wire::JobSnapshot& in)
     {
         Record::JobSnapshot snapshot {
@@ -262,6 +277,9 @@
                 .claim = std::nullopt,
                 .state = entry.state(),
                 .reason = entry.reason(),
+                .lastOutcome = entry.last_outcome(),
+                .cancelRequested = entry.cancel_requested(),
+                .failedWorkers = decodeWorkers(entry.failed_workers()),
             };
             if (entry.has_claim())
                 job.claim = decode(entry.claim());
@@ -306,7 +324,10 @@
         case wire::Record::kJobSubmitted:
             return Record::JobSubmitted { .specification = decode(in.job_submitted()) };
         case wire::Record::kSchedulerClaim:
-            return Record::SchedulerClaim { .epoch = in.scheduler_claim().epoch() };
+            return Record::SchedulerClaim {
+                .epoch = in.scheduler_claim().epoch(),
+                .vacant = in.scheduler_claim().vacant(),
+            };
         case wire::Record::kStartClaim:
             return decode(in.start_claim());
         case wire::Record::kAttemptEnded:
@@ -315,6 +336,7 @@
                 .attempt = static_cast<int>(in.attempt_ended().attempt()),
                 .outcome = in.attempt_ended().outcome(),
                 .reason = in.attempt_ended().reason(),
+                .failedWorkers = decodeWorkers(in.attempt_ended().failed_workers()),
             };
         case wire::Record::kJobEnded:
             return Record::JobEnded {
--- a/state/Record.h
+++ b/state/Record.h
@@ -49,6 +49,8 @@
     };
     struct SchedulerClaim {
         std::uint64_t epoch = 0;
+        /// The role is given up: the epoch has no scheduler, and any instance may claim the next one at once.
+        bool vacant = false;
     };
     struct StartClaim {
         JobId job;
@@ -62,6 +64,8 @@
         /// succeeded, failed, preempted, released or unknown.
         std::string outcome;
         std::string reason;
+        /// Workers that the next attempt should avoid.
+        std::vector<WorkerId> failedWorkers;
     };
     struct JobEnded {
         JobId job;
@@ -79,6 +83,10 @@
         std::optional<StartClaim> claim;
         std::string state;
         std::string reason;
+        /// Outcome of the last ended attempt; empty before the first.
+        std::string lastOutcome;
+        bool cancelRequested = false;
+        std::vector<WorkerId> failedWorkers;
     };
     struct JobSnapshot {
         std::uint64_t epoch = 0;
