--- /dev/null
+++ b/daemon/Daemon.h
@@ -0,0 +1,58 @@
+/// @file
+/// All tasks of one entry instance.
+#pragma once
+
+#include "coordination/TaskEnvironment.h"
+#include "state/Settings.h"
+#include "transport/Metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace lentilsaddle::coordination {
+class ApiTask;
+class ConfigurationTask;
+class LogTask;
+class PeerTask;
+class RequestTask;
+class SchedulerTask;
+class TimelineTask;
+}
+
+namespace lentilsaddle::daemon {
+
+/// Creates the tasks, connects them by hooks that post messages, and stops them in order.
+class Daemon {
+public:
+    explicit Daemon(state::Settings settings);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    void start();
+
+    /// Finishes the requests in hand and hands over the scheduler role, then stops all tasks. Blocks until done or until
+    /// the shutdown limit has passed.
+    /// @return whether everything was finished in time.
+    bool shutDown();
+
+private:
+    coordination::TaskEnvironment makeEnvironment();
+    void createTasks();
+    void createApiTask();
+    void connectTasks();
+    void startDrain(const std::function<void()>& onDrained);
+
+    state::Settings m_settings;
+    transport::Metrics m_metrics;
+    coordination::TaskEnvironment m_environment;
+    std::unique_ptr<coordination::TimelineTask> m_timeline;
+    std::unique_ptr<coordination::LogTask> m_log;
+    std::unique_ptr<coordination::ConfigurationTask> m_configuration;
+    std::unique_ptr<coordination::RequestTask> m_requests;
+    std::unique_ptr<coordination::SchedulerTask> m_scheduler;
+    std::unique_ptr<coordination::PeerTask> m_peers;
+    std::unique_ptr<coordination::ApiTask> m_api;
+};
+
+}
