--- a/tests/protocol/RecordCodecTest.cpp
+++ b/tests/protocol/RecordCodecTest.cpp
@@ -27,6 +27,17 @@
     EXPECT_EQ(claim.placements, std::get<Record::StartClaim>(record.body).placements);
 }
 
+// Guards against an outcome that no longer names its claim, so that no replica would apply it.
+TEST(RecordCodec, OutcomeNamesItsClaimAfterARoundTrip)
+{
+    Record::RequestEnded ended { .outcome = state::RequestOutcome::Done, .status = 200, .claimSequence = 9 };
+    Record::RequestSnapshotEntry saved { .issuer = { state::InstanceId("e1"), 1, 9 }, .ended = ended };
+    Record outcome = decodeRecord(encodeRecord({ .origin = {}, .body = ended }));
+    EXPECT_EQ(std::get<Record::RequestEnded>(outcome.body).claimSequence, 9U);
+    Record snapshot = decodeRecord(encodeRecord({ .origin = {}, .body = Record::RequestSnapshot { { saved }, 1 } }));
+    EXPECT_EQ(std::get<Record::RequestSnapshot>(snapshot.body).entries.at(0).ended->claimSequence, 9U);
+}
+
 // Guards against a foreign or damaged record in a stream being applied as if it were ours.
 TEST(RecordCodec, UnreadableBytesAreAnError)
 {
