Keep the idempotency keys of a service in a class of their own

The connections to a backend server, idle ones included, are limited to this instance's share; limiting only the requests in hand was ruled out, since kept connections would add to it. A request that is released by another's deadline is served at once.

--- a/coordination/RequestTask.cpp
+++ b/coordination/RequestTask.cpp
@@ -27,8 +27,7 @@
 
 void RequestTask::onStart()
 {
-    m_client = std::make_unique<transport::HttpClient>(
-        loop(), transport::HttpClientOptions { .maximumConnectionsPerHost = m_options.maximumConnectionsPerServer });
+    m_client = std::make_unique<transport::HttpClient>(loop(), transport::HttpClientOptions());
     m_postLog({ .body
         = LogMessage::WatchReachability {
             .onChange
@@ -87,6 +86,21 @@
     }
     for (const auto& [id, router] : m_routers)
         router->configure(*m_configuration);
+    limitConnections();
+}
+
+void RequestTask::limitConnections()
+{
+    if (!m_configuration || m_configuration->services.empty())
+        return;
+    auto liveEntryInstances = std::count_if(m_instances.begin(), m_instances.end(), [](const auto& instance) {
+        return instance.kind == state::InstanceInfo::Kind::Entry && instance.state == state::InstanceInfo::State::Live;
+    });
+    int connections = 1;
+    for (const auto& [id, service] : m_configuration->services)
+        connections = std::max(connections, service.connectionsPerServer);
+    auto share = std::max<std::ptrdiff_t>(1, connections / std::max<std::ptrdiff_t>(1, liveEntryInstances));
+    m_client->setMaximumConnectionsPerHost(static_cast<std::size_t>(share));
 }
 
 void RequestTask::addRouter(const state::ServiceId& service)
@@ -124,6 +138,7 @@
 void RequestTask::handle(RequestMessage::Instances message)
 {
     m_instances = std::move(message.instances);
+    limitConnections();
     for (const auto& [id, router] : m_routers)
         router->setInstances(m_instances);
 }
@@ -162,8 +177,9 @@
 
 void RequestTask::finishDrain()
 {
-    bool idle = std::all_of(m_routers.begin(), m_routers.end(), [](const auto& item) { return item.second->idle(); });
-    if (!m_draining || !idle)
+    if (!m_draining)
+        return;
+    if (!std::all_of(m_routers.begin(), m_routers.end(), [](const auto& item) { return item.second->idle(); }))
         return;
     for (const std::function<void()>& onDrained : std::exchange(m_onDrained, {}))
         onDrained();
--- a/coordination/RequestTask.h
+++ b/coordination/RequestTask.h
@@ -48,6 +48,8 @@
 
     /// @return why a request cannot be taken in hand; empty if it can.
     std::string_view refusal(const RequestMessage::ServiceRequest& request) const;
+    /// Limits the connections to a backend server to this instance's share, idle ones included.
+    void limitConnections();
     void addRouter(const state::ServiceId& service);
     ServiceRouter* findRouter(const state::ServiceId& service);
     void scheduleSnapshots();
--- a/coordination/RequestTaskOptions.h
+++ b/coordination/RequestTaskOptions.h
@@ -28,8 +28,6 @@
     std::chrono::milliseconds outcomeRetryDelay { 1000 };
     /// Answers of non-repeatable requests that are kept for callers that ask again.
     std::size_t answerCacheBytes = 8 << 20;
-    /// Connections to one backend server, idle ones included: the share of one of 6 instances in 64.
-    std::size_t maximumConnectionsPerServer = 10;
 };
 
 } // namespace lentilsaddle::coordination
--- a/coordination/ServiceRouter.cpp
+++ b/coordination/ServiceRouter.cpp
@@ -14,10 +14,9 @@
     , m_options(options)
     , m_hooks(std::move(hooks))
     , m_report(environment)
-    , m_claims(m_service, environment, options,
-          { .postLog = m_hooks.postLog, .post = m_hooks.post, .startTimer = m_hooks.startTimer })
+    , m_nonRepeatable(m_service, environment, options,
+          { .postLog = m_hooks.postLog, .post = m_hooks.post, .startTimer = m_hooks.startTimer }, nonRepeatableHooks())
     , m_dispatcher(m_service, environment, options, dispatcherHooks())
-    , m_answers(options.answerCacheBytes)
 {
 }
 
@@ -43,6 +42,23 @@
     };
 }
 
+NonRepeatableRequests::Hooks ServiceRouter::nonRepeatableHooks()
+{
+    return {
+        .find = [this](Ticket ticket) { return find(ticket); },
+        .refusal =
+            [this](const PendingRequest& pending) {
+                if (!m_dispatcher.anyRunner())
+                    return std::string_view("no_backend_server");
+                return refusalReason(m_dispatcher.check(itemOf(pending)));
+            },
+        .admit = [this](PendingRequest& pending) { enqueue(pending); },
+        .refuse
+        = [this](PendingRequest& pending, std::string_view reason) { endUnserved(pending, reason, retryAfter({})); },
+        .finish = [this](PendingRequest& pending, const Answer& answer) { finish(pending, answer); },
+    };
+}
+
 PendingRequest* ServiceRouter::find(Ticket ticket)
 {
     auto found = m_pending.find(ticket);
@@ -73,98 +89,13 @@
 void ServiceRouter::begin(PendingRequest& pending)
 {
     if (pending.request.nonRepeatable)
-        beginNonRepeatable(pending);
+        m_nonRepeatable.begin(pending);
     else if (!m_dispatcher.anyRunner())
         endUnserved(pending, "no_backend_server", retryAfter({}));
     else
         enqueue(pending);
 }
 
-void ServiceRouter::beginNonRepeatable(PendingRequest& pending)
-{
-    const RequestMessage::ServiceRequest& request = pending.request;
-    pending.key = state::KeyDigest::of(request.account.value(), request.service.value(), request.idempotencyKey);
-    auto [leader, isLeader] = m_leaders.try_emplace(pending.key, pending.ticket);
-    if (!isLeader) {
-        pending.phase = PendingRequest::Phase::Following;
-        m_pending.at(leader->second).followers.push_back(pending.ticket);
-        return;
-    }
-    pending.phase = PendingRequest::Phase::Claiming;
-    if (!refusedBeforeClaim(pending))
-        advanceClaim(pending);
-}
-
-bool ServiceRouter::refusedBeforeClaim(PendingRequest& pending)
-{
-    RequestClaims::Standing standing = m_claims.standing(pending.key);
-    std::string_view reason;
-    // What the ledger knows of the key comes before any refusal, which would invite the caller to try again.
-    if (standing != RequestClaims::Standing::Free && standing != RequestClaims::Standing::Incomplete)
-        return false;
-    if (!m_claims.logReachable())
-        reason = "log_unavailable";
-    else if (standing == RequestClaims::Standing::Incomplete)
-        reason = "ledger_incomplete";
-    else if (!m_dispatcher.anyRunner())
-        reason = "no_backend_server";
-    else
-        reason = refusalReason(m_dispatcher.check(itemOf(pending)));
-    if (reason.empty())
-        return false;
-    endUnserved(pending, reason, retryAfter({}));
-    return true;
-}
-
-void ServiceRouter::advanceClaim(PendingRequest& pending)
-{
-    if (pending.phase != PendingRequest::Phase::Claiming)
-        return;
-    RequestClaims::Standing standing = m_claims.standing(pending.key);
-    switch (standing) {
-    case RequestClaims::Standing::Incomplete:
-    case RequestClaims::Standing::Releasing:
-    case RequestClaims::Standing::InHand:
-        return;
-    case RequestClaims::Standing::Free:
-        return advanceFreeKey(pending);
-    case RequestClaims::Standing::Taken:
-    case RequestClaims::Standing::Done:
-    case RequestClaims::Standing::Unknown:
-        return answerFromLedger(pending, standing);
-    case RequestClaims::Standing::Ours:
-        break;
-    }
-    m_environment.faultPoint("request.after_claim");
-    pending.takenClaim = m_claims.take(pending.key);
-    m_report.claimed(pending.request);
-    enqueue(pending);
-}
-
-void ServiceRouter::advanceFreeKey(PendingRequest& pending)
-{
-    if (pending.claimInFlight || (pending.claim && !m_claims.isSpent(pending.key, *pending.claim)))
-        return;
-    m_environment.faultPoint("request.before_claim");
-    pending.claim.reset();
-    pending.claimInFlight = true;
-    m_claims.claim(pending.key, pending.request.id, pending.ticket, pending.deadline);
-}
-
-void ServiceRouter::answerFromLedger(PendingRequest& pending, RequestClaims::Standing standing)
-{
-    if (standing == RequestClaims::Standing::Taken)
-        return finish(pending, unknownAnswer("claimed_by_another_attempt"));
-    if (standing == RequestClaims::Standing::Unknown)
-        return finish(pending, unknownAnswer("answer_lost"));
-    if (const Answer* kept = m_answers.find(pending.key))
-        return finish(pending, *kept);
-    Answer answer;
-    answer.outcome = state::RequestOutcome::Done;
-    answer.status = m_claims.doneStatus(pending.key);
-    finish(pending, answer);
-}
-
 void ServiceRouter::enqueue(PendingRequest& pending)
 {
     pending.phase = PendingRequest::Phase::Queued;
@@ -273,7 +204,13 @@
         return;
     if (m_environment.monotonicClock() < pending->deadline)
         return startDeadlineTimer(*pending);
-    switch (pending->phase) {
+    endAtDeadline(*pending);
+    m_dispatcher.pump();
+}
+
+void ServiceRouter::endAtDeadline(PendingRequest& pending)
+{
+    switch (pending.phase) {
     case PendingRequest::Phase::Queued:
         for (const AdmissionQueue::Item& item : m_dispatcher.takeExpired()) {
             if (PendingRequest* expired = find(item.ticket))
@@ -281,16 +218,16 @@
         }
         return;
     case PendingRequest::Phase::Claiming:
-        return endUnserved(*pending, "deadline_passed");
+        return endUnserved(pending, "deadline_passed");
     case PendingRequest::Phase::Following:
-        return finish(*pending, unknownAnswer("in_progress"));
+        return finish(pending, unknownAnswer("in_progress"));
     case PendingRequest::Phase::HandedOver:
         break;
     }
-    if (!pending->request.nonRepeatable)
-        return finish(*pending, unknownAnswer("deadline_passed"));
+    if (!pending.request.nonRepeatable)
+        return finish(pending, unknownAnswer("deadline_passed"));
     // The call goes on, so that its outcome can be recorded.
-    reply(*pending, unknownAnswer("deadline_passed"));
+    reply(pending, unknownAnswer("deadline_passed"));
 }
 
 void ServiceRouter::endUnserved(PendingRequest& pending, std::string_view reason, std::chrono::seconds retryAfter)
@@ -311,83 +248,40 @@
 {
     reply(pending, answer);
     m_hooks.cancelTimer(pending.deadlineTimer);
-    if (pending.takenClaim) {
-        if (answer.outcome == state::RequestOutcome::Done)
-            m_answers.store(pending.key, answer);
-        m_environment.faultPoint("request.before_outcome");
-        m_claims.end(pending.key, *pending.takenClaim, answer.outcome, answer.status);
-    }
     PendingRequest ended = std::move(m_pending.extract(pending.ticket).mapped());
-    auto leader = m_leaders.find(ended.key);
-    if (ended.request.nonRepeatable && leader != m_leaders.end() && leader->second == ended.ticket) {
-        m_leaders.erase(leader);
-        releaseIfAbandoned(ended.key);
-    }
-    finishFollowers(ended.followers, answer);
+    if (ended.request.nonRepeatable)
+        m_nonRepeatable.ended(ended, answer);
     m_hooks.onIdle();
 }
 
-void ServiceRouter::finishFollowers(const std::vector<Ticket>& followers, const Answer& answer)
-{
-    for (Ticket ticket : followers) {
-        PendingRequest* follower = find(ticket);
-        if (!follower)
-            continue;
-        // A follower may still succeed where the first request did not run.
-        if (answer.outcome == state::RequestOutcome::NotRun)
-            begin(*follower);
-        else
-            finish(*follower, answer);
-    }
-}
-
-void ServiceRouter::releaseIfAbandoned(const state::KeyDigest& key)
-{
-    if (m_leaders.contains(key) || m_claims.standing(key) != RequestClaims::Standing::Ours)
-        return;
-    m_claims.end(key, m_claims.take(key), state::RequestOutcome::NotRun, 0);
-}
-
 void ServiceRouter::acceptLog(const state::StreamBatch& batch)
 {
-    for (const state::KeyDigest& key : m_claims.accept(batch)) {
-        auto leader = m_leaders.find(key);
-        if (leader == m_leaders.end())
-            releaseIfAbandoned(key);
-        else
-            advanceClaim(m_pending.at(leader->second));
-    }
+    m_nonRepeatable.acceptLog(batch);
     m_dispatcher.pump();
     m_hooks.onIdle();
 }
 
 void ServiceRouter::claimAppended(const RequestMessage::ClaimAppended& message)
 {
-    PendingRequest* pending = find(message.ticket);
-    if (!pending || pending->phase != PendingRequest::Phase::Claiming)
-        return;
-    pending->claimInFlight = false;
-    if (message.certainlyNotAppended)
-        return endUnserved(*pending, "log_unavailable", retryAfter({}));
-    pending->claim = message.origin;
-    advanceClaim(*pending);
+    m_nonRepeatable.claimAppended(message);
+    m_dispatcher.pump();
 }
 
 void ServiceRouter::outcomeAppended(const RequestMessage::OutcomeAppended& message)
 {
-    m_claims.outcomeAppended(message);
+    m_nonRepeatable.outcomeAppended(message);
     m_hooks.onIdle();
 }
 
 void ServiceRouter::setLogReachable(bool reachable)
 {
-    m_claims.setLogReachable(reachable);
+    m_nonRepeatable.setLogReachable(reachable);
     m_hooks.onIdle();
 }
 
 bool ServiceRouter::idle() const
 {
-    return m_pending.empty() && (!m_claims.logReachable() || !m_claims.hasUnrecordedOutcomes());
+    return m_pending.empty() && m_nonRepeatable.recorded();
 }
 
 } // namespace lentilsaddle::coordination
--- a/coordination/ServiceRouter.h
+++ b/coordination/ServiceRouter.h
@@ -2,9 +2,8 @@
 /// Life of the requests to one service.
 #pragma once
 
-#include "coordination/AnswerCache.h"
+#include "coordination/NonRepeatableRequests.h"
 #include "coordination/PendingRequest.h"
-#include "coordination/RequestClaims.h"
 #include "coordination/RequestMessage.h"
 #include "coordination/RequestReport.h"
 #include "coordination/RequestTaskOptions.h"
@@ -56,7 +55,7 @@
     void claimAppended(const RequestMessage::ClaimAppended& message);
     void outcomeAppended(const RequestMessage::OutcomeAppended& message);
     void setLogReachable(bool reachable);
-    void appendSnapshot() { m_claims.appendSnapshot(); }
+    void appendSnapshot() { m_nonRepeatable.appendSnapshot(); }
 
     /// @return whether no request is in hand and every outcome is recorded, as far as the log can be reached.
     bool idle() const;
@@ -66,16 +65,11 @@
     using Answer = RequestMessage::ServiceAnswer;
 
     ServiceDispatcher::Hooks dispatcherHooks();
+    NonRepeatableRequests::Hooks nonRepeatableHooks();
     PendingRequest* find(Ticket ticket);
     AdmissionQueue::Item itemOf(const PendingRequest& pending) const;
 
     void begin(PendingRequest& pending);
-    void beginNonRepeatable(PendingRequest& pending);
-    bool refusedBeforeClaim(PendingRequest& pending);
-    void advanceClaim(PendingRequest& pending);
-    void advanceFreeKey(PendingRequest& pending);
-    void answerFromLedger(PendingRequest& pending, RequestClaims::Standing standing);
-    void releaseIfAbandoned(const state::KeyDigest& key);
     void enqueue(PendingRequest& pending);
 
     std::optional<ServiceDispatcher::Delivery> prepare(Ticket ticket, const state::InstanceId& runner);
@@ -87,25 +81,22 @@
 
     void startDeadlineTimer(PendingRequest& pending);
     void onDeadline(Ticket ticket);
+    void endAtDeadline(PendingRequest& pending);
     /// Ends a request that is not handed over now: unknown if an earlier attempt may have run, else not run.
     void endUnserved(
         PendingRequest& pending, std::string_view reason, std::chrono::seconds retryAfter = std::chrono::seconds(0));
     void reply(PendingRequest& pending, const Answer& answer);
-    /// Answers the caller, records the outcome of the claim and forgets the request.
+    /// Answers the caller and forgets the request.
     void finish(PendingRequest& pending, const Answer& answer);
-    void finishFollowers(const std::vector<Ticket>& followers, const Answer& answer);
 
     state::ServiceId m_service;
     const TaskEnvironment& m_environment;
     const RequestTaskOptions& m_options;
     Hooks m_hooks;
     RequestReport m_report;
-    RequestClaims m_claims;
+    NonRepeatableRequests m_nonRepeatable;
     ServiceDispatcher m_dispatcher;
-    AnswerCache m_answers;
     std::map<Ticket, PendingRequest> m_pending;
-    /// The request that claims or uses each key.
-    std::map<state::KeyDigest, Ticket> m_leaders;
     std::map<state::AccountId, RetryBudget> m_budgets;
     Ticket m_lastTicket = 0;
 };
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -236,4 +236,9 @@
     return m_implementation->calls.size();
 }
 
+void HttpClient::setMaximumConnectionsPerHost(std::size_t connections)
+{
+    curl_multi_setopt(m_implementation->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(connections));
+}
+
 } // namespace lentilsaddle::transport
--- a/transport/HttpClient.h
+++ b/transport/HttpClient.h
@@ -68,6 +68,9 @@
 
     std::size_t callsInFlight() const;
 
+    /// Changes the limit for later calls. At the limit, an idle connection is closed for a new one, or the call waits.
+    void setMaximumConnectionsPerHost(std::size_t connections);
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> m_implementation;
