Place gangs by guaranteed cells, with baselines

Cause: a guarantee must be reclaimable at any time by preempting only borrowers, also when jobs of its account already run in part of it.

The policy computes one cell for each guaranteed shape: whole workers and at most part of one more, around the accelerators that protected jobs use. A job starts within its guarantee only where no cell of any account loses its place. Other jobs borrow, keep submission order apart from 32 bypasses, and leave the hole of the first job that does not fit.

Ruled out by random histories: - Counting any accelerators in the rack as the rest of a used cell: when the job ends, the whole shape has no place any more. - Choosing each job's cell once in start order: a later job finds no cell. A bounded search over the choices follows when a place is missing. - Keeping the mark of a job whose account's guarantee shrank: it counts as guaranteed again later, on accelerators that are promised to others. - Exempting a job that waits for its victims from the bypass bound.

PlacementState keeps the start order, an expected end, whether a job started within its guarantee, and whether it was told to stop. All are optional for callers; a plan names a start that is within the guarantee.

Guards tried by removal, each turning a test red: place check, victim protection, bypass bound, bound within one account, no refill of a nearly complete hole, reservation, impossible jobs, shrunk guarantees, stopping borrowers, whole gangs (crash of the test program), choice of cells.

--- /dev/null
+++ b/coordination/decisions/BestFitPlacement.cpp
@@ -0,0 +1,22 @@
+#include "coordination/decisions/BestFitPlacement.h"
+
+#include "coordination/decisions/FreePlacer.h"
+#include "coordination/decisions/PlacementPlan.h"
+#include "coordination/decisions/QueuedJob.h"
+
+namespace lentilsaddle::coordination {
+
+PlacementPolicy bestFitPlacement()
+{
+    return [](const state::PlacementState& placement, const std::vector<QueuedJob>& queue, state::MonotonicTime) {
+        FreePlacer placer(placement);
+        PlacementPlan plan;
+        for (const QueuedJob& job : queue) {
+            if (auto start = placer.place(job))
+                plan.starts.push_back(*start);
+        }
+        return plan;
+    };
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/decisions/BorrowedRoom.h
@@ -0,0 +1,36 @@
+/// @file
+/// Accelerators that borrowers give back.
+#pragma once
+
+#include "coordination/decisions/ClusterView.h"
+#include "coordination/decisions/GangTask.h"
+#include "coordination/decisions/GuaranteeCells.h"
+
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+/// Tracks which borrowers leave and which of their accelerators are spoken for.
+class BorrowedRoom {
+public:
+    BorrowedRoom(const ClusterView& view, const GuaranteeCells& cells);
+
+    /// @return accelerators of each worker that leaving borrowers give back and nobody has claimed.
+    const WorkerRoom& leaving() const { return m_leaving; }
+
+    /// Claims accelerators for a gang: free ones first, then those of leaving jobs, then those of further borrowers.
+    /// @param free free accelerators, reduced by the ones that the gang will use.
+    /// @return borrowers that must be preempted in addition, by index into ClusterView::jobs().
+    std::vector<int> claim(const std::vector<GangTask>& tasks, WorkerRoom& free);
+
+private:
+    void leave(int job);
+    int nextVictim(int worker) const;
+
+    const ClusterView& m_view;
+    const GuaranteeCells& m_cells;
+    WorkerRoom m_leaving;
+    std::vector<bool> m_isLeaving;
+};
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/decisions/CellPlacement.h
@@ -0,0 +1,25 @@
+/// @file
+/// Placement policy that honours guarantees by buddy cells.
+#pragma once
+
+#include "coordination/decisions/PlacementPolicy.h"
+
+namespace lentilsaddle::coordination {
+
+struct CellPlacementOptions {
+    /// Weight of completion time against fragmentation, 0 to 1 (`completion_weight`). A higher weight lets jobs run in
+    /// accelerators that are kept for a larger job, if they are declared to end in time.
+    double completionWeight = 0.5;
+    /// Jobs that may be started ahead of an earlier submitted one, apart from jobs within their account's guarantee.
+    int maximumBypass = 32;
+};
+
+/// Creates the policy.
+///
+/// - Jobs within their account's guarantee start first, urgent ones before others, and preempt borrowers if they find
+///   no free place. They start only where every account's remaining guaranteed shapes stay reclaimable.
+/// - Other jobs borrow free accelerators in submission order. The first one that does not fit gets a reservation on the
+///   shape that becomes free soonest; later jobs may pass it a bounded number of times.
+PlacementPolicy makeCellPlacement(const CellPlacementOptions& options);
+
+} // namespace lentilsaddle::coordination
--- a/coordination/decisions/PlacementPlan.h
+++ b/coordination/decisions/PlacementPlan.h
@@ -13,11 +13,15 @@
     struct Start {
         state::JobId job;
         std::vector<state::TaskPlacement> placements;
+        /// The job runs within its account's guarantee and is never preempted while that lasts. Passed on to
+        /// PlacementState::occupy.
+        bool withinGuarantee = false;
     };
 
     /// Jobs to start now, on accelerators that are free.
     std::vector<Start> starts;
-    /// Running jobs to checkpoint and stop, so that a guarantee can be honoured.
+    /// Running jobs to checkpoint and stop, so that a guarantee can be honoured. Each is named again by later plans
+    /// until it is marked by PlacementState::markStopping or released.
     std::vector<state::JobId> preemptions;
 };
 
--- /dev/null
+++ b/coordination/decisions/ReservedRoom.cpp
@@ -0,0 +1,73 @@
+#include "coordination/decisions/ReservedRoom.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilsaddle::coordination {
+
+namespace {
+
+    /// A reservation that lacks less than this share of its accelerators, or less than this time, is about to be
+    /// complete. Filling its hole again would start the wait anew whenever a declared run time was too short.
+    constexpr int nearlyCompleteDivisor = 4;
+    constexpr std::chrono::minutes nearlyCompleteDelay { 5 };
+
+} // namespace
+
+ReservedRoom::ReservedRoom(const ClusterView& view, double completionWeight)
+    : m_workers(view.workers().size())
+    , m_completionWeight(completionWeight)
+{
+}
+
+void ReservedRoom::keep(const Reservation& reservation, WorkerRoom& free)
+{
+    Kept kept { .room = WorkerRoom(m_workers, 0), .limit = lendingLimit(reservation) };
+    for (const GangTask& task : reservation.tasks) {
+        auto worker = static_cast<std::size_t>(task.worker);
+        int taken = std::min(free[worker], task.accelerators);
+        free[worker] -= taken;
+        kept.room[worker] += taken;
+    }
+    m_reservations.push_back(std::move(kept));
+}
+
+WorkerRoom ReservedRoom::lend(const WorkerRoom& free, std::chrono::seconds declaredRunTime) const
+{
+    WorkerRoom room = free;
+    for (const Kept& kept : m_reservations) {
+        if (declaredRunTime > kept.limit)
+            continue;
+        for (std::size_t i = 0; i < room.size(); ++i)
+            room[i] += kept.room[i];
+    }
+    return room;
+}
+
+void ReservedRoom::use(const std::vector<GangTask>& tasks, WorkerRoom& free)
+{
+    for (const GangTask& task : tasks) {
+        auto worker = static_cast<std::size_t>(task.worker);
+        int remaining = task.accelerators;
+        auto takeFrom = [&remaining](int& room) {
+            int taken = std::min(room, remaining);
+            room -= taken;
+            remaining -= taken;
+        };
+        takeFrom(free[worker]);
+        for (Kept& kept : m_reservations)
+            takeFrom(kept.room[worker]);
+    }
+}
+
+std::chrono::milliseconds ReservedRoom::lendingLimit(const Reservation& reservation) const
+{
+    int total = 0;
+    for (const GangTask& task : reservation.tasks)
+        total += task.accelerators;
+    if (reservation.missing * nearlyCompleteDivisor <= total || reservation.delay <= nearlyCompleteDelay)
+        return std::chrono::milliseconds(0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(reservation.delay * m_completionWeight);
+}
+
+} // namespace lentilsaddle::coordination
--- /dev/null
+++ b/coordination/decisions/StrictFifoPlacement.h
@@ -0,0 +1,12 @@
+/// @file
+/// Baseline placement: strict first in, first out.
+#pragma once
+
+#include "coordination/decisions/PlacementPolicy.h"
+
+namespace lentilsaddle::coordination {
+
+/// Starts waiting jobs in submission order and stops at the first one that does not fit. Knows no guarantees.
+PlacementPolicy strictFifoPlacement();
+
+} // namespace lentilsaddle::coordination
--- a/state/PlacementState.cpp
+++ b/state/PlacementState.cpp
@@ -2,10 +2,26 @@
 
 #include "state/StateError.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentilsaddle::state {
 
+namespace {
+
+    /// @return whether the new guarantees still promise every shape of the old ones.
+    bool promisesAll(const std::vector<Guarantee>& next, const std::vector<Guarantee>& old)
+    {
+        return std::all_of(old.begin(), old.end(), [&next](const Guarantee& promised) {
+            return std::any_of(next.begin(), next.end(), [&promised](const Guarantee& guarantee) {
+                return guarantee.accelerators == promised.accelerators && guarantee.adjacency == promised.adjacency
+                    && guarantee.count >= promised.count;
+            });
+        });
+    }
+
+} // namespace
+
 void PlacementState::setWorkers(const std::vector<Worker>& workers)
 {
     std::map<WorkerId, WorkerSlots> next;
@@ -23,13 +39,21 @@
 
 void PlacementState::setGuarantees(const Configuration& configuration, const DataCentreId& dataCentre)
 {
-    m_guarantees.clear();
+    std::map<AccountId, std::vector<Guarantee>> old = std::exchange(m_guarantees, {});
     for (const auto& [id, account] : configuration.accounts) {
         for (const Guarantee& guarantee : account.guarantees) {
             if (guarantee.dataCentre == dataCentre)
                 m_guarantees[id].push_back(guarantee);
         }
     }
+    // A job that ran within a guarantee that is gone must not count as guaranteed later, when the account's other jobs
+    // have ended: its accelerators may be promised to others by then.
+    for (auto& [id, occupant] : m_occupants) {
+        auto known = old.find(occupant.account);
+        if (known != old.end() && !promisesAll(m_guarantees[occupant.account], known->second))
+            occupant.options.withinGuarantee = false;
+    }
+    std::erase_if(m_guarantees, [](const auto& entry) { return entry.second.empty(); });
 }
 
 void PlacementState::setAvailable(const WorkerId& worker, bool available)
@@ -39,7 +63,8 @@
         found->second.available = available;
 }
 
-void PlacementState::occupy(const JobId& job, const AccountId& account, const std::vector<TaskPlacement>& placements)
+void PlacementState::occupy(const JobId& job, const AccountId& account, const std::vector<TaskPlacement>& placements,
+    const OccupyOptions& options)
 {
     for (const TaskPlacement& placement : placements) {
         auto found = m_workers.find(placement.worker);
@@ -60,7 +85,15 @@
         for (int index : placement.accelerators)
             m_workers.at(placement.worker).occupants[static_cast<std::size_t>(index)] = job;
     }
-    m_occupants[job] = Occupant { .account = account, .placements = placements };
+    m_occupants[job]
+        = Occupant { .account = account, .placements = placements, .options = options, .order = m_nextOrder++ };
+}
+
+void PlacementState::markStopping(const JobId& job)
+{
+    auto found = m_occupants.find(job);
+    if (found != m_occupants.end())
+        found->second.stopping = true;
 }
 
 void PlacementState::release(const JobId& job)
--- a/state/PlacementState.h
+++ b/state/PlacementState.h
@@ -5,9 +5,12 @@
 #include "state/Configuration.h"
 #include "state/Identifier.h"
 #include "state/TaskPlacement.h"
+#include "state/Time.h"
 #include "state/Worker.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lentilsaddle::state {
@@ -15,10 +18,22 @@
 /// Occupancy of a data centre's accelerators, with the guarantees that bind it.
 class PlacementState {
 public:
+    /// What a placement decision knows of a job beyond its place.
+    struct OccupyOptions {
+        /// The job was started within its account's guarantee (PlacementPlan::Start::withinGuarantee).
+        bool withinGuarantee = false;
+        /// Guess of the job's end; nothing if unknown.
+        std::optional<MonotonicTime> expectedEnd;
+    };
     /// Job that occupies accelerators.
     struct Occupant {
         AccountId account;
         std::vector<TaskPlacement> placements;
+        OccupyOptions options;
+        /// Ascends in the order of the occupy calls.
+        std::uint64_t order = 0;
+        /// The job was told to stop and frees its accelerators soon.
+        bool stopping = false;
     };
     struct WorkerSlots {
         Worker worker;
@@ -31,14 +46,23 @@
     /// Replaces the list of workers. Occupancy of workers that stay is kept.
     void setWorkers(const std::vector<Worker>& workers);
 
-    /// Takes over the accounts' guarantees in one data centre.
+    /// Takes over the accounts' guarantees in one data centre. Running jobs of an account that loses a shape no longer
+    /// count as started within its guarantee.
     void setGuarantees(const Configuration& configuration, const DataCentreId& dataCentre);
 
     void setAvailable(const WorkerId& worker, bool available);
 
     /// Occupies accelerators for a job.
     /// @throws StateError if a worker is unknown or an accelerator is not free.
-    void occupy(const JobId& job, const AccountId& account, const std::vector<TaskPlacement>& placements);
+    void occupy(const JobId& job, const AccountId& account, const std::vector<TaskPlacement>& placements,
+        const OccupyOptions& options);
+    void occupy(const JobId& job, const AccountId& account, const std::vector<TaskPlacement>& placements)
+    {
+        occupy(job, account, placements, OccupyOptions {});
+    }
+
+    /// Marks a job that was told to stop, so that later decisions count on its accelerators; an unknown job is ignored.
+    void markStopping(const JobId& job);
 
     /// Frees all accelerators of a job; an unknown job is ignored.
     void release(const JobId& job);
@@ -57,6 +81,7 @@
     std::map<WorkerId, WorkerSlots> m_workers;
     std::map<JobId, Occupant> m_occupants;
     std::map<AccountId, std::vector<Guarantee>> m_guarantees;
+    std::uint64_t m_nextOrder = 0;
 };
 
 } // namespace lentilsaddle::state
