--- a/tests/process/BlockingHttp.cpp
+++ b/tests/process/BlockingHttp.cpp
@@ -70,6 +70,7 @@
     CURLcode code = curl_easy_perform(easy.get());
     if (code != CURLE_OK) {
         reply.error = curl_easy_strerror(code);
+        reply.refusedConnection = code == CURLE_COULDNT_CONNECT;
         return reply;
     }
     long status = 0;
--- a/tests/process/BlockingHttp.h
+++ b/tests/process/BlockingHttp.h
@@ -19,6 +19,8 @@
     std::string body;
     /// Text of the failure if status is 0.
     std::string error;
+    /// The server accepted no connection, so it cannot have seen the call.
+    bool refusedConnection = false;
 
     /// @return the header's value, or an empty string.
     std::string header(const std::string& name) const;
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -136,7 +136,8 @@
         startEntry(i);
     bool allReady = true;
     for (int i = 0; i < entryCount(); ++i)
-        allReady &= waitUntil(entryName(i) + " is ready", [this, i] { return ready(i); });
+        allReady &= waitUntil(entryName(i) + " is ready or ends", [this, i] { return entry(i).ended() || ready(i); })
+            && !entry(i).ended();
     return allReady;
 }
 
