Answer the first read after a failure at once

Cause: after an outage of the log a reader at the end of its stream repeated a long poll, and the log counted as unreachable until that was answered: up to 25 s in which patches, jobs and non-repeatable requests were refused although the log was back. Ruled out: the probe, which only runs after failed appends.

Red before the change: LogTaskTest.EndOfAnOutageIsReportedWithoutANewRecord. ConfigurationProcessTest.LogOutageKeepsRepeatableServiceAndRefusesTheRest took 25,292 ms before and 439 ms after, one run each.

--- a/coordination/StreamReader.cpp
+++ b/coordination/StreamReader.cpp
@@ -35,7 +35,9 @@
 void StreamReader::read()
 {
     // Until the end of the stream is reached, the service must answer at once, so that an empty answer shows the end.
-    auto wait = m_following ? m_options.longPoll : std::chrono::milliseconds(0);
+    // The same holds for the first read after a failure, whose answer shows that the service is back.
+    bool mayBeHeldBack = m_following && m_failures == 0;
+    auto wait = mayBeHeldBack ? m_options.longPoll : std::chrono::milliseconds(0);
     m_hooks.read(m_offset, wait, [this, alive = m_alive](const LogClient::ReadResult& result) {
         if (*alive)
             onAnswer(result);
--- a/tests/coordination/LogTaskTest.cpp
+++ b/tests/coordination/LogTaskTest.cpp
@@ -146,6 +146,22 @@
     m_task.stop();
 }
 
+// Guards against an outage that seems to last until the next record, because the first read after it is held back.
+TEST_F(LogTaskTest, EndOfAnOutageIsReportedWithoutANewRecord)
+{
+    Mailbox<bool> reachable;
+    m_task.post({ LogMessage::WatchReachability { .onChange = [&](bool value) { reachable.put(value); } } });
+    m_service.add(claim(1));
+    subscribe();
+    EXPECT_TRUE(reachable.take());
+    m_batches.takeUntil([](const auto& batch) { return batch.caughtUp; });
+    m_service.shutDown();
+    EXPECT_FALSE(reachable.take());
+    m_service.listen();
+    EXPECT_TRUE(reachable.take());
+    m_task.stop();
+}
+
 // Guards against an outage of appends alone being reported for ever, since no task appends while it is reported.
 TEST_F(LogTaskTest, FailedAppendIsFollowedByAProbe)
 {
