Wait until the outage is noticed in the test of a log outage

Cause: a request that arrives before the outage is noticed waits for its claim until its deadline and is then refused as deadline_passed, so the expected reason depended on a race.

--- a/tests/process/ConfigurationProcessTest.cpp
+++ b/tests/process/ConfigurationProcessTest.cpp
@@ -26,6 +26,19 @@
             });
         }
 
+        /// Waits until all instances see the log as reachable or as unreachable.
+        bool waitForLog(bool reachable) const
+        {
+            std::string line = std::string("lentilsaddle_log_reachable ") + (reachable ? "1" : "0");
+            return ProcessHarness::waitUntil(line, [&] {
+                for (int i = 0; i < m_harness.entryCount(); ++i) {
+                    if (m_harness.call(i, { .path = "/metrics" }).body.find(line) == std::string::npos)
+                        return false;
+                }
+                return true;
+            });
+        }
+
         int weight(int entry, const std::string& account) const
         {
             json configuration = m_harness.call(entry, { .path = "/v1/configuration" }).json();
@@ -81,11 +94,10 @@
 {
     ASSERT_GE(waitForScheduler(0), 0);
     m_harness.controlPlatform({ { "outage", "refuse" } });
-    HttpReply refused;
-    ASSERT_TRUE(m_harness.waitUntil("the outage is noticed", [&] {
-        refused = request(0, { .id = "r-out", .key = "order-out" });
-        return refused.status == 503;
-    }));
+    // A request that is sent before the outage is noticed waits for its claim until its deadline.
+    ASSERT_TRUE(waitForLog(false));
+    HttpReply refused = request(0, { .id = "r-out", .key = "order-out" });
+    EXPECT_EQ(refused.status, 503);
     EXPECT_EQ(refused.header("request-outcome"), "not-run") << refused.body;
     EXPECT_EQ(refused.json()["error"], "log_unavailable");
     EXPECT_EQ(runsOfKey("order-out"), 0);
@@ -146,7 +158,7 @@
 {
     m_harness.controlPlatform({ { "block_appends", true }, { "lists", "refuse" } });
     EXPECT_EQ(request(0, { .id = "r-1" }).status, 200);
-    HttpReply refused = request(0, { .id = "r-2", .key = "order-1" });
+    HttpReply refused = request(0, { .id = "r-2", .key = "order-1", .deadlineMs = 4'000 });
     EXPECT_NE(refused.header("request-outcome"), "done") << refused.body;
     m_harness.controlPlatform({ { "block_appends", false }, { "lists", "none" } });
     EXPECT_EQ(request(0, { .id = "r-3" }).status, 200);
--- a/tests/process/ProcessTest.cpp
+++ b/tests/process/ProcessTest.cpp
@@ -22,7 +22,8 @@
 HttpReply ProcessTest::request(int entry, const Request& request) const
 {
     HttpQuestion question { .method = "POST", .path = "/v1/services/pavoreserva-app/requests" };
-    question.headers = { { "Client-Account", request.account }, { "Request-Id", request.id } };
+    question.headers = { { "Client-Account", request.account }, { "Request-Id", request.id },
+        { "Request-Deadline-Ms", std::to_string(request.deadlineMs) } };
     if (!request.key.empty()) {
         question.headers["Idempotency-Key"] = request.key;
         question.headers["Non-Repeatable"] = "true";
--- a/tests/process/ProcessTest.h
+++ b/tests/process/ProcessTest.h
@@ -20,6 +20,7 @@
         /// Not empty makes the request non-repeatable.
         std::string key;
         int workMs = 0;
+        int deadlineMs = 30'000;
         std::string account = "shops";
     };
 
