--- a/coordination/PeerTask.cpp
+++ b/coordination/PeerTask.cpp
@@ -114,20 +114,20 @@
             },
         .readLog =
             [this](const std::string& stream, state::LogOffset offset, std::chrono::milliseconds wait,
-                std::function<void(LogClient::ReadResult)> reply) {
+                const std::function<void(LogClient::ReadResult)>& reply) {
                 run([=, this] { m_hooks.relayRead(stream, offset, wait, reply); });
             },
         .appendLog =
             [this](const std::string& stream, const std::vector<std::string>& records,
-                std::function<void(bool, state::LogOffset)> reply) {
+                const std::function<void(bool, state::LogOffset)>& reply) {
                 run([=, this] { m_hooks.relayAppend(stream, records, reply); });
             },
         .readTimeline =
-            [this](const std::string& subject, std::function<void(std::vector<state::Event>)> reply) {
+            [this](const std::string& subject, const std::function<void(std::vector<state::Event>)>& reply) {
                 run([=, this] { m_hooks.readTimeline(subject, reply); });
             },
         .readConfiguration =
-            [this](std::function<void(std::optional<state::Record::ConfigurationSnapshot>)> reply) {
+            [this](const std::function<void(std::optional<state::Record::ConfigurationSnapshot>)>& reply) {
                 run([=, this] { m_hooks.snapshotForPeer(reply); });
             },
     };
