Test service requests with every fault at every step

Two faults came out. A request whose deadline passed while it waited for its claim was told not-run although the ledger already named another claim's outcome; it is answered from the ledger now. The caller was answered before the outcome was recorded, so that asking again at once could find a released key still held; the record goes first now.

--- a/coordination/NonRepeatableRequests.cpp
+++ b/coordination/NonRepeatableRequests.cpp
@@ -101,6 +101,17 @@
     m_hooks.finish(pending, answer);
 }
 
+void NonRepeatableRequests::expire(PendingRequest& pending)
+{
+    RequestClaims::Standing standing = m_claims.standing(pending.key);
+    bool heldByAnother = standing == RequestClaims::Standing::Taken || standing == RequestClaims::Standing::Done
+        || standing == RequestClaims::Standing::Unknown;
+    if (heldByAnother)
+        answerFromLedger(pending, standing);
+    else
+        m_hooks.refuse(pending, "deadline_passed");
+}
+
 void NonRepeatableRequests::ended(const PendingRequest& pending, const RequestMessage::ServiceAnswer& answer)
 {
     if (pending.takenClaim) {
--- a/coordination/NonRepeatableRequests.h
+++ b/coordination/NonRepeatableRequests.h
@@ -46,6 +46,9 @@
     /// Starts the claim of a request, or answers it.
     void begin(PendingRequest& pending);
 
+    /// Ends a request whose deadline passed before its claim was read.
+    void expire(PendingRequest& pending);
+
     /// Records the outcome of a request that has ended and that no other part refers to any more.
     void ended(const PendingRequest& pending, const RequestMessage::ServiceAnswer& answer);
 
--- a/coordination/ServiceRouter.cpp
+++ b/coordination/ServiceRouter.cpp
@@ -218,7 +218,7 @@
         }
         return;
     case PendingRequest::Phase::Claiming:
-        return endUnserved(pending, "deadline_passed");
+        return m_nonRepeatable.expire(pending);
     case PendingRequest::Phase::Following:
         return finish(pending, unknownAnswer("in_progress"));
     case PendingRequest::Phase::HandedOver:
@@ -246,11 +246,12 @@
 
 void ServiceRouter::finish(PendingRequest& pending, const Answer& answer)
 {
-    reply(pending, answer);
     m_hooks.cancelTimer(pending.deadlineTimer);
     PendingRequest ended = std::move(m_pending.extract(pending.ticket).mapped());
+    // The outcome is recorded first, so that a caller who asks again finds it wherever the record has been read.
     if (ended.request.nonRepeatable)
         m_nonRepeatable.ended(ended, answer);
+    reply(ended, answer);
     m_hooks.onIdle();
 }
 
--- a/tests/coordination/FakeBackend.h
+++ b/tests/coordination/FakeBackend.h
@@ -24,6 +24,8 @@
         Refuse,
         /// Runs the request, then closes the connection without an answer.
         RunAndDrop,
+        /// As RunAndDrop, and stops listening.
+        RunAndDie,
         /// Runs the request and answers when releaseHeld() is called.
         RunAndHold,
         /// Runs the request and answers with the identifier of another request.
@@ -44,22 +46,16 @@
         m_behaviour = std::move(behaviour);
     }
 
-    /// @return how often requests with this idempotency key ran, or with this request identifier if they have none.
-    int runs(const std::string& key) const
+    /// @param id request identifier or idempotency key.
+    /// @return how often requests with it ran.
+    int runs(const std::string& id) const
     {
         std::lock_guard lock(m_mutex);
-        auto found = m_runs.find(key);
+        auto found = m_runs.find(id);
         return found == m_runs.end() ? 0 : found->second;
     }
 
-    int totalRuns() const
-    {
-        std::lock_guard lock(m_mutex);
-        int sum = 0;
-        for (const auto& [key, count] : m_runs)
-            sum += count;
-        return sum;
-    }
+    int totalRuns() const { return m_totalRuns; }
 
     /// @return requests that arrived, refused ones included.
     int arrivals() const { return m_arrivals; }
@@ -122,8 +118,11 @@
         std::unique_lock lock(m_mutex);
         m_lastHeaders = request.headers;
         Behaviour behaviour = m_behaviour ? m_behaviour(request) : Behaviour::Answer;
-        if (behaviour != Behaviour::Refuse)
-            ++m_runs[request.headers[request.headers.contains("idempotency-key") ? "idempotency-key" : "request-id"]];
+        if (behaviour != Behaviour::Refuse) {
+            ++m_totalRuns;
+            ++m_runs[request.headers["request-id"]];
+            ++m_runs[request.headers["idempotency-key"]];
+        }
         lock.unlock();
         transport::HttpResponse response {
             .status = 200,
@@ -149,6 +148,9 @@
                 listen(m_port);
             });
             return;
+        case Behaviour::RunAndDie:
+            loop().startTimer(std::chrono::microseconds(0), [this] { m_server.reset(); });
+            return;
         case Behaviour::RunAndHold:
             m_held.push_back([respond, response] { respond(response); });
             return;
@@ -170,6 +172,7 @@
     std::map<std::string, int> m_runs;
     transport::HttpHeaders m_lastHeaders;
     std::atomic<int> m_arrivals = 0;
+    std::atomic<int> m_totalRuns = 0;
     std::atomic<std::uint16_t> m_port = 0;
     std::vector<std::function<void()>> m_held;
     std::unique_ptr<transport::HttpServer> m_server;
--- a/tests/coordination/RequestTaskFixture.h
+++ b/tests/coordination/RequestTaskFixture.h
@@ -56,11 +56,17 @@
 
     /// Starts an instance that is configured and knows the backend server.
     RequestTask& startInstance(const std::string& name, RequestTaskOptions options = {})
+    {
+        return startInstance(name, options, { runner("r1", m_backend.address()) });
+    }
+
+    RequestTask& startInstance(
+        const std::string& name, RequestTaskOptions options, std::vector<state::InstanceInfo> instances)
     {
         RequestTask& task = startUnconfigured(name, options);
+        instances.push_back(entry(name));
         task.post({ .body = RequestMessage::Configure { .configuration = configuration(), .ready = true } });
-        task.post(
-            { .body = RequestMessage::Instances { .instances = { entry(name), runner("r1", m_backend.address()) } } });
+        task.post({ .body = RequestMessage::Instances { .instances = std::move(instances) } });
         // Once this is refused, the configuration is in force and the ledger's stream is read.
         RequestMessage::ServiceRequest barrier = request("barrier");
         barrier.service = state::ServiceId("none");
@@ -83,7 +89,7 @@
                     std::lock_guard lock(m_eventMutex);
                     m_events.push_back(kind);
                 },
-            .faultPoint = [this](std::string_view step) { m_atStep(step); },
+            .faultPoint = [this, name](std::string_view step) { m_atStep(name, step); },
             .metrics = &m_metrics,
         };
         m_tasks.push_back(
@@ -140,7 +146,8 @@
     transport::Metrics m_metrics;
     /// Makes the clock jump, as when the process was paused.
     std::atomic<std::chrono::milliseconds> m_pause { std::chrono::milliseconds(0) };
-    std::function<void(std::string_view)> m_atStep = [](std::string_view) {};
+    std::function<void(const std::string& instance, std::string_view step)> m_atStep
+        = [](const std::string&, std::string_view) {};
 
 private:
     std::atomic<std::uint64_t> m_random = 1;
