--- a/tests/coordination/RequestTaskFixture.h
+++ b/tests/coordination/RequestTaskFixture.h
@@ -13,6 +13,8 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <mutex>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -81,9 +83,14 @@
             .instance = state::InstanceId(name),
             .dataCentre = state::DataCentreId("norte-ovi"),
             .incarnation = m_incarnation,
-            .monotonicClock = [this] { return std::chrono::steady_clock::now() + m_pause.load(); },
+            .monotonicClock
+            = [this] { return (m_frozen ? m_started : std::chrono::steady_clock::now()) + m_pause.load(); },
             .wallClock = [] { return state::WallTime(); },
-            .random = [this] { return m_random += 0x9E3779B97F4A7C15; },
+            .random =
+                [this] {
+                    std::lock_guard lock(m_eventMutex);
+                    return m_random();
+                },
             .recordEvent =
                 [this](const std::string&, const std::string& kind, const std::string&) {
                     std::lock_guard lock(m_eventMutex);
@@ -134,6 +141,9 @@
         drained.get_future().wait();
     }
 
+    /// @return whether the metrics have this line.
+    bool hasMetric(const std::string& line) const { return m_metrics.render().find(line + "\n") != std::string::npos; }
+
     /// @return kinds of the events since the last call.
     std::vector<std::string> takeEvents()
     {
@@ -146,11 +156,14 @@
     transport::Metrics m_metrics;
     /// Makes the clock jump, as when the process was paused.
     std::atomic<std::chrono::milliseconds> m_pause { std::chrono::milliseconds(0) };
+    /// Stops the clock, so that counts in a window of time do not depend on the machine.
+    std::atomic<bool> m_frozen = false;
     std::function<void(const std::string& instance, std::string_view step)> m_atStep
         = [](const std::string&, std::string_view) {};
 
 private:
-    std::atomic<std::uint64_t> m_random = 1;
+    const state::MonotonicTime m_started = std::chrono::steady_clock::now();
+    std::mt19937_64 m_random { 20261204 };
     std::uint64_t m_incarnation = 0;
     std::mutex m_eventMutex;
     std::vector<std::string> m_events;
--- a/tests/coordination/RequestTaskTest.cpp
+++ b/tests/coordination/RequestTaskTest.cpp
@@ -1,12 +1,29 @@
 #include "tests/coordination/RequestTaskFixture.h"
 
+#include <algorithm>
+#include <thread>
+
 namespace lentilsaddle::coordination {
 
 namespace {
 
+    using Behaviour = FakeBackend::Behaviour;
     using state::RequestOutcome;
 
-    class RequestTaskTest : public RequestTaskFixture { };
+    class RequestTaskTest : public RequestTaskFixture {
+    protected:
+        void behave(Behaviour behaviour)
+        {
+            m_backend.setBehaviour([behaviour](const transport::HttpRequest&) { return behaviour; });
+        }
+
+        /// Waits until the backend server has received this many requests.
+        void awaitArrivals(int count) const
+        {
+            while (m_backend.arrivals() < count)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    };
 
 } // namespace
 
@@ -78,4 +95,173 @@
     EXPECT_EQ(m_backend.totalRuns(), 1);
 }
 
+// Guards against answers given to the wrong caller when they come in another order than the requests.
+TEST_F(RequestTaskTest, AnswersInReverseOrderReachTheirCallers)
+{
+    RequestTask& task = startInstance("e1");
+    behave(Behaviour::RunAndHold);
+    std::vector<std::future<Answer>> answers;
+    for (int i = 0; i < 5; ++i)
+        answers.push_back(submit(task, request("q" + std::to_string(i))));
+    awaitArrivals(5);
+    m_backend.releaseHeld();
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(answers[i].get().body, "answer to body of q" + std::to_string(i));
+}
+
+// Guards against the answer of another request being passed on.
+TEST_F(RequestTaskTest, CrossedAnswerIsDropped)
+{
+    RequestTask& task = startInstance("e1");
+    behave(Behaviour::RunAndCross);
+    Answer answer = ask(task, request("q1", "order-7"));
+    EXPECT_EQ(answer.outcome, RequestOutcome::Unknown);
+    EXPECT_EQ(answer.body, "");
+    EXPECT_TRUE(hasMetric("lentilsaddle_crossed_answers_dropped_total{service=\"shop\"} 1"));
+}
+
+// Guards against losing an outcome that comes after the caller's deadline: the caller who asks again gets the answer.
+TEST_F(RequestTaskTest, LateAnswerIsDroppedButItsOutcomeIsKept)
+{
+    RequestTask& task = startInstance("e1");
+    behave(Behaviour::RunAndHold);
+    RequestMessage::ServiceRequest first = request("q1", "order-7");
+    first.timeout = std::chrono::milliseconds(50);
+    Answer answer = ask(task, first);
+    EXPECT_EQ(answer.outcome, RequestOutcome::Unknown);
+    EXPECT_EQ(answer.reason, "deadline_passed");
+    std::future<Answer> again = submit(task, request("q2", "order-7"));
+    m_backend.releaseHeld();
+    answer = again.get();
+    EXPECT_EQ(answer.outcome, RequestOutcome::Done);
+    EXPECT_EQ(answer.body, "answer to body of q1");
+    EXPECT_EQ(ask(task, request("q3", "order-7")).body, "answer to body of q1");
+    EXPECT_EQ(m_backend.totalRuns(), 1);
+    EXPECT_TRUE(hasMetric("lentilsaddle_late_answers_dropped_total{service=\"shop\"} 1"));
+}
+
+// Guards against a flood of retries when everything fails: 50 requests get 10%, 5 retries, in one window.
+TEST_F(RequestTaskTest, RetriesAreBoundedWhenEverythingFails)
+{
+    m_frozen = true;
+    RequestTask& task = startInstance("e1", { .outliers = { .failuresToEject = 1000 } });
+    behave(Behaviour::RunAndCross);
+    std::vector<std::future<Answer>> answers;
+    for (int i = 0; i < 50; ++i)
+        answers.push_back(submit(task, request("q" + std::to_string(i))));
+    for (std::future<Answer>& answer : answers)
+        EXPECT_EQ(answer.get().outcome, RequestOutcome::Unknown);
+    EXPECT_EQ(m_backend.arrivals(), 55);
+    EXPECT_TRUE(hasMetric("lentilsaddle_request_retries_total{reason=\"answer_lost\",service=\"shop\"} 5"));
+    EXPECT_TRUE(hasMetric("lentilsaddle_requests_total{outcome=\"unknown\",reason=\"answer_lost\"} 50"));
+}
+
+// Guards against "not run" when the last attempt was refused but an earlier one may have run. The kept connection
+// makes the client itself send again to the closed port.
+TEST_F(RequestTaskTest, EarlierAttemptThatMayHaveRunIsNotForgotten)
+{
+    for (bool keptConnection : { false, true }) {
+        FakeBackend dying;
+        RequestTask& task = startInstance("e1", {}, { runner("r1", dying.address()) });
+        if (keptConnection)
+            ask(task, request("warm-up"));
+        dying.setBehaviour([](const transport::HttpRequest&) { return Behaviour::RunAndDie; });
+        RequestMessage::ServiceRequest dropped = request("q1");
+        dropped.timeout = std::chrono::milliseconds(300);
+        EXPECT_EQ(ask(task, dropped).outcome, RequestOutcome::Unknown) << keptConnection;
+        EXPECT_EQ(dying.runs("q1"), 1);
+    }
+}
+
+// Guards against a second hand-over when a caller repeats a request before the first is answered.
+TEST_F(RequestTaskTest, RequestsWithTheSameKeyShareOneRun)
+{
+    RequestTask& task = startInstance("e1");
+    behave(Behaviour::RunAndHold);
+    std::future<Answer> first = submit(task, request("q1", "order-7"));
+    std::future<Answer> second = submit(task, request("q2", "order-7"));
+    awaitArrivals(1);
+    m_backend.releaseHeld();
+    EXPECT_EQ(first.get().body, "answer to body of q1");
+    EXPECT_EQ(second.get().body, "answer to body of q1");
+    EXPECT_EQ(m_backend.totalRuns(), 1);
+}
+
+// Guards against a planned stop that cuts a request.
+TEST_F(RequestTaskTest, DrainWaitsForTheLastAnswer)
+{
+    RequestTask& task = startInstance("e1");
+    behave(Behaviour::RunAndHold);
+    std::future<Answer> inHand = submit(task, request("q1", "order-7"));
+    awaitArrivals(1);
+    std::atomic<bool> drained = false;
+    task.post({ .body = RequestMessage::Drain { .onDrained = [&] { drained = true; } } });
+    Answer refused = ask(task, request("q2"));
+    EXPECT_EQ(refused.outcome, RequestOutcome::NotRun);
+    EXPECT_EQ(refused.reason, "draining");
+    EXPECT_FALSE(drained);
+    m_backend.releaseHeld();
+    EXPECT_EQ(inHand.get().outcome, RequestOutcome::Done);
+    drain(task);
+    EXPECT_TRUE(drained);
+    EXPECT_TRUE(std::holds_alternative<state::Record::RequestEnded>(m_log.records("requests.shop").back().body));
+}
+
+// Guards against new work for a backend server that leaves, whether it says so itself or the instance list does.
+TEST_F(RequestTaskTest, LeavingRunnerGetsNoNewWork)
+{
+    FakeBackend other;
+    std::vector<state::InstanceInfo> runners { runner("r1", m_backend.address()), runner("r2", other.address()) };
+    RequestTask& task = startInstance("e1", {}, runners);
+    behave(Behaviour::RunAndLeave);
+    other.setBehaviour([](const transport::HttpRequest&) { return Behaviour::Answer; });
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(ask(task, request("q" + std::to_string(i))).outcome, RequestOutcome::Done);
+    EXPECT_EQ(m_backend.arrivals(), 1);
+    runners[1].state = state::InstanceInfo::State::Leaving;
+    task.post({ .body = RequestMessage::Instances { .instances = runners } });
+    int before = other.arrivals();
+    RequestMessage::ServiceRequest waiting = request("q20");
+    waiting.timeout = std::chrono::milliseconds(50);
+    EXPECT_EQ(ask(task, waiting).outcome, RequestOutcome::NotRun);
+    EXPECT_EQ(other.arrivals(), before);
+}
+
+// Guards against a runner that answers every request with an error at once and so attracts most of them.
+TEST_F(RequestTaskTest, RunnerThatFailsEverythingIsEjected)
+{
+    m_frozen = true;
+    FakeBackend failing;
+    failing.setBehaviour([](const transport::HttpRequest&) { return Behaviour::Fail; });
+    RequestTask& task = startInstance("e1", {}, { runner("r1", m_backend.address()), runner("r2", failing.address()) });
+    for (int i = 0; i < 100; ++i)
+        ask(task, request("q" + std::to_string(i)));
+    EXPECT_EQ(failing.arrivals(), OutlierDetectorOptions().failuresToEject);
+    EXPECT_TRUE(hasMetric("lentilsaddle_runner_ejections_total{runner=\"r2\",service=\"shop\"} 1"));
+}
+
+// Guards against a ledger that a new instance cannot replay any more, and against winning a claim with a gap unread.
+TEST_F(RequestTaskTest, SnapshotsAreAppendedAndAGapRefuses)
+{
+    RequestTask& task = startInstance("e1", { .snapshotRecords = 20 });
+    auto snapshots = [this] {
+        auto records = m_log.records("requests.shop");
+        return std::count_if(records.begin(), records.end(), [](const state::Record& record) {
+            return std::holds_alternative<state::Record::RequestSnapshot>(record.body);
+        });
+    };
+    for (int i = 0; i < 100; ++i)
+        ask(task, request("q" + std::to_string(i), "order-" + std::to_string(i)));
+    EXPECT_GE(snapshots(), 1);
+    EXPECT_LE(snapshots(), 200 / 20);
+    auto before = snapshots();
+    m_log.setReachable(false);
+    m_log.setReachable(true);
+    ask(task, request("q", "order-0"));
+    EXPECT_EQ(snapshots(), before + 1);
+    task.post({ .body = RequestMessage::LogBatch { .service = state::ServiceId("shop"),
+                    .batch = { .firstOffset = 1'000'000, .nextOffset = 1'000'000, .gap = true } } });
+    EXPECT_EQ(ask(task, request("q", "order-0")).reason, "ledger_incomplete");
+}
+
 } // namespace lentilsaddle::coordination
