--- /dev/null
+++ b/daemon/Daemon.cpp
@@ -0,0 +1,222 @@
+#include "daemon/Daemon.h"
+
+#include "coordination/ApiTask.h"
+#include "coordination/ConfigurationTask.h"
+#include "coordination/ConfigurationTaskOptions.h"
+#include "coordination/LogTask.h"
+#include "coordination/LogTaskOptions.h"
+#include "coordination/PeerTask.h"
+#include "coordination/PeerTaskHooks.h"
+#include "coordination/PeerTaskOptions.h"
+#include "coordination/RequestTask.h"
+#include "coordination/RequestTaskOptions.h"
+#include "coordination/SchedulerTask.h"
+#include "coordination/SchedulerTaskHooks.h"
+#include "coordination/SchedulerTaskOptions.h"
+#include "coordination/TimelineTask.h"
+#include "coordination/decisions/FirstFitPlacement.h"
+#include "transport/Logger.h"
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace lentilsaddle::daemon {
+
+namespace {
+
+// Random numbers for identifiers and for spreading load; safe from any thread.
+std::function<std::uint64_t()> makeRandomSource()
+{
+    struct Source {
+        std::mutex mutex;
+        std::mt19937_64 engine { std::random_device {}() };
+    };
+    auto source = std::make_shared<Source>();
+    return [source] {
+        std::lock_guard lock(source->mutex);
+        return source->engine();
+    };
+}
+
+state::WallTime readWallClock()
+{
+    return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
+}
+
+// Calls the hook after it was itself called a number of times, from any threads.
+std::function<void()> afterCalls(int count, std::function<void()> hook)
+{
+    auto remaining = std::make_shared<std::atomic<int>>(count);
+    return [remaining, hook = std::move(hook)] {
+        if (--*remaining == 0)
+            hook();
+    };
+}
+
+}
+
+Daemon::Daemon(state::Settings settings)
+    : m_settings(std::move(settings))
+    , m_environment(makeEnvironment())
+{
+    createTasks();
+    createApiTask();
+    connectTasks();
+}
+
+Daemon::~Daemon()
+{
+    // The API stops first, so that no new message arrives; the log and the time line stop last, because the others
+    // post to them until their end.
+    m_api->stop();
+    m_peers->stop();
+    m_scheduler->stop();
+    m_requests->stop();
+    m_configuration->stop();
+    m_log->stop();
+    m_timeline->stop();
+}
+
+coordination::TaskEnvironment Daemon::makeEnvironment()
+{
+    auto random = makeRandomSource();
+    return {
+        .instance = m_settings.instance,
+        .dataCentre = m_settings.dataCentre,
+        .incarnation = random(),
+        .monotonicClock = [] { return std::chrono::steady_clock::now(); },
+        .wallClock = readWallClock,
+        .random = random,
+        .recordEvent = [this](std::string subject, std::string kind, std::string detail) {
+            m_timeline->post({ .body = coordination::TimelineMessage::Add {
+                                   .time = readWallClock(),
+                                   .subject = std::move(subject),
+                                   .kind = std::move(kind),
+                                   .detail = std::move(detail),
+                               } });
+        },
+        .faultPoint = [](std::string_view) {},
+        .metrics = &m_metrics,
+    };
+}
+
+void Daemon::createTasks()
+{
+    auto postLog = [this](coordination::LogMessage message) { m_log->post(std::move(message)); };
+    m_timeline = std::make_unique<coordination::TimelineTask>(m_settings.instance, m_settings.timelineCapacity);
+    m_log = std::make_unique<coordination::LogTask>(m_environment, coordination::LogTaskOptions { .platformUrl = m_settings.platformUrl });
+    m_configuration = std::make_unique<coordination::ConfigurationTask>(m_environment, coordination::ConfigurationTaskOptions {}, postLog);
+    m_requests = std::make_unique<coordination::RequestTask>(m_environment, coordination::RequestTaskOptions {}, postLog);
+    m_scheduler = std::make_unique<coordination::SchedulerTask>(m_environment,
+        coordination::SchedulerTaskOptions {
+            .platformUrl = m_settings.platformUrl,
+            .leaseTtl = m_settings.leaseTtl,
+            .renewInterval = m_settings.leaseRenewInterval,
+            .leaseMargin = m_settings.leaseMargin,
+            .checkpointLimit = m_settings.checkpointLimit,
+            .isolationLimit = m_settings.isolationLimit,
+        },
+        coordination::SchedulerTaskHooks {
+            .postLog = postLog,
+            .onRole = [this](coordination::PeerMessage::SchedulerRole role) { m_peers->post({ .body = std::move(role) }); },
+            .placementPolicy = coordination::firstFitPlacement,
+        });
+    m_peers = std::make_unique<coordination::PeerTask>(m_environment,
+        coordination::PeerTaskOptions { .address = m_settings.peerAddress, .port = m_settings.peerPort, .platformUrl = m_settings.platformUrl },
+        coordination::PeerTaskHooks {
+            .onInstances = [this](std::vector<state::InstanceInfo> instances) {
+                m_requests->post({ .body = coordination::RequestMessage::Instances { .instances = std::move(instances) } });
+            },
+            .onMembers = [this](std::vector<state::InstanceInfo> members, bool suspected) {
+                m_scheduler->post({ .body = coordination::SchedulerMessage::Members { .members = std::move(members), .schedulerSuspected = suspected } });
+            },
+            .readTimeline = [this](std::string subject, std::function<void(std::vector<state::Event>)> reply) {
+                m_timeline->post({ .body = coordination::TimelineMessage::Read { .subject = std::move(subject), .reply = std::move(reply) } });
+            },
+            .snapshotForPeer = [this](std::function<void(std::optional<state::Record::ConfigurationSnapshot>)> reply) {
+                m_configuration->post({ .body = coordination::ConfigurationMessage::SnapshotForPeer { .reply = std::move(reply) } });
+            },
+            .onPeerSnapshot = [this](state::Record::ConfigurationSnapshot snapshot) {
+                m_configuration->post({ .body = coordination::ConfigurationMessage::PeerSnapshot { .snapshot = std::move(snapshot) } });
+            },
+            .relayRead = [this](std::string stream, state::LogOffset offset, std::chrono::milliseconds wait, std::function<void(protocol::LogClient::ReadResult)> reply) {
+                m_log->post({ .body = coordination::LogMessage::RelayRead { .stream = std::move(stream), .offset = offset, .wait = wait, .onResult = std::move(reply) } });
+            },
+            .relayAppend = [this](std::string stream, std::vector<std::string> records, std::function<void(bool, state::LogOffset)> reply) {
+                m_log->post({ .body = coordination::LogMessage::RelayAppend { .stream = std::move(stream), .records = std::move(records), .onResult = std::move(reply) } });
+            },
+        });
+}
+
+void Daemon::createApiTask()
+{
+    transport::HttpServerOptions server { .address = m_settings.httpAddress, .port = m_settings.httpPort };
+    coordination::ApiTaskHooks hooks {
+        .postRequest = [this](coordination::RequestMessage message) { m_requests->post(std::move(message)); },
+        .postScheduler = [this](coordination::SchedulerMessage message) { m_scheduler->post(std::move(message)); },
+        .postConfiguration = [this](coordination::ConfigurationMessage message) { m_configuration->post(std::move(message)); },
+        .postPeer = [this](coordination::PeerMessage message) { m_peers->post(std::move(message)); },
+        .postTimeline = [this](coordination::TimelineMessage message) { m_timeline->post(std::move(message)); },
+        .startDrain = [this] { startDrain([] {}); },
+    };
+    m_api = std::make_unique<coordination::ApiTask>(m_environment, server, std::move(hooks));
+}
+
+void Daemon::connectTasks()
+{
+    m_configuration->post({ .body = coordination::ConfigurationMessage::Watch { .onChange = [this](const coordination::ConfigurationMessage::View& view) {
+        m_requests->post({ .body = coordination::RequestMessage::Configure { .configuration = view.configuration, .ready = view.ready } });
+        m_scheduler->post({ .body = coordination::SchedulerMessage::Configure { .configuration = view.configuration, .ready = view.ready } });
+        m_peers->post({ .body = coordination::PeerMessage::ConfigurationVersion { .version = view.configuration ? view.configuration->version : 0 } });
+    } } });
+    m_log->post({ .body = coordination::LogMessage::WatchReachability { .onChange = [this](bool reachable) {
+        m_configuration->post({ .body = coordination::ConfigurationMessage::LogReachability { .reachable = reachable } });
+        m_requests->post({ .body = coordination::RequestMessage::LogReachability { .reachable = reachable } });
+        m_scheduler->post({ .body = coordination::SchedulerMessage::LogReachability { .reachable = reachable } });
+        m_peers->post({ .body = coordination::PeerMessage::LogReachability { .reachable = reachable } });
+    } } });
+}
+
+void Daemon::start()
+{
+    m_timeline->start();
+    m_log->start();
+    m_configuration->start();
+    m_requests->start();
+    m_scheduler->start();
+    m_peers->start();
+    m_api->start();
+}
+
+void Daemon::startDrain(const std::function<void()>& onDrained)
+{
+    transport::writeLog(transport::LogLevel::Info, "daemon", "drain started");
+    std::function<void()> onBoth = afterCalls(2, onDrained);
+    m_api->post({ .body = coordination::ApiMessage::StartDraining {} });
+    m_peers->post({ .body = coordination::PeerMessage::Draining {} });
+    m_requests->post({ .body = coordination::RequestMessage::Drain { .onDrained = onBoth } });
+    m_scheduler->post({ .body = coordination::SchedulerMessage::Drain { .onDrained = onBoth } });
+}
+
+bool Daemon::shutDown()
+{
+    auto deadline = std::chrono::steady_clock::now() + m_settings.shutdownLimit;
+    // The balancer needs a moment to see "not ready"; until then requests still arrive and must be served.
+    m_api->post({ .body = coordination::ApiMessage::StartDraining {} });
+    std::this_thread::sleep_for(m_settings.shutdownNotice);
+
+    auto idle = std::make_shared<std::promise<void>>();
+    auto onIdle = afterCalls(2, [idle] { idle->set_value(); });
+    m_api->post({ .body = coordination::ApiMessage::StopListening { .onIdle = onIdle } });
+    startDrain(onIdle);
+    bool finished = idle->get_future().wait_until(deadline) == std::future_status::ready;
+    transport::writeLog(finished ? transport::LogLevel::Info : transport::LogLevel::Warning, "daemon",
+        finished ? "all requests finished" : "shutdown limit reached with requests in hand");
+    return finished;
+}
+
+}
--- a/tests/coordination/FakeLog.h
+++ b/tests/coordination/FakeLog.h
@@ -1,96 +1,140 @@
 /// @file
-/// In-memory log stream for task-level tests.
+/// Log of all instances, in memory.
 #pragma once
 
 #include "coordination/LogMessage.h"
+#include "state/Identifier.h"
 
-#include <condition_variable>
+#include <algorithm>
 #include <functional>
+#include <map>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace lentilsaddle::coordination {
 
-/// One stream shared by several instances.
+/// Delivers each record to all subscribers at once. Safe from any thread.
 class FakeLog {
 public:
-    using Status = LogMessage::AppendStatus;
+    enum class Fault {
+        None,
+        /// The append is refused.
+        Refuse,
+        /// The record is in the log, but the answer is lost.
+        LoseAnswer,
+        /// The record is in the log twice, the second time when releaseDuplicates() is called; the answer is lost.
+        Duplicate,
+        /// The record comes to nothing, and no answer tells so.
+        Vanish,
+        /// The record is not in the log before releaseDuplicates() is called, and the answer is lost.
+        Late,
+    };
+    using FaultOf = std::function<Fault(const state::Record&)>;
 
-    /// @return the hook by which one process posts to the log.
-    std::function<void(LogMessage)> port(const state::InstanceId& instance, std::uint64_t incarnation)
+    void setFault(FaultOf faultOf)
+    {
+        std::lock_guard lock(m_mutex);
+        m_faultOf = std::move(faultOf);
+    }
+
+    /// @return the hook by which one process posts to its log task.
+    std::function<void(LogMessage)> connect(const state::InstanceId& instance, std::uint64_t incarnation)
     {
         return [this, instance, incarnation](LogMessage message) {
             std::lock_guard lock(m_mutex);
-            if (auto* subscribe = std::get_if<LogMessage::Subscribe>(&message.body)) {
-                subscribe->onBatch(batch(0));
-                m_readers.push_back(subscribe->onBatch);
-            } else if (auto* append = std::get_if<LogMessage::Append>(&message.body)) {
-                state::Origin origin { .instance = instance, .incarnation = incarnation, .sequence = ++m_sequence };
-                accept(*append, origin);
-            }
+            if (auto* append = std::get_if<LogMessage::Append>(&message.body))
+                accept(*append, { .instance = instance, .incarnation = incarnation, .sequence = ++m_sequence });
+            else if (auto* subscribe = std::get_if<LogMessage::Subscribe>(&message.body))
+                accept(*subscribe);
+            else if (auto* watch = std::get_if<LogMessage::WatchReachability>(&message.body))
+                m_watchers.push_back(watch->onChange);
         };
     }
 
-    void setStatus(Status status)
+    /// Appends a record of another process.
+    void append(const std::string& stream, const state::Record& record)
     {
         std::lock_guard lock(m_mutex);
-        m_status = status;
+        add(stream, record);
     }
 
-    void append(const state::Record& record)
+    void releaseDuplicates()
     {
         std::lock_guard lock(m_mutex);
-        push(record);
+        for (const auto& [stream, record] : m_duplicates)
+            add(stream, record);
+        m_duplicates.clear();
     }
 
-    std::vector<state::Record> records()
+    void setReachable(bool reachable)
     {
         std::lock_guard lock(m_mutex);
-        return m_records;
+        for (const auto& onChange : m_watchers)
+            onChange(reachable);
     }
 
-    template <typename Body> std::vector<Body> all()
+    std::vector<state::Record> records(const std::string& stream)
     {
-        std::vector<Body> found;
-        for (const state::Record& record : records()) {
-            if (const auto* body = std::get_if<Body>(&record.body))
-                found.push_back(*body);
-        }
-        return found;
+        std::lock_guard lock(m_mutex);
+        return m_streams[stream];
+    }
+
+    /// Forgets all subscribers, whose tasks are about to end.
+    void disconnect()
+    {
+        std::lock_guard lock(m_mutex);
+        m_subscribers.clear();
+        m_watchers.clear();
     }
 
 private:
     void accept(const LogMessage::Append& append, const state::Origin& origin)
     {
-        Status status = m_status;
+        state::Record record { .origin = origin, .body = append.body };
+        Fault fault = m_faultOf ? m_faultOf(record) : Fault::None;
+        if (fault == Fault::None || fault == Fault::LoseAnswer || fault == Fault::Duplicate)
+            add(append.stream, record);
+        if (fault == Fault::Duplicate || fault == Fault::Late)
+            m_duplicates.emplace_back(append.stream, record);
+        auto status = LogMessage::AppendStatus::Unresolved;
+        if (fault == Fault::None)
+            status = LogMessage::AppendStatus::Appended;
+        else if (fault == Fault::Refuse)
+            status = LogMessage::AppendStatus::NotAppended;
         if (append.onResult)
             append.onResult({ .status = status, .origin = origin });
-        if (status == Status::Appended)
-            push({ .origin = origin, .body = append.body });
     }
 
-    void push(const state::Record& record)
+    void accept(const LogMessage::Subscribe& subscribe)
     {
-        m_records.push_back(record);
-        for (const auto& reader : m_readers)
-            reader(batch(m_records.size() - 1));
+        m_subscribers[subscribe.stream].push_back(subscribe.onBatch);
+        subscribe.onBatch(batch(m_streams[subscribe.stream], 0));
     }
 
-    state::StreamBatch batch(std::size_t first) const
+    void add(const std::string& stream, const state::Record& record)
     {
-        state::StreamBatch result {
-            .entries = {}, .firstOffset = first, .nextOffset = m_records.size(), .gap = false, .caughtUp = true
-        };
-        for (std::size_t offset = first; offset < m_records.size(); ++offset)
-            result.entries.push_back({ .offset = offset, .record = m_records[offset] });
-        return result;
+        auto& records = m_streams[stream];
+        records.push_back(record);
+        for (const auto& onBatch : m_subscribers[stream])
+            onBatch(batch(records, records.size() - 1));
+    }
+
+    static state::StreamBatch batch(const std::vector<state::Record>& records, std::size_t from)
+    {
+        state::StreamBatch batch { .firstOffset = from, .nextOffset = records.size(), .caughtUp = true };
+        for (std::size_t offset = from; offset < records.size(); ++offset)
+            batch.entries.push_back({ .offset = offset, .record = records[offset] });
+        return batch;
     }
 
     std::mutex m_mutex;
-    Status m_status = Status::Appended;
+    FaultOf m_faultOf;
     std::uint64_t m_sequence = 0;
-    std::vector<state::Record> m_records;
-    std::vector<std::function<void(state::StreamBatch)>> m_readers;
+    std::map<std::string, std::vector<state::Record>> m_streams;
+    std::map<std::string, std::vector<std::function<void(state::StreamBatch)>>> m_subscribers;
+    std::vector<std::function<void(bool)>> m_watchers;
+    std::vector<std::pair<std::string, state::Record>> m_duplicates;
 };
 
 } // namespace lentilsaddle::coordination
--- a/tests/coordination/SchedulerTaskTest.cpp
+++ b/tests/coordination/SchedulerTaskTest.cpp
@@ -2,7 +2,7 @@
 
 #include "coordination/decisions/FirstFitPlacement.h"
 #include "coordination/decisions/QueuedJob.h"
-#include "tests/coordination/FakeLog.h"
+#include "tests/coordination/FakeJobStream.h"
 #include "tests/coordination/FakePlatform.h"
 #include "transport/Metrics.h"
 
@@ -162,7 +162,7 @@
         std::vector<std::string> m_events;
         transport::Metrics m_metrics;
         FakePlatform m_platform { 2 };
-        FakeLog m_log;
+        FakeJobStream m_log;
         std::vector<std::unique_ptr<SchedulerTask>> m_tasks;
     };
 
@@ -189,9 +189,9 @@
     EXPECT_EQ(submit(task, job("same")).status, Answer::Status::Accepted);
     EXPECT_EQ(submit(task, job("same")).status, Answer::Status::Accepted);
     EXPECT_EQ(submit(task, job("same", 1)).status, Answer::Status::Conflict);
-    m_log.setStatus(FakeLog::Status::NotAppended);
+    m_log.setStatus(FakeJobStream::Status::NotAppended);
     EXPECT_EQ(submit(task, job("lost")).reason, "log_unavailable");
-    m_log.setStatus(FakeLog::Status::Unresolved);
+    m_log.setStatus(FakeJobStream::Status::Unresolved);
     EXPECT_EQ(submit(task, job("open")).status, Answer::Status::Unknown);
     EXPECT_EQ(m_log.all<Record::JobSubmitted>().size(), 1U);
 }
@@ -327,7 +327,7 @@
     once.repeatable = false;
     submit(task, once);
     submit(task, job("second"));
-    m_log.setStatus(FakeLog::Status::NotAppended);
+    m_log.setStatus(FakeJobStream::Status::NotAppended);
     task.post({ .body = SchedulerMessage::LogReachability { false } });
     EXPECT_EQ(cancel(task, "second").reason, "log_unavailable");
     m_platform.finish("first", "failed");
@@ -335,7 +335,7 @@
     m_platform.finish("second", "succeeded");
     EXPECT_EQ(stateOf(task, "once"), "queued");
     EXPECT_EQ(m_log.all<Record::StartClaim>().size(), 1U);
-    m_log.setStatus(FakeLog::Status::Appended);
+    m_log.setStatus(FakeJobStream::Status::Appended);
     task.post({ .body = SchedulerMessage::LogReachability { true } });
     EXPECT_TRUE(reaches(task, "second", "done"));
     EXPECT_TRUE(reaches(task, "once", "running"));
