Add the placement, ownership and scale benchmarks

Cause: the choice of one scheduler for each data centre and of guaranteed cells rests on measurements that nobody had taken.

The benchmarks play fixed arrivals in manual time. They found faults in the cell placement, corrected here: - A borrower took over the cell that was being reclaimed for a waiting job of its own account; it now stays a borrower. Only a job whose standing is unknown, such as after a takeover, is judged by the running jobs. - Jobs within a guarantee filled the hole of a waiting large job although other accelerators were free. - A small job could stop a gang of 64 accelerators; of places in equally many racks, the one where borrowers lose least is taken now.

Ruled out as the cause of slow reclaims: the number of places checked. What remains are jobs of the same account that use its cells first.

Guards tried by removal, each turning a test red: the ones of the cell placement again, and borrowers staying borrowers, protection of jobs of unknown standing, smallest victim, reservation ahead of guarantees.

--- /dev/null
+++ b/bench/OwnershipBench.cpp
@@ -0,0 +1,142 @@
+#include "bench/OwnershipBench.h"
+
+#include "bench/Arrivals.h"
+#include "coordination/decisions/AcceleratorPicker.h"
+#include "coordination/decisions/ClusterView.h"
+#include "coordination/decisions/GangFit.h"
+#include "coordination/decisions/Rendezvous.h"
+#include "state/PlacementState.h"
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::bench {
+
+namespace {
+
+    using coordination::ClusterView;
+    using coordination::WorkerRoom;
+
+    constexpr std::array<int, 4> ownerCounts { 1, 2, 3, 6 };
+    constexpr std::array<int, 2> gangSizes { 64, 32 };
+    /// One gang for so many background jobs.
+    constexpr int jobsPerGang = 10;
+    /// Assignments of racks to owners that the shares are averaged over.
+    constexpr int ownerNameSets = 20;
+
+    struct GangKey {
+        int tasks = 0;
+        int acceleratorsPerTask = 0;
+        auto operator<=>(const GangKey&) const = default;
+    };
+
+    struct Counts {
+        int tries = 0;
+        std::map<int, int> placed;
+    };
+
+    /// Plays arrivals under best fit, so that every view judges the same occupancy.
+    class OwnershipRun {
+    public:
+        OwnershipRun(std::uint32_t seed, double load)
+            : m_random(seed)
+            , m_arrivals(makeArrivals({ .seed = seed, .load = load }))
+        {
+            m_placement.setWorkers(siteWorkers());
+        }
+
+        void run(std::map<GangKey, Counts>& counts)
+        {
+            int sinceGang = 0;
+            for (const Arrival& arrival : m_arrivals) {
+                while (!m_ends.empty() && m_ends.begin()->first <= arrival.time) {
+                    m_placement.release(m_ends.begin()->second);
+                    m_ends.erase(m_ends.begin());
+                }
+                if (arrival.size != SizeClass::Large)
+                    start(arrival, arrival.specification.shape);
+                if (++sinceGang < jobsPerGang)
+                    continue;
+                sinceGang = 0;
+                state::GangShape gang { .tasks = gangSizes[m_random() % gangSizes.size()],
+                    .acceleratorsPerTask = 1 << (m_random() % 3),
+                    .adjacency = state::Adjacency::DataCentre };
+                judge(gang, counts);
+                Arrival gangArrival = arrival;
+                gangArrival.specification.id = state::JobId("gang-" + arrival.specification.id.value());
+                start(gangArrival, gang);
+            }
+        }
+
+    private:
+        void start(const Arrival& arrival, const state::GangShape& shape)
+        {
+            ClusterView view(m_placement);
+            auto fit = coordination::bestGangFit(view, shape, view.freeRoom());
+            if (!fit)
+                return;
+            const state::JobSpecification& specification = arrival.specification;
+            m_placement.occupy(
+                specification.id, specification.account, coordination::AcceleratorPicker(view).pick(fit->tasks));
+            m_ends.emplace(arrival.time + arrival.runTime, specification.id);
+        }
+
+        void judge(const state::GangShape& gang, std::map<GangKey, Counts>& counts) const
+        {
+            ClusterView view(m_placement);
+            Counts& ofGang = counts[{ gang.tasks, gang.acceleratorsPerTask }];
+            for (int set = 0; set < ownerNameSets; ++set) {
+                ++ofGang.tries;
+                for (int owners : ownerCounts)
+                    ofGang.placed[owners] += anyOwnerPlaces(view, gang, owners, set) ? 1 : 0;
+            }
+        }
+
+        static bool anyOwnerPlaces(const ClusterView& view, const state::GangShape& gang, int owners, int set)
+        {
+            std::vector<state::InstanceId> instances;
+            instances.reserve(static_cast<std::size_t>(owners));
+            for (int i = 0; i < owners; ++i)
+                instances.emplace_back("entry-" + std::to_string(set) + "-" + std::to_string(i));
+            std::map<state::InstanceId, WorkerRoom> rooms;
+            for (const std::vector<int>& rack : view.racks()) {
+                const state::RackId& id = view.workers()[static_cast<std::size_t>(rack.front())].slots->worker.rack;
+                WorkerRoom& room = rooms[coordination::rendezvousOrder(instances, id.value()).front()];
+                room.resize(view.workers().size());
+                for (int worker : rack)
+                    room[static_cast<std::size_t>(worker)] = view.freeRoom()[static_cast<std::size_t>(worker)];
+            }
+            return std::any_of(rooms.begin(), rooms.end(),
+                [&](const auto& entry) { return coordination::bestGangFit(view, gang, entry.second).has_value(); });
+        }
+
+        std::mt19937 m_random;
+        std::vector<Arrival> m_arrivals;
+        state::PlacementState m_placement;
+        std::multimap<state::MonotonicTime, state::JobId> m_ends;
+    };
+
+} // namespace
+
+void runOwnershipBench(const OwnershipBenchOptions& options, std::ostream& output)
+{
+    std::map<GangKey, Counts> counts;
+    for (int i = 0; i < options.seeds; ++i)
+        OwnershipRun(options.firstSeed + static_cast<std::uint32_t>(i), options.load).run(counts);
+    output << "| gang | gangs | one view, % | 2 owners, % | 3 owners, % | 6 owners, % |\n|---|---|---|---|---|---|\n"
+           << std::fixed << std::setprecision(1);
+    for (const auto& [gang, ofGang] : counts) {
+        output << "| " << gang.tasks << " x " << gang.acceleratorsPerTask << " | " << ofGang.tries / ownerNameSets;
+        for (int owners : ownerCounts)
+            output << " | " << 100.0 * ofGang.placed.at(owners) / ofGang.tries;
+        output << " |\n";
+    }
+}
+
+} // namespace lentilsaddle::bench
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,46 @@
+#include "bench/OwnershipBench.h"
+#include "bench/PlacementBench.h"
+#include "bench/ScaleBench.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdint>
+#include <iostream>
+#include <string>
+
+DEFINE_uint32(seed, 1, "first seed");
+DEFINE_int32(seeds, 5, "number of seeds");
+DEFINE_double(load, 0.85, "offered work as a share of the site's accelerators");
+DEFINE_int32(maximum_bypass, 32, "jobs that may pass a waiting one (placement)");
+
+namespace {
+
+/// Exit code of a usage error, as in the CLI.
+constexpr int usageExitCode = 2;
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace lentilsaddle::bench; // NOLINT(google-build-using-namespace): local to main
+    gflags::SetUsageMessage("[flags] placement|ownership|scale\nWrites Markdown tables to standard output.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::string command = argc == 2 ? argv[1] : "";
+    if (FLAGS_seeds < 1 || FLAGS_load <= 0)
+        command.clear();
+    if (command == "placement") {
+        runPlacementBench({ .firstSeed = FLAGS_seed,
+                              .seeds = FLAGS_seeds,
+                              .load = FLAGS_load,
+                              .maximumBypass = FLAGS_maximum_bypass },
+            std::cout);
+    } else if (command == "ownership") {
+        runOwnershipBench({ .firstSeed = FLAGS_seed, .seeds = FLAGS_seeds, .load = FLAGS_load }, std::cout);
+    } else if (command == "scale") {
+        runScaleBench(std::cout);
+    } else {
+        std::cerr << "lentilsaddle_bench: expected one of placement, ownership, scale; --seeds >= 1, --load > 0\n";
+        return usageExitCode;
+    }
+    return 0;
+}
--- a/coordination/decisions/BorrowedRoom.cpp
+++ b/coordination/decisions/BorrowedRoom.cpp
@@ -1,6 +1,8 @@
 #include "coordination/decisions/BorrowedRoom.h"
 
 #include <algorithm>
+#include <map>
+#include <numeric>
 
 namespace lentilsaddle::coordination {
 
@@ -16,23 +18,45 @@
     }
 }
 
-std::vector<int> BorrowedRoom::claim(const std::vector<GangTask>& tasks, WorkerRoom& free)
+std::vector<int> BorrowedRoom::victims(const std::vector<GangTask>& tasks, const WorkerRoom& free) const
 {
-    std::vector<int> victims;
-    for (const GangTask& task : tasks) {
-        auto worker = static_cast<std::size_t>(task.worker);
-        while (free[worker] + m_leaving[worker] < task.accelerators) {
-            int victim = nextVictim(task.worker);
+    std::map<int, int> needed;
+    for (const GangTask& task : tasks)
+        needed[task.worker] += task.accelerators;
+    std::vector<int> chosen;
+    for (const auto& [worker, accelerators] : needed) {
+        auto index = static_cast<std::size_t>(worker);
+        int missing = accelerators - free[index] - m_leaving[index];
+        for (int victim : chosen)
+            missing -= acceleratorsOn(victim, worker);
+        while (missing > 0) {
+            int victim = nextVictim(worker, chosen);
             if (victim < 0)
                 break;
-            leave(victim);
-            victims.push_back(victim);
+            chosen.push_back(victim);
+            missing -= acceleratorsOn(victim, worker);
         }
+    }
+    return chosen;
+}
+
+int BorrowedRoom::accelerators(const std::vector<int>& jobs) const
+{
+    return std::accumulate(jobs.begin(), jobs.end(), 0, [this](int sum, int job) { return sum + accelerators(job); });
+}
+
+std::vector<int> BorrowedRoom::claim(const std::vector<GangTask>& tasks, WorkerRoom& free)
+{
+    std::vector<int> chosen = victims(tasks, free);
+    for (int victim : chosen)
+        leave(victim);
+    for (const GangTask& task : tasks) {
+        auto worker = static_cast<std::size_t>(task.worker);
         int fromFree = std::min(free[worker], task.accelerators);
         free[worker] -= fromFree;
         m_leaving[worker] = std::max(0, m_leaving[worker] - (task.accelerators - fromFree));
     }
-    return victims;
+    return chosen;
 }
 
 void BorrowedRoom::leave(int job)
@@ -45,13 +69,33 @@
     }
 }
 
-int BorrowedRoom::nextVictim(int worker) const
+int BorrowedRoom::nextVictim(int worker, const std::vector<int>& chosen) const
+{
+    // The smallest borrower costs least, since a gang stops on all of its workers. Of equal ones, the job that started
+    // last loses least work.
+    int best = -1;
+    for (int job : m_view.workers()[static_cast<std::size_t>(worker)].jobs) {
+        if (m_isLeaving[static_cast<std::size_t>(job)] || m_cells.isProtected(job)
+            || std::find(chosen.begin(), chosen.end(), job) != chosen.end())
+            continue;
+        if (best < 0 || accelerators(job) <= accelerators(best))
+            best = job;
+    }
+    return best;
+}
+
+int BorrowedRoom::accelerators(int job) const
+{
+    const std::vector<GangTask>& tasks = m_view.jobs()[static_cast<std::size_t>(job)].tasks;
+    return std::accumulate(
+        tasks.begin(), tasks.end(), 0, [](int sum, const GangTask& task) { return sum + task.accelerators; });
+}
+
+int BorrowedRoom::acceleratorsOn(int job, int worker) const
 {
-    // The job that started last loses least work.
-    const std::vector<int>& jobs = m_view.workers()[static_cast<std::size_t>(worker)].jobs;
-    auto found = std::find_if(jobs.rbegin(), jobs.rend(),
-        [this](int job) { return !m_isLeaving[static_cast<std::size_t>(job)] && !m_cells.isProtected(job); });
-    return found == jobs.rend() ? -1 : *found;
+    const std::vector<GangTask>& tasks = m_view.jobs()[static_cast<std::size_t>(job)].tasks;
+    return std::accumulate(tasks.begin(), tasks.end(), 0,
+        [worker](int sum, const GangTask& task) { return sum + (task.worker == worker ? task.accelerators : 0); });
 }
 
 } // namespace lentilsaddle::coordination
--- a/coordination/decisions/BorrowedRoom.h
+++ b/coordination/decisions/BorrowedRoom.h
@@ -18,6 +18,12 @@
     /// @return accelerators of each worker that leaving borrowers give back and nobody has claimed.
     const WorkerRoom& leaving() const { return m_leaving; }
 
+    /// @return borrowers that a claim would preempt, by index into ClusterView::jobs().
+    std::vector<int> victims(const std::vector<GangTask>& tasks, const WorkerRoom& free) const;
+
+    /// @return accelerators that these borrowers use on all workers.
+    int accelerators(const std::vector<int>& jobs) const;
+
     /// Claims accelerators for a gang: free ones first, then those of leaving jobs, then those of further borrowers.
     /// @param free free accelerators, reduced by the ones that the gang will use.
     /// @return borrowers that must be preempted in addition, by index into ClusterView::jobs().
@@ -25,7 +31,9 @@
 
 private:
     void leave(int job);
-    int nextVictim(int worker) const;
+    int nextVictim(int worker, const std::vector<int>& chosen) const;
+    int accelerators(int job) const;
+    int acceleratorsOn(int job, int worker) const;
 
     const ClusterView& m_view;
     const GuaranteeCells& m_cells;
--- a/coordination/decisions/CellPlanner.cpp
+++ b/coordination/decisions/CellPlanner.cpp
@@ -1,8 +1,10 @@
 #include "coordination/decisions/CellPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 namespace lentilsaddle::coordination {
@@ -11,6 +13,8 @@
 
     /// Places that are checked against the cells for one job. Each check assigns all cells anew.
     constexpr std::size_t maximumCheckedFits = 16;
+    /// Reservations beyond the first one at completion weight 0. Each keeps free accelerators out of use.
+    constexpr double furtherReservations = 4;
 } // namespace
 
 CellPlanner::CellPlanner(const state::PlacementState& placement, const std::vector<QueuedJob>& queue,
@@ -34,6 +38,7 @@
 
 PlacementPlan CellPlanner::plan()
 {
+    reserveForHead();
     planGuaranteed();
     planBorrowers();
     return std::move(m_plan);
@@ -49,8 +54,27 @@
         const state::JobSpecification& specification = m_queue[job].specification;
         if (!m_cells.covers(specification.account, specification.shape) || passesOwnAccount(job))
             continue;
+        if (startInCells(job))
+            continue;
+        // A guarantee ranks above a reservation, which moves elsewhere if the job needs its accelerators.
+        m_reserved.release(m_free);
         if (!startInCells(job))
             reclaim(job);
+        reserveForHead();
+    }
+}
+
+void CellPlanner::reserveForHead()
+{
+    m_head.reset();
+    for (std::size_t job = 0; job < m_queue.size() && !m_head; ++job) {
+        const state::JobSpecification& specification = m_queue[job].specification;
+        if (m_progress[job] != Progress::Waiting || !m_filter.possible(m_queue[job])
+            || m_cells.covers(specification.account, specification.shape)
+            || bestGangFit(m_view, specification.shape, m_filter.permitted(m_queue[job], m_free)))
+            continue;
+        reserve(job);
+        m_head = job;
     }
 }
 
@@ -88,7 +112,10 @@
         return false;
     for (int victim : m_borrowed.claim(fit->tasks, m_free))
         m_plan.preemptions.push_back(*m_view.jobs()[static_cast<std::size_t>(victim)].id);
+    m_plan.reclaiming.push_back(m_queue[job].specification.id);
     m_progress[job] = Progress::Reclaiming;
+    // The job's start counts ahead, so that the bound within its account does not stop it after the preemption.
+    countBypass(job);
     return true;
 }
 
@@ -98,19 +125,36 @@
     WorkerRoom easy;
     WorkerRoom whole;
     GangRoom own = ownRoom(specification.account, room, easy, whole);
-    // The account's own cells come first among places in equally many racks, since the other cells keep their places.
-    std::vector<GangFit> fits = gangFits(m_view, specification.shape, own);
-    std::vector<GangFit> others = gangFits(m_view, specification.shape, room);
-    fits.insert(fits.end(), std::make_move_iterator(others.begin()), std::make_move_iterator(others.end()));
-    std::stable_sort(
-        fits.begin(), fits.end(), [](const GangFit& left, const GangFit& right) { return left.racks < right.racks; });
-    for (std::size_t i = 0; i < std::min(fits.size(), maximumCheckedFits); ++i) {
-        if (m_cells.absorb(specification.account, fits[i].tasks))
-            return std::move(fits[i]);
+    // A shape in few racks outweighs the work that borrowers lose. Among equal places the account's own cells come
+    // first, since the other cells keep their places. Some of them are always checked.
+    auto better = [](const RankedFit& left, const RankedFit& right) {
+        return std::tie(left.fit.racks, left.victimCost) < std::tie(right.fit.racks, right.victimCost);
+    };
+    std::vector<RankedFit> ranked = rankedFits(specification.shape, own);
+    std::vector<RankedFit> others = rankedFits(specification.shape, room);
+    for (std::vector<RankedFit>* fits : { &ranked, &others }) {
+        std::stable_sort(fits->begin(), fits->end(), better);
+        fits->resize(std::min(fits->size(), maximumCheckedFits));
+    }
+    ranked.insert(ranked.end(), std::make_move_iterator(others.begin()), std::make_move_iterator(others.end()));
+    std::stable_sort(ranked.begin(), ranked.end(), better);
+    for (RankedFit& candidate : ranked) {
+        if (m_cells.absorb(specification.account, candidate.fit.tasks))
+            return std::move(candidate.fit);
     }
     return std::nullopt;
 }
 
+std::vector<CellPlanner::RankedFit> CellPlanner::rankedFits(const state::GangShape& shape, const GangRoom& room) const
+{
+    std::vector<RankedFit> ranked;
+    for (GangFit& fit : gangFits(m_view, shape, room)) {
+        int cost = fit.excess == 0 ? 0 : m_borrowed.accelerators(m_borrowed.victims(fit.tasks, m_free));
+        ranked.push_back({ .fit = std::move(fit), .victimCost = cost });
+    }
+    return ranked;
+}
+
 GangRoom CellPlanner::ownRoom(
     const state::AccountId& account, const GangRoom& room, WorkerRoom& easy, WorkerRoom& whole) const
 {
@@ -132,6 +176,7 @@
 void CellPlanner::planBorrowers()
 {
     std::vector<std::size_t> blocked;
+    auto allowed = static_cast<std::size_t>(std::lround(1 + (1 - m_options.completionWeight) * furtherReservations));
     for (std::size_t job = 0; job < m_queue.size(); ++job) {
         if (m_progress[job] == Progress::Started)
             continue;
@@ -143,8 +188,10 @@
         }
         if (borrow(job) || !m_filter.possible(m_queue[job]))
             continue;
-        if (blocked.empty() || bypassExhausted(job))
+        if (m_head != job && (m_reserved.size() < allowed || bypassExhausted(job)))
             reserve(job);
+        if (!m_head)
+            m_head = job;
         blocked.push_back(job);
     }
 }
@@ -180,6 +227,11 @@
         .placements = m_picker.pick(fit.tasks),
         .withinGuarantee = withinGuarantee });
     m_progress[job] = Progress::Started;
+    countBypass(job);
+}
+
+void CellPlanner::countBypass(std::size_t job)
+{
     for (std::size_t earlier = 0; earlier < job; ++earlier)
         m_bypassed[earlier] += m_progress[earlier] == Progress::Started ? 0 : 1;
 }
--- a/coordination/decisions/CellPlanner.h
+++ b/coordination/decisions/CellPlanner.h
@@ -34,17 +34,26 @@
         Reclaiming,
         Started,
     };
+    struct RankedFit {
+        GangFit fit;
+        /// Accelerators of the borrowers that it stops.
+        int victimCost = 0;
+    };
 
     void planGuaranteed();
     void planBorrowers();
+    /// Keeps accelerators for the first job that neither a guarantee covers nor free accelerators hold.
+    void reserveForHead();
     bool startInCells(std::size_t job);
     bool reclaim(std::size_t job);
     bool borrow(std::size_t job);
     /// Keeps free accelerators for a job that does not fit yet.
     void reserve(std::size_t job);
     void start(std::size_t job, const GangFit& fit, bool withinGuarantee);
+    void countBypass(std::size_t job);
     /// @return the first place that the account's cells absorb.
     std::optional<GangFit> absorbedFit(std::size_t job, const GangRoom& room);
+    std::vector<RankedFit> rankedFits(const state::GangShape& shape, const GangRoom& room) const;
     /// @return the room that the account's own cells are assigned.
     GangRoom ownRoom(const state::AccountId& account, const GangRoom& room, WorkerRoom& easy, WorkerRoom& whole) const;
     bool bypassExhausted(std::size_t job) const { return m_bypassed[job] >= m_options.maximumBypass; }
@@ -62,6 +71,8 @@
     WorkerRoom m_free;
     BorrowedRoom m_borrowed;
     ReservedRoom m_reserved;
+    /// Job that accelerators are kept for although it was not passed too often.
+    std::optional<std::size_t> m_head;
     std::vector<Progress> m_progress;
     std::vector<int> m_bypassed;
     PlacementPlan m_plan;
--- a/coordination/decisions/GuaranteeCells.cpp
+++ b/coordination/decisions/GuaranteeCells.cpp
@@ -51,16 +51,16 @@
 void GuaranteeCells::classifyJobs()
 {
     std::vector<int> started;
-    std::vector<int> others;
+    std::vector<int> unknown;
     for (std::size_t i = 0; i < m_view->jobs().size(); ++i) {
         const auto& occupant = *m_view->jobs()[i].occupant;
-        if (occupant.options.withinGuarantee)
+        if (occupant.options.withinGuarantee.value_or(false))
             started.push_back(static_cast<int>(i));
-        else if (!occupant.stopping)
-            others.push_back(static_cast<int>(i));
+        else if (!occupant.options.withinGuarantee && !occupant.stopping)
+            unknown.push_back(static_cast<int>(i));
     }
     protectStarted(started);
-    protectOthers(others);
+    protectUnknown(unknown);
 }
 
 void GuaranteeCells::protectStarted(const std::vector<int>& jobs)
@@ -106,7 +106,7 @@
     return found;
 }
 
-void GuaranteeCells::protectOthers(std::span<const int> jobs)
+void GuaranteeCells::protectUnknown(std::span<const int> jobs)
 {
     if (jobs.empty())
         return;
@@ -122,8 +122,8 @@
     if (keepsPlaces(before))
         return;
     m_assignment = unchanged;
-    protectOthers(jobs.first(jobs.size() / 2));
-    protectOthers(jobs.subspan(jobs.size() / 2));
+    protectUnknown(jobs.first(jobs.size() / 2));
+    protectUnknown(jobs.subspan(jobs.size() / 2));
 }
 
 void GuaranteeCells::takeFirst(std::span<const int> jobs)
--- a/coordination/decisions/GuaranteeCells.h
+++ b/coordination/decisions/GuaranteeCells.h
@@ -38,7 +38,9 @@
     };
 
     /// Sorts the jobs into protected ones and borrowers. Jobs that were started within the guarantee come first, and
-    /// are protected as long as the guarantee covers them; others are protected if no cell loses its place thereby.
+    /// are protected as long as the guarantee covers them. Jobs of which that is unknown are protected if no cell loses
+    /// its place thereby. A job that was started as a borrower stays one: otherwise it could take the cell that is
+    /// being reclaimed for a waiting job of its account.
     explicit GuaranteeCells(const ClusterView& view);
 
     const std::vector<Cell>& cells() const { return m_assignment.cells; }
@@ -80,7 +82,7 @@
     /// Searches a choice of cells that covers all the jobs.
     bool search(std::span<const int> jobs, Rule rule);
     bool searchCells(std::span<const int> jobs, Rule rule);
-    void protectOthers(std::span<const int> jobs);
+    void protectUnknown(std::span<const int> jobs);
     /// Runs jobs in the first cells that accept them, without regard to the places of other cells.
     void takeFirst(std::span<const int> jobs);
     /// Tries the account's cells for a gang until one choice is accepted; otherwise nothing is changed.
--- a/coordination/decisions/PlacementPlan.h
+++ b/coordination/decisions/PlacementPlan.h
@@ -23,6 +23,8 @@
     /// Running jobs to checkpoint and stop, so that a guarantee can be honoured. Each is named again by later plans
     /// until it is marked by PlacementState::markStopping or released.
     std::vector<state::JobId> preemptions;
+    /// Waiting jobs that start when the preempted ones have freed their accelerators.
+    std::vector<state::JobId> reclaiming;
 };
 
 } // namespace lentilsaddle::coordination
--- a/coordination/decisions/ReservedRoom.cpp
+++ b/coordination/decisions/ReservedRoom.cpp
@@ -32,6 +32,15 @@
     m_reservations.push_back(std::move(kept));
 }
 
+void ReservedRoom::release(WorkerRoom& free)
+{
+    for (const Kept& kept : m_reservations) {
+        for (std::size_t i = 0; i < free.size(); ++i)
+            free[i] += kept.room[i];
+    }
+    m_reservations.clear();
+}
+
 WorkerRoom ReservedRoom::lend(const WorkerRoom& free, std::chrono::seconds declaredRunTime) const
 {
     WorkerRoom room = free;
--- a/coordination/decisions/ReservedRoom.h
+++ b/coordination/decisions/ReservedRoom.h
@@ -22,6 +22,10 @@
     /// @param free free accelerators, reduced by the kept ones.
     void keep(const Reservation& reservation, WorkerRoom& free);
 
+    /// Gives all kept accelerators back.
+    /// @param free free accelerators, increased by the kept ones.
+    void release(WorkerRoom& free);
+
     /// @return free accelerators together with kept ones that a job with this declared run time may use.
     WorkerRoom lend(const WorkerRoom& free, std::chrono::seconds declaredRunTime) const;
 
--- a/state/PlacementState.cpp
+++ b/state/PlacementState.cpp
@@ -51,7 +51,7 @@
     for (auto& [id, occupant] : m_occupants) {
         auto known = old.find(occupant.account);
         if (known != old.end() && !promisesAll(m_guarantees[occupant.account], known->second))
-            occupant.options.withinGuarantee = false;
+            occupant.options.withinGuarantee.reset();
     }
     std::erase_if(m_guarantees, [](const auto& entry) { return entry.second.empty(); });
 }
--- a/state/PlacementState.h
+++ b/state/PlacementState.h
@@ -20,8 +20,9 @@
 public:
     /// What a placement decision knows of a job beyond its place.
     struct OccupyOptions {
-        /// The job was started within its account's guarantee (PlacementPlan::Start::withinGuarantee).
-        bool withinGuarantee = false;
+        /// Whether the job was started within its account's guarantee (PlacementPlan::Start::withinGuarantee). Nothing
+        /// if that is unknown, for example after a takeover; it is then judged by the running jobs.
+        std::optional<bool> withinGuarantee;
         /// Guess of the job's end; nothing if unknown.
         std::optional<MonotonicTime> expectedEnd;
     };
@@ -46,8 +47,8 @@
     /// Replaces the list of workers. Occupancy of workers that stay is kept.
     void setWorkers(const std::vector<Worker>& workers);
 
-    /// Takes over the accounts' guarantees in one data centre. Running jobs of an account that loses a shape no longer
-    /// count as started within its guarantee.
+    /// Takes over the accounts' guarantees in one data centre. Whether the running jobs of an account that loses a
+    /// shape were started within its guarantee counts as unknown from then on.
     void setGuarantees(const Configuration& configuration, const DataCentreId& dataCentre);
 
     void setAvailable(const WorkerId& worker, bool available);
--- a/tests/coordination/decisions/CellPlacementHistoryTest.cpp
+++ b/tests/coordination/decisions/CellPlacementHistoryTest.cpp
@@ -71,7 +71,7 @@
         /// @return whether the action may take accelerators or promise more of them.
         bool act()
         {
-            switch (*rc::gen::inRange(0, 10)) {
+            switch (*rc::gen::inRange(0, 11)) {
             case 0:
                 loseWorker();
                 return true;
@@ -82,6 +82,9 @@
                 configure(*rc::gen::inRange(0, 3));
                 m_guaranteesShrank = true;
                 return true;
+            case 10:
+                takeOver();
+                return false;
             case 3:
             case 4:
             case 5:
@@ -157,6 +160,17 @@
                 m_fixture.placement.release(job);
         }
 
+        /// A new scheduler knows who runs where, but not how the jobs were started.
+        void takeOver()
+        {
+            auto occupants = m_fixture.placement.occupants();
+            for (const auto& [job, occupant] : occupants) {
+                m_fixture.placement.release(job);
+                m_fixture.placement.occupy(job, occupant.account, occupant.placements);
+            }
+            m_fixture.startedInGuarantee.clear();
+        }
+
         void endJob()
         {
             const auto& occupants = m_fixture.placement.occupants();
--- a/tests/coordination/decisions/CellPlacementTest.cpp
+++ b/tests/coordination/decisions/CellPlacementTest.cpp
@@ -58,6 +58,57 @@
     EXPECT_EQ(fixture.step(makeCellPlacement({})).preemptions, std::vector { state::JobId("first") });
 }
 
+// Guards against a borrower that takes over the cell while it is reclaimed for a waiting job of its own account.
+TEST(CellPlacementTest, BorrowerOfTheSameAccountIsPreempted)
+{
+    PlacementFixture fixture(1, 1, 4);
+    fixture.guarantee("a", { { .accelerators = 4, .adjacency = Adjacency::Worker } });
+    fixture.placement.occupy(state::JobId("borrower"), state::AccountId("a"),
+        { { .worker = PlacementFixture::workerId(0), .accelerators = { 0, 1, 2, 3 } } }, { .withinGuarantee = false });
+    fixture.submit("a", wholeWorker, true);
+    EXPECT_EQ(fixture.step(makeCellPlacement({})).preemptions.size(), 1U);
+}
+
+// Guards against preempting a guaranteed job after a takeover, when nobody knows how the jobs were started.
+TEST(CellPlacementTest, JobsOfUnknownStandingAreProtectedIfTheGuaranteeCoversThem)
+{
+    PlacementFixture fixture(1, 2, 4);
+    fixture.guarantee("a", { { .accelerators = 4, .adjacency = Adjacency::Worker } });
+    fixture.guarantee("b", { { .accelerators = 4, .adjacency = Adjacency::Worker } });
+    for (int worker : { 0, 1 })
+        fixture.placement.occupy(state::JobId("b" + std::to_string(worker)), state::AccountId("b"),
+            { { .worker = PlacementFixture::workerId(worker), .accelerators = { 0, 1, 2, 3 } } });
+    fixture.submit("a", wholeWorker, true);
+    EXPECT_EQ(fixture.step(makeCellPlacement({})).preemptions, std::vector { state::JobId("b1") });
+}
+
+// Guards against stopping a gang for a small job while a smaller borrower would do.
+TEST(CellPlacementTest, SmallJobStopsTheSmallestBorrower)
+{
+    PlacementFixture fixture(1, 2, 4);
+    fixture.guarantee("a", { { .accelerators = 1, .adjacency = Adjacency::Worker } });
+    run(fixture, "small", 1, { 0 });
+    fixture.placement.occupy(state::JobId("gang"), state::AccountId("borrower"),
+        { { .worker = PlacementFixture::workerId(0), .accelerators = { 0, 1, 2, 3 } },
+            { .worker = PlacementFixture::workerId(1), .accelerators = { 1, 2, 3 } } });
+    fixture.submit("a", one, true);
+    EXPECT_EQ(fixture.step(makeCellPlacement({})).preemptions, std::vector { state::JobId("small") });
+}
+
+// Guards against a job within its guarantee that fills the hole of a waiting job although other accelerators are free.
+TEST(CellPlacementTest, GuaranteedJobAvoidsTheReservation)
+{
+    PlacementFixture fixture(2, 2, 4);
+    fixture.guarantee("b", { { .accelerators = 4, .adjacency = Adjacency::Worker, .count = 4 } });
+    run(fixture, "ends-first", 0, { 0, 1, 2, 3 }, std::chrono::minutes(10));
+    run(fixture, "ends-last", 2, { 0, 1, 2, 3 });
+    fixture.submit("a", wholeRack);
+    fixture.submit("b", wholeWorker);
+    PlacementPlan plan = fixture.step(makeCellPlacement({}));
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts.front().placements.front().worker, PlacementFixture::workerId(3));
+}
+
 // Guards against victims that are few but leave the shape spread over more racks than needed.
 TEST(CellPlacementTest, VictimsCompleteTheShapeInOneRack)
 {
@@ -195,9 +246,9 @@
     fixture.guarantee("a", { { .accelerators = 4, .adjacency = Adjacency::Worker, .count = 2 } });
     state::JobId job = fixture.submit("a", wholeWorker);
     fixture.step(makeCellPlacement({}));
-    ASSERT_TRUE(fixture.placement.occupants().at(job).options.withinGuarantee);
+    ASSERT_EQ(fixture.placement.occupants().at(job).options.withinGuarantee, true);
     fixture.guarantee("a", { { .accelerators = 4, .adjacency = Adjacency::Worker } });
-    EXPECT_FALSE(fixture.placement.occupants().at(job).options.withinGuarantee);
+    EXPECT_EQ(fixture.placement.occupants().at(job).options.withinGuarantee, std::nullopt);
 }
 
 } // namespace lentilsaddle::coordination
