--- a/coordination/TimelineCollection.cpp
+++ b/coordination/TimelineCollection.cpp
@@ -19,7 +19,7 @@
         m_answer.events.insert(
             m_answer.events.end(), std::move_iterator(events->begin()), std::move_iterator(events->end()));
     else
-        (void)instance;
+        m_answer.missing.push_back(instance);
     if (--m_missingAnswers > 0)
         return;
     std::sort(m_answer.events.begin(), m_answer.events.end(), [](const state::Event& a, const state::Event& b) {
--- a/tests/coordination/RequestTaskFixture.h
+++ b/tests/coordination/RequestTaskFixture.h
@@ -13,6 +13,8 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <mutex>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,11 +58,17 @@
 
     /// Starts an instance that is configured and knows the backend server.
     RequestTask& startInstance(const std::string& name, RequestTaskOptions options = {})
+    {
+        return startInstance(name, options, { runner("r1", m_backend.address()) });
+    }
+
+    RequestTask& startInstance(
+        const std::string& name, RequestTaskOptions options, std::vector<state::InstanceInfo> instances)
     {
         RequestTask& task = startUnconfigured(name, options);
+        instances.push_back(entry(name));
         task.post({ .body = RequestMessage::Configure { .configuration = configuration(), .ready = true } });
-        task.post(
-            { .body = RequestMessage::Instances { .instances = { entry(name), runner("r1", m_backend.address()) } } });
+        task.post({ .body = RequestMessage::Instances { .instances = std::move(instances) } });
         // Once this is refused, the configuration is in force and the ledger's stream is read.
         RequestMessage::ServiceRequest barrier = request("barrier");
         barrier.service = state::ServiceId("none");
@@ -75,15 +83,20 @@
             .instance = state::InstanceId(name),
             .dataCentre = state::DataCentreId("norte-ovi"),
             .incarnation = m_incarnation,
-            .monotonicClock = [this] { return std::chrono::steady_clock::now() + m_pause.load(); },
+            .monotonicClock
+            = [this] { return (m_frozen ? m_started : std::chrono::steady_clock::now()) + m_pause.load(); },
             .wallClock = [] { return state::WallTime(); },
-            .random = [this] { return m_random += 0x9E3779B97F4A7C15; },
+            .random =
+                [this] {
+                    std::lock_guard lock(m_eventMutex);
+                    return m_random();
+                },
             .recordEvent =
                 [this](const std::string&, const std::string& kind, const std::string&) {
                     std::lock_guard lock(m_eventMutex);
                     m_events.push_back(kind);
                 },
-            .faultPoint = [this](std::string_view step) { m_atStep(step); },
+            .faultPoint = [this, name](std::string_view step) { m_atStep(name, step); },
             .metrics = &m_metrics,
         };
         m_tasks.push_back(
@@ -128,6 +141,9 @@
         drained.get_future().wait();
     }
 
+    /// @return whether the metrics have this line.
+    bool hasMetric(const std::string& line) const { return m_metrics.render().find(line + "\n") != std::string::npos; }
+
     /// @return kinds of the events since the last call.
     std::vector<std::string> takeEvents()
     {
@@ -140,10 +156,14 @@
     transport::Metrics m_metrics;
     /// Makes the clock jump, as when the process was paused.
     std::atomic<std::chrono::milliseconds> m_pause { std::chrono::milliseconds(0) };
-    std::function<void(std::string_view)> m_atStep = [](std::string_view) {};
+    /// Stops the clock, so that counts in a window of time do not depend on the machine.
+    std::atomic<bool> m_frozen = false;
+    std::function<void(const std::string& instance, std::string_view step)> m_atStep
+        = [](const std::string&, std::string_view) {};
 
 private:
-    std::atomic<std::uint64_t> m_random = 1;
+    const state::MonotonicTime m_started = std::chrono::steady_clock::now();
+    std::mt19937_64 m_random { 20261204 };
     std::uint64_t m_incarnation = 0;
     std::mutex m_eventMutex;
     std::vector<std::string> m_events;
