Wait for the request ledger before tests of non-repeatable requests

Cause: right after a service is configured an instance refuses non-repeatable requests as not run (ledger_incomplete) until it has read the service's stream.

--- a/tests/process/ProcessTest.cpp
+++ b/tests/process/ProcessTest.cpp
@@ -17,6 +17,8 @@
 {
     ASSERT_TRUE(m_harness.startEntries());
     ASSERT_TRUE(m_harness.applyConfiguration());
+    for (int i = 0; i < m_harness.entryCount(); ++i)
+        ASSERT_TRUE(waitForLedger(i));
 }
 
 HttpReply ProcessTest::request(int entry, const Request& request) const
@@ -62,6 +64,15 @@
     return view.is_object() ? view : json::object();
 }
 
+bool ProcessTest::waitForLedger(int entry) const
+{
+    std::string name = "ledger-" + m_harness.entryName(entry);
+    return ProcessHarness::waitUntil(name + " is read", [&] {
+        HttpReply reply = request(entry, { .id = name, .key = name });
+        return reply.status != 0 && reply.body.find("ledger_incomplete") == std::string::npos;
+    });
+}
+
 bool ProcessTest::waitForJob(int entry, const std::string& id, const std::string& state) const
 {
     return ProcessHarness::waitUntil(id + " is " + state, [&] { return job(entry, id).value("state", "") == state; });
--- a/tests/process/ProcessTest.h
+++ b/tests/process/ProcessTest.h
@@ -43,6 +43,8 @@
 
     int version(int entry) const;
     nlohmann::json job(int entry, const std::string& id) const;
+    /// Waits until an instance has read the service's request ledger and so may serve non-repeatable requests.
+    bool waitForLedger(int entry) const;
     bool waitForJob(int entry, const std::string& id, const std::string& state) const;
     /// Waits until an instance other than `excluded` is known as scheduler.
     /// @return its index, or -1.
--- a/tests/process/RequestProcessTest.cpp
+++ b/tests/process/RequestProcessTest.cpp
@@ -50,6 +50,7 @@
     EXPECT_EQ(request(1, { .id = "r-2", .key = "order-1" }).header("request-outcome"), "unknown");
     m_harness.startEntry(0);
     ASSERT_TRUE(m_harness.waitUntil("the instance is ready again", [this] { return m_harness.ready(0); }));
+    ASSERT_TRUE(waitForLedger(0));
     EXPECT_EQ(request(0, { .id = "r-3", .key = "order-1" }).header("request-outcome"), "unknown");
     EXPECT_EQ(runsOfKey("order-1"), 1);
 }
