Tell an unrecorded attempt from the recorded one

A scheduler that cannot reach the log may start attempt n of a job unrecorded; its successor claims attempt n under another token. Renewal answers and stray tasks were matched by attempt number, so the unrecorded task passed for a task of the recorded gang. They are now matched by fencing token. Numbering unrecorded attempts apart was ruled out because the log decides the number.

--- a/coordination/GangRunnerRenewal.cpp
+++ b/coordination/GangRunnerRenewal.cpp
@@ -25,7 +25,7 @@
     const state::Worker* target = m_hooks.findWorker(worker);
     for (const WorkerTask& task : tasks) {
         auto found = m_gangs.find(task.job);
-        bool known = found != m_gangs.end() && found->second.claim.attempt == task.attempt;
+        bool known = found != m_gangs.end() && found->second.claim.token == task.token;
         if (known || !target)
             continue;
         WorkerLease stray {
@@ -90,7 +90,9 @@
 void GangRunner::reportTask(const WorkerId& worker, const WorkerTask& task)
 {
     auto found = m_gangs.find(task.job);
-    if (found == m_gangs.end() || found->second.claim.attempt != task.attempt)
+    // An attempt that a cut-off scheduler started unrecorded has the number of the next recorded one, but another
+    // token.
+    if (found == m_gangs.end() || found->second.claim.token != task.token)
         return;
     if (task.state == WorkerTask::State::Failed)
         m_hooks.onStartResult(worker, task.job, false);
--- a/coordination/GangScheduler.cpp
+++ b/coordination/GangScheduler.cpp
@@ -350,7 +350,6 @@
     case Phase::Starting:
         return "starting";
     case Phase::Running:
-    case Phase::Succeeded:
         return "running";
     default:
         return "stopping";
--- a/coordination/GangSchedulerPlanning.cpp
+++ b/coordination/GangSchedulerPlanning.cpp
@@ -114,7 +114,9 @@
         m_outbox.resend(now);
     auto release = m_queue.nextRelease(m_plannedAt);
     auto change = m_fleet.quarantine().nextChange(m_plannedAt);
-    bool due = (release && *release <= now) || (change && *change <= now);
+    MonotonicTime silentUntil = m_takeover.silentUntil();
+    bool due = (release && *release <= now) || (change && *change <= now)
+        || (silentUntil > m_plannedAt && silentUntil <= now);
     if (m_planDue || due)
         plan(now);
 }
--- a/coordination/SchedulerTaskRole.cpp
+++ b/coordination/SchedulerTaskRole.cpp
@@ -186,7 +186,7 @@
     MonotonicTime time = now();
     std::optional<MonotonicTime> next;
     for (const auto& candidate : { m_submissions.nextDeadline(), m_scheduler->nextTick(time), m_guardian->nextTick(),
-             m_claimAt, m_onDrained.empty() ? std::nullopt : std::optional(m_roleRetryAt) }) {
+             m_claimAt, m_onDrained.empty() || m_roleRetryAt <= time ? std::nullopt : std::optional(m_roleRetryAt) }) {
         if (candidate)
             next = next ? std::min(*next, *candidate) : candidate;
     }
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -28,36 +28,36 @@
 
 namespace {
 
-// Random numbers for identifiers and for spreading load; safe from any thread.
-std::function<std::uint64_t()> makeRandomSource()
-{
-    struct Source {
-        std::mutex mutex;
-        std::mt19937_64 engine { std::random_device {}() };
-    };
-    auto source = std::make_shared<Source>();
-    return [source] {
-        std::lock_guard lock(source->mutex);
-        return source->engine();
-    };
-}
-
-state::WallTime readWallClock()
-{
-    return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
-}
-
-// Calls the hook after it was itself called a number of times, from any threads.
-std::function<void()> afterCalls(int count, std::function<void()> hook)
-{
-    auto remaining = std::make_shared<std::atomic<int>>(count);
-    return [remaining, hook = std::move(hook)] {
-        if (--*remaining == 0)
-            hook();
-    };
-}
-
-}
+    // Random numbers for identifiers and for spreading load; safe from any thread.
+    std::function<std::uint64_t()> makeRandomSource()
+    {
+        struct Source {
+            std::mutex mutex;
+            std::mt19937_64 engine { std::random_device {}() };
+        };
+        auto source = std::make_shared<Source>();
+        return [source] {
+            std::lock_guard lock(source->mutex);
+            return source->engine();
+        };
+    }
+
+    state::WallTime readWallClock()
+    {
+        return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
+    }
+
+    // Calls the hook after it was itself called a number of times, from any threads.
+    std::function<void()> afterCalls(int count, std::function<void()> hook)
+    {
+        auto remaining = std::make_shared<std::atomic<int>>(count);
+        return [remaining, hook = std::move(hook)] {
+            if (--*remaining == 0)
+                hook();
+        };
+    }
+
+} // namespace
 
 Daemon::Daemon(state::Settings settings)
     : m_settings(std::move(settings))
@@ -91,14 +91,15 @@
         .monotonicClock = [] { return std::chrono::steady_clock::now(); },
         .wallClock = readWallClock,
         .random = random,
-        .recordEvent = [this](std::string subject, std::string kind, std::string detail) {
-            m_timeline->post({ .body = coordination::TimelineMessage::Add {
-                                   .time = readWallClock(),
-                                   .subject = std::move(subject),
-                                   .kind = std::move(kind),
-                                   .detail = std::move(detail),
-                               } });
-        },
+        .recordEvent =
+            [this](std::string subject, std::string kind, std::string detail) {
+                m_timeline->post({ .body = coordination::TimelineMessage::Add {
+                                       .time = readWallClock(),
+                                       .subject = std::move(subject),
+                                       .kind = std::move(kind),
+                                       .detail = std::move(detail),
+                                   } });
+            },
         .faultPoint = [](std::string_view) {},
         .metrics = &m_metrics,
     };
@@ -108,9 +109,12 @@
 {
     auto postLog = [this](coordination::LogMessage message) { m_log->post(std::move(message)); };
     m_timeline = std::make_unique<coordination::TimelineTask>(m_settings.instance, m_settings.timelineCapacity);
-    m_log = std::make_unique<coordination::LogTask>(m_environment, coordination::LogTaskOptions { .platformUrl = m_settings.platformUrl });
-    m_configuration = std::make_unique<coordination::ConfigurationTask>(m_environment, coordination::ConfigurationTaskOptions {}, postLog);
-    m_requests = std::make_unique<coordination::RequestTask>(m_environment, coordination::RequestTaskOptions {}, postLog);
+    m_log = std::make_unique<coordination::LogTask>(
+        m_environment, coordination::LogTaskOptions { .platformUrl = m_settings.platformUrl });
+    m_configuration = std::make_unique<coordination::ConfigurationTask>(
+        m_environment, coordination::ConfigurationTaskOptions {}, postLog);
+    m_requests
+        = std::make_unique<coordination::RequestTask>(m_environment, coordination::RequestTaskOptions {}, postLog);
     m_scheduler = std::make_unique<coordination::SchedulerTask>(m_environment,
         coordination::SchedulerTaskOptions {
             .platformUrl = m_settings.platformUrl,
@@ -122,33 +126,54 @@
         },
         coordination::SchedulerTaskHooks {
             .postLog = postLog,
-            .onRole = [this](coordination::PeerMessage::SchedulerRole role) { m_peers->post({ .body = std::move(role) }); },
+            .onRole
+            = [this](coordination::PeerMessage::SchedulerRole role) { m_peers->post({ .body = std::move(role) }); },
             .placementPolicy = coordination::firstFitPlacement,
         });
     m_peers = std::make_unique<coordination::PeerTask>(m_environment,
-        coordination::PeerTaskOptions { .address = m_settings.peerAddress, .port = m_settings.peerPort, .platformUrl = m_settings.platformUrl },
+        coordination::PeerTaskOptions {
+            .address = m_settings.peerAddress, .port = m_settings.peerPort, .platformUrl = m_settings.platformUrl },
         coordination::PeerTaskHooks {
-            .onInstances = [this](std::vector<state::InstanceInfo> instances) {
-                m_requests->post({ .body = coordination::RequestMessage::Instances { .instances = std::move(instances) } });
-            },
-            .onMembers = [this](std::vector<state::InstanceInfo> members, bool suspected) {
-                m_scheduler->post({ .body = coordination::SchedulerMessage::Members { .members = std::move(members), .schedulerSuspected = suspected } });
-            },
-            .readTimeline = [this](std::string subject, std::function<void(std::vector<state::Event>)> reply) {
-                m_timeline->post({ .body = coordination::TimelineMessage::Read { .subject = std::move(subject), .reply = std::move(reply) } });
-            },
-            .snapshotForPeer = [this](std::function<void(std::optional<state::Record::ConfigurationSnapshot>)> reply) {
-                m_configuration->post({ .body = coordination::ConfigurationMessage::SnapshotForPeer { .reply = std::move(reply) } });
-            },
-            .onPeerSnapshot = [this](state::Record::ConfigurationSnapshot snapshot) {
-                m_configuration->post({ .body = coordination::ConfigurationMessage::PeerSnapshot { .snapshot = std::move(snapshot) } });
-            },
-            .relayRead = [this](std::string stream, state::LogOffset offset, std::chrono::milliseconds wait, std::function<void(protocol::LogClient::ReadResult)> reply) {
-                m_log->post({ .body = coordination::LogMessage::RelayRead { .stream = std::move(stream), .offset = offset, .wait = wait, .onResult = std::move(reply) } });
-            },
-            .relayAppend = [this](std::string stream, std::vector<std::string> records, std::function<void(bool, state::LogOffset)> reply) {
-                m_log->post({ .body = coordination::LogMessage::RelayAppend { .stream = std::move(stream), .records = std::move(records), .onResult = std::move(reply) } });
-            },
+            .onInstances =
+                [this](std::vector<state::InstanceInfo> instances) {
+                    m_requests->post(
+                        { .body = coordination::RequestMessage::Instances { .instances = std::move(instances) } });
+                },
+            .onMembers =
+                [this](std::vector<state::InstanceInfo> members, bool suspected) {
+                    m_scheduler->post({ .body = coordination::SchedulerMessage::Members {
+                                            .members = std::move(members), .schedulerSuspected = suspected } });
+                },
+            .readTimeline =
+                [this](std::string subject, std::function<void(std::vector<state::Event>)> reply) {
+                    m_timeline->post({ .body = coordination::TimelineMessage::Read {
+                                           .subject = std::move(subject), .reply = std::move(reply) } });
+                },
+            .snapshotForPeer =
+                [this](std::function<void(std::optional<state::Record::ConfigurationSnapshot>)> reply) {
+                    m_configuration->post(
+                        { .body = coordination::ConfigurationMessage::SnapshotForPeer { .reply = std::move(reply) } });
+                },
+            .onPeerSnapshot =
+                [this](state::Record::ConfigurationSnapshot snapshot) {
+                    m_configuration->post({ .body
+                        = coordination::ConfigurationMessage::PeerSnapshot { .snapshot = std::move(snapshot) } });
+                },
+            .relayRead =
+                [this](std::string stream, state::LogOffset offset, std::chrono::milliseconds wait,
+                    std::function<void(protocol::LogClient::ReadResult)> reply) {
+                    m_log->post({ .body = coordination::LogMessage::RelayRead { .stream = std::move(stream),
+                                      .offset = offset,
+                                      .wait = wait,
+                                      .onResult = std::move(reply) } });
+                },
+            .relayAppend =
+                [this](std::string stream, std::vector<std::string> records,
+                    std::function<void(bool, state::LogOffset)> reply) {
+                    m_log->post({ .body = coordination::LogMessage::RelayAppend { .stream = std::move(stream),
+                                      .records = std::move(records),
+                                      .onResult = std::move(reply) } });
+                },
         });
 }
 
@@ -158,7 +183,8 @@
     coordination::ApiTaskHooks hooks {
         .postRequest = [this](coordination::RequestMessage message) { m_requests->post(std::move(message)); },
         .postScheduler = [this](coordination::SchedulerMessage message) { m_scheduler->post(std::move(message)); },
-        .postConfiguration = [this](coordination::ConfigurationMessage message) { m_configuration->post(std::move(message)); },
+        .postConfiguration
+        = [this](coordination::ConfigurationMessage message) { m_configuration->post(std::move(message)); },
         .postPeer = [this](coordination::PeerMessage message) { m_peers->post(std::move(message)); },
         .postTimeline = [this](coordination::TimelineMessage message) { m_timeline->post(std::move(message)); },
         .startDrain = [this] { startDrain([] {}); },
@@ -168,13 +194,19 @@
 
 void Daemon::connectTasks()
 {
-    m_configuration->post({ .body = coordination::ConfigurationMessage::Watch { .onChange = [this](const coordination::ConfigurationMessage::View& view) {
-        m_requests->post({ .body = coordination::RequestMessage::Configure { .configuration = view.configuration, .ready = view.ready } });
-        m_scheduler->post({ .body = coordination::SchedulerMessage::Configure { .configuration = view.configuration, .ready = view.ready } });
-        m_peers->post({ .body = coordination::PeerMessage::ConfigurationVersion { .version = view.configuration ? view.configuration->version : 0 } });
-    } } });
+    m_configuration->post(
+        { .body = coordination::ConfigurationMessage::Watch {
+              .onChange = [this](const coordination::ConfigurationMessage::View& view) {
+                  m_requests->post({ .body = coordination::RequestMessage::Configure {
+                                         .configuration = view.configuration, .ready = view.ready } });
+                  m_scheduler->post({ .body = coordination::SchedulerMessage::Configure {
+                                          .configuration = view.configuration, .ready = view.ready } });
+                  m_peers->post({ .body = coordination::PeerMessage::ConfigurationVersion {
+                                      .version = view.configuration ? view.configuration->version : 0 } });
+              } } });
     m_log->post({ .body = coordination::LogMessage::WatchReachability { .onChange = [this](bool reachable) {
-        m_configuration->post({ .body = coordination::ConfigurationMessage::LogReachability { .reachable = reachable } });
+        m_configuration->post(
+            { .body = coordination::ConfigurationMessage::LogReachability { .reachable = reachable } });
         m_requests->post({ .body = coordination::RequestMessage::LogReachability { .reachable = reachable } });
         m_scheduler->post({ .body = coordination::SchedulerMessage::LogReachability { .reachable = reachable } });
         m_peers->post({ .body = coordination::PeerMessage::LogReachability { .reachable = reachable } });
@@ -219,4 +251,4 @@
     return finished;
 }
 
-}
+} // namespace lentilsaddle::daemon
--- a/daemon/Daemon.h
+++ b/daemon/Daemon.h
@@ -17,7 +17,7 @@
 class RequestTask;
 class SchedulerTask;
 class TimelineTask;
-}
+} // namespace lentilsaddle::coordination
 
 namespace lentilsaddle::daemon {
 
@@ -31,8 +31,8 @@
 
     void start();
 
-    /// Finishes the requests in hand and hands over the scheduler role, then stops all tasks. Blocks until done or until
-    /// the shutdown limit has passed.
+    /// Finishes the requests in hand and hands over the scheduler role, then stops all tasks. Blocks until done or
+    /// until the shutdown limit has passed.
     /// @return whether everything was finished in time.
     bool shutDown();
 
@@ -55,4 +55,4 @@
     std::unique_ptr<coordination::ApiTask> m_api;
 };
 
-}
+} // namespace lentilsaddle::daemon
--- a/tests/coordination/SchedulerTaskTest.cpp
+++ b/tests/coordination/SchedulerTaskTest.cpp
@@ -193,6 +193,9 @@
     EXPECT_EQ(submit(task, job("lost")).reason, "log_unavailable");
     m_log.setStatus(FakeJobStream::Status::Unresolved);
     EXPECT_EQ(submit(task, job("open")).status, Answer::Status::Unknown);
+    m_log.setStatus(FakeJobStream::Status::Appended);
+    task.post({ .body = SchedulerMessage::LogReachability { false } });
+    EXPECT_EQ(submit(task, job("away")).reason, "log_unavailable");
     EXPECT_EQ(m_log.all<Record::JobSubmitted>().size(), 1U);
 }
 
@@ -301,6 +304,18 @@
     EXPECT_TRUE(m_log.all<Record::AttemptEnded>().empty());
 }
 
+// Guards against a scheduler that acts on an old epoch because the log that ended it cannot be read.
+TEST_F(SchedulerTaskTest, SchedulerFencedByAWorkerStops)
+{
+    SchedulerTask& task = start("e1");
+    submit(task, job("j"));
+    ASSERT_TRUE(reaches(task, "j", "running"));
+    m_platform.run([&] { m_platform.m_workers["w0"].epoch = 9; });
+    EXPECT_TRUE(eventually([&] { return !status(task).isScheduler; }));
+    EXPECT_EQ(m_platform.count("j", "running"), 2);
+    EXPECT_TRUE(m_log.all<Record::AttemptEnded>().empty());
+}
+
 // Guards against a role that stays with an instance that leaves.
 TEST_F(SchedulerTaskTest, DrainHandsTheRoleOver)
 {
@@ -333,6 +348,7 @@
     m_platform.finish("first", "failed");
     ASSERT_TRUE(reaches(task, "second", "running"));
     m_platform.finish("second", "succeeded");
+    ASSERT_TRUE(reaches(task, "second", "stopping"));
     EXPECT_EQ(stateOf(task, "once"), "queued");
     EXPECT_EQ(m_log.all<Record::StartClaim>().size(), 1U);
     m_log.setStatus(FakeJobStream::Status::Appended);
@@ -376,6 +392,24 @@
     EXPECT_TRUE(reaches(task, "old", "running"));
 }
 
+// Guards against a task that a cut-off scheduler started unrecorded and that passes for one of the recorded attempt.
+TEST_F(SchedulerTaskTest, UnrecordedAttemptIsToldFromTheRecordedOne)
+{
+    appendEarlier(Record::SchedulerClaim { .epoch = 1, .vacant = false });
+    appendEarlier(Record::JobSubmitted { job("j") });
+    FakePlatform::Task unrecorded { .job = "j", .attempt = 1, .epoch = 1, .sequence = 9, .state = "running" };
+    m_platform.run([&] {
+        m_platform.m_workers["w1"].tasks.push_back(unrecorded);
+        m_platform.m_workers["w2"].tasks.push_back(unrecorded);
+        m_platform.m_workers["w2"].ignored = { "all" };
+    });
+    SchedulerTask& task = start("e1");
+    ASSERT_TRUE(reaches(task, "j", "running"));
+    m_platform.run([&] { m_platform.m_workers["w2"].ignored.clear(); });
+    EXPECT_TRUE(eventually([&] { return m_platform.count("j", "running") == 2; }));
+    m_platform.run([&] { EXPECT_TRUE(m_platform.m_workers["w2"].tasks.empty()); });
+}
+
 // Guards against a borrower that is stopped without its checkpoint, forgotten, or counted as failed.
 TEST_F(SchedulerTaskTest, PreemptedJobIsCheckpointedAndQueuedAgain)
 {
--- a/tests/coordination/decisions/GangCoordinatorTest.cpp
+++ b/tests/coordination/decisions/GangCoordinatorTest.cpp
@@ -99,6 +99,7 @@
         static std::vector<WorkerId> names(int count)
         {
             std::vector<WorkerId> result;
+            result.reserve(static_cast<std::size_t>(count));
             for (int i = 0; i < count; ++i)
                 result.emplace_back("w" + std::to_string(i));
             return result;
--- a/tests/protocol/RecordCodecTest.cpp
+++ b/tests/protocol/RecordCodecTest.cpp
@@ -45,4 +45,28 @@
     EXPECT_THROW(decodeRecord(""), ProtocolError);
 }
 
+// Guards against a reader that starts at a snapshot and does not know what the others know.
+TEST(RecordCodec, JobSnapshotSurvivesARoundTrip)
+{
+    state::Record::JobSnapshotEntry entry { .specification = { .id = state::JobId("j"),
+                                                .account = state::AccountId("a"),
+                                                .shape = { .tasks = 2 },
+                                                .declaredRunTime = std::chrono::seconds(5) },
+        .attempts = 2,
+        .failures = 1,
+        .claim = state::Record::StartClaim { .job = state::JobId("j"), .attempt = 2 },
+        .state = "claimed",
+        .reason = "r",
+        .lastOutcome = "failed",
+        .cancelRequested = true,
+        .failedWorkers = { state::WorkerId("w") } };
+    state::Record::JobSnapshot snapshot {
+        .epoch = 3, .scheduler = state::InstanceId("e"), .schedulerIncarnation = 4, .jobs = { entry }, .nextOffset = 7
+    };
+    state::Record decoded = decodeRecord(encodeRecord({ .origin = {}, .body = snapshot }));
+    EXPECT_EQ(std::get<state::Record::JobSnapshot>(decoded.body), snapshot);
+    state::Record vacant { .origin = {}, .body = state::Record::SchedulerClaim { .epoch = 2, .vacant = true } };
+    EXPECT_TRUE(std::get<state::Record::SchedulerClaim>(decodeRecord(encodeRecord(vacant)).body).vacant);
+}
+
 } // namespace lentilsaddle::protocol
--- /dev/null
+++ b/tests/protocol/WorkerDirectoryTest.cpp
@@ -0,0 +1,17 @@
+#include "protocol/WorkerDirectory.h"
+
+#include "protocol/ProtocolError.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::protocol {
+
+// Guards against planning on a list of workers that was read in part.
+TEST(WorkerDirectory, UnreadableListIsAnError)
+{
+    EXPECT_EQ(decodeWorkers(R"({"workers":[{"id":"w","rack":"r","accelerators":8,"address":"a"}]})").size(), 1U);
+    EXPECT_THROW(decodeWorkers(R"({"workers":[{"id":"w","rack":"r","accelerators":9,"address":"a"}]})"), ProtocolError);
+    EXPECT_THROW(decodeWorkers(R"({"workers":[{"rack":"r"}]})"), ProtocolError);
+}
+
+} // namespace lentilsaddle::protocol
