Drain waits for attempts that are being stopped

A drain during a start handed the role over while the gang was still being released, so the successor found no tasks and recorded the end as unknown, which ends a non-repeatable job that in fact was refused. The drain now waits until the end is recorded, for at most 5 s, since an unreachable worker would delay it by a lease term. It still never hands over while a start is under way.

--- a/coordination/GangRunner.cpp
+++ b/coordination/GangRunner.cpp
@@ -291,6 +291,14 @@
     });
 }
 
+bool GangRunner::endInFlight() const
+{
+    return std::any_of(m_gangs.begin(), m_gangs.end(), [](const auto& entry) {
+        Phase phase = entry.second.coordinator.phase();
+        return phase == Phase::Checkpointing || phase == Phase::Releasing || phase == Phase::Settled;
+    });
+}
+
 std::size_t GangRunner::running() const
 {
     return static_cast<std::size_t>(std::count_if(m_gangs.begin(), m_gangs.end(),
--- a/coordination/GangRunner.h
+++ b/coordination/GangRunner.h
@@ -72,8 +72,10 @@
 
     const GangCoordinator* find(const state::JobId& job) const;
     const state::Record::StartClaim* claim(const state::JobId& job) const;
-    /// @return whether an attempt has not yet started or ended all of its tasks.
+    /// @return whether an attempt has not yet started or given up all of its tasks.
     bool startInFlight() const;
+    /// @return whether an attempt is being stopped or its end is not recorded yet.
+    bool endInFlight() const;
     std::size_t running() const;
     bool empty() const { return m_gangs.empty(); }
 
--- a/coordination/GangScheduler.cpp
+++ b/coordination/GangScheduler.cpp
@@ -274,11 +274,6 @@
     m_planDue = true;
 }
 
-bool GangScheduler::quiet() const
-{
-    return m_claiming.empty() && !m_runner.startInFlight() && (m_outbox.empty() || !m_logReachable);
-}
-
 void GangScheduler::recordOutcomes()
 {
     std::set<JobId> outcomes = std::exchange(m_outcomes, {});
--- a/coordination/GangScheduler.h
+++ b/coordination/GangScheduler.h
@@ -69,8 +69,10 @@
 
     /// Starts nothing more, so that the role can be handed over.
     void stopStarting() { m_starting = false; }
-    /// @return whether the role can be handed over without leaving a start or an end half recorded.
-    bool quiet() const;
+    /// @return whether a start is under way, so that the role must not be handed over.
+    bool startInFlight() const { return !m_claiming.empty() || m_runner.startInFlight(); }
+    /// @return whether an end is under way whose outcome the successor would know less exactly.
+    bool endInFlight() const { return m_runner.endInFlight() || (m_logReachable && !m_outbox.empty()); }
 
     /// Does what is due and plans if something changed.
     void tick(state::MonotonicTime now);
--- a/coordination/SchedulerTask.cpp
+++ b/coordination/SchedulerTask.cpp
@@ -241,7 +241,8 @@
 
 void SchedulerTask::handle(SchedulerMessage::Drain message)
 {
-    m_draining = true;
+    if (!std::exchange(m_draining, true))
+        m_drainLimit = now() + m_options.drainLimit;
     m_onDrained.push_back(std::move(message.onDrained));
     m_scheduler->stopStarting();
 }
--- a/coordination/SchedulerTask.h
+++ b/coordination/SchedulerTask.h
@@ -62,6 +62,8 @@
     void appendRole(bool vacant);
     void roleAppended();
     void advanceDrain();
+    /// @return a time that the drain waits for, or nothing if there is no drain or the time is past.
+    std::optional<state::MonotonicTime> drainStep(state::MonotonicTime step, state::MonotonicTime now) const;
     void appendSnapshotIfDue();
     state::MonotonicTime now() const { return m_environment.monotonicClock(); }
 
@@ -93,6 +95,7 @@
     std::optional<state::MonotonicTime> m_claimAt;
 
     bool m_draining = false;
+    state::MonotonicTime m_drainLimit;
     std::vector<std::function<void()>> m_onDrained;
 
     int m_recordsSinceSnapshot = 0;
--- a/coordination/SchedulerTaskOptions.h
+++ b/coordination/SchedulerTaskOptions.h
@@ -32,6 +32,9 @@
     std::chrono::milliseconds fenceRetry { 5'000 };
     /// How long a worker that fails everything gets no job before it is probed.
     std::chrono::milliseconds quarantineDuration { 60'000 };
+    /// How long a drain waits for attempts that are being stopped; an unreachable worker would delay it by a lease
+    /// term.
+    std::chrono::milliseconds drainLimit { 5'000 };
     /// Records between two snapshots.
     int snapshotInterval = 1'000;
 };
--- a/coordination/SchedulerTaskRole.cpp
+++ b/coordination/SchedulerTaskRole.cpp
@@ -128,7 +128,8 @@
     if (!m_draining || m_onDrained.empty())
         return;
     bool mine = m_table.isScheduler(m_environment.instance, m_environment.incarnation) && m_scheduler->active();
-    if (mine && !m_scheduler->quiet())
+    bool ending = m_scheduler->endInFlight() && now() < m_drainLimit;
+    if (mine && (m_scheduler->startInFlight() || ending))
         return;
     // Without the log the role cannot be handed over; the others take it over when heartbeats end.
     if (mine && m_logReachable) {
@@ -140,6 +141,11 @@
         onDrained();
 }
 
+std::optional<MonotonicTime> SchedulerTask::drainStep(MonotonicTime step, MonotonicTime now) const
+{
+    return m_onDrained.empty() || step <= now ? std::nullopt : std::optional(step);
+}
+
 void SchedulerTask::appendSnapshotIfDue()
 {
     bool due = m_snapshotDue || m_recordsSinceSnapshot >= m_options.snapshotInterval;
@@ -186,7 +192,7 @@
     MonotonicTime time = now();
     std::optional<MonotonicTime> next;
     for (const auto& candidate : { m_submissions.nextDeadline(), m_scheduler->nextTick(time), m_guardian->nextTick(),
-             m_claimAt, m_onDrained.empty() || m_roleRetryAt <= time ? std::nullopt : std::optional(m_roleRetryAt) }) {
+             m_claimAt, drainStep(m_roleRetryAt, time), drainStep(m_drainLimit, time) }) {
         if (candidate)
             next = next ? std::min(*next, *candidate) : candidate;
     }
--- a/tests/coordination/SchedulerTaskTest.cpp
+++ b/tests/coordination/SchedulerTaskTest.cpp
@@ -332,6 +332,21 @@
     EXPECT_EQ(m_platform.starts("j", 2), 0);
 }
 
+// Guards against a role that is handed over in the middle of a start.
+TEST_F(SchedulerTaskTest, DrainWaitsForTheStartInFlight)
+{
+    m_platform.run([&] { m_platform.m_workers["w1"].ignored = { "start" }; });
+    SchedulerTask& task = start("e1");
+    submit(task, job("j"));
+    ASSERT_TRUE(reaches(task, "j", "starting"));
+    std::promise<void> drained;
+    task.post({ .body = SchedulerMessage::Drain { [&] { drained.set_value(); } } });
+    drained.get_future().wait();
+    EXPECT_TRUE(m_log.all<Record::SchedulerClaim>().back().vacant);
+    EXPECT_EQ(m_log.all<Record::AttemptEnded>().size(), 1U);
+    EXPECT_EQ(m_platform.count("j", "running"), 0);
+}
+
 // Guards against an outage that stops the scheduler from starting jobs, and against records it never hands in later.
 TEST_F(SchedulerTaskTest, RepeatableQueuedJobStartsWithoutTheLog)
 {
