--- a/coordination/GangScheduler.cpp
+++ b/coordination/GangScheduler.cpp
@@ -274,11 +274,6 @@
     m_planDue = true;
 }
 
-bool GangScheduler::quiet() const
-{
-    return m_claiming.empty() && !m_runner.startInFlight() && (m_outbox.empty() || !m_logReachable);
-}
-
 void GangScheduler::recordOutcomes()
 {
     std::set<JobId> outcomes = std::exchange(m_outcomes, {});
@@ -350,7 +345,6 @@
     case Phase::Starting:
         return "starting";
     case Phase::Running:
-    case Phase::Succeeded:
         return "running";
     default:
         return "stopping";
