Report the placement measurements and give the weight an effect

Cause: completion weights 0.8 and 0.2 gave nearly the same placements.

Below 0.5, jobs within their guarantee now go to the fullest workers rather than to their account's own cells.

The scale benchmark also measures decisions after a takeover and with a lost rack. Its urgent job must really reclaim: the regression test found a case where a job of the same account already ran in the guarantee.

--- a/bench/ScaleBench.cpp
+++ b/bench/ScaleBench.cpp
@@ -67,16 +67,19 @@
             scale.queue.push_back(job("cell-" + std::to_string(i), accountId(i),
                 { .tasks = 8, .acceleratorsPerTask = 1, .adjacency = Adjacency::Rack }));
         }
+        // Every other one belongs to an account with a guarantee, but not to the urgent job's, which must have to
+        // reclaim.
         int borrowers = scale.placement.accelerators() / 4;
         for (int i = 0; i < borrowers; ++i) {
-            scale.queue.push_back(job("borrower-" + std::to_string(10'000 + i), state::AccountId("guest"),
+            scale.queue.push_back(job("borrower-" + std::to_string(10'000 + i),
+                i % 2 == 0 ? state::AccountId("guest") : accountId(1 + i % (accounts - 1)),
                 { .tasks = 4, .acceleratorsPerTask = 1, .adjacency = Adjacency::DataCentre }));
         }
         coordination::PlacementPlan plan = policy(scale.placement, scale.queue, state::MonotonicTime());
         for (const auto& start : plan.starts) {
-            bool guest = !start.withinGuarantee;
-            scale.placement.occupy(start.job,
-                guest ? state::AccountId("guest") : accountId(std::stoi(start.job.value().substr(5))), start.placements,
+            auto queued = std::find_if(scale.queue.begin(), scale.queue.end(),
+                [&start](const coordination::QueuedJob& waiting) { return waiting.specification.id == start.job; });
+            scale.placement.occupy(start.job, queued->specification.account, start.placements,
                 { .withinGuarantee = start.withinGuarantee,
                     .expectedEnd = state::MonotonicTime(std::chrono::hours(2)) });
         }
@@ -93,6 +96,28 @@
         return total / repetitions;
     }
 
+    /// Forgets how the jobs were started.
+    void takeOver(ScaleCase& scale)
+    {
+        auto occupants = scale.placement.occupants();
+        for (const auto& [id, occupant] : occupants) {
+            scale.placement.release(id);
+            scale.placement.occupy(id, occupant.account, occupant.placements);
+        }
+    }
+
+    /// Loses the last rack, so that some cells may lack a place.
+    void loseRack(ScaleCase& scale)
+    {
+        std::vector<state::WorkerId> lost;
+        for (const auto& [id, slots] : scale.placement.workers()) {
+            if (slots.worker.rack == scale.placement.workers().rbegin()->second.worker.rack)
+                lost.push_back(id);
+        }
+        for (const state::WorkerId& id : lost)
+            scale.placement.setAvailable(id, false);
+    }
+
     std::size_t stateBytes(int workers)
     {
         std::size_t before = mallinfo2().uordblks;
@@ -118,18 +143,23 @@
 
 void runScaleBench(std::ostream& output)
 {
-    output
-        << "| workers | accelerators | running jobs | urgent decision, ms | with 500 waiting jobs, ms | state, KB |\n"
-        << "|---|---|---|---|---|---|\n"
-        << std::fixed << std::setprecision(2);
+    output << "| workers | accelerators | running jobs | urgent decision, ms | with 500 waiting jobs, ms | "
+              "after a takeover, ms | rack lost, ms | state, KB |\n"
+           << "|---|---|---|---|---|---|---|---|\n"
+           << std::fixed << std::setprecision(2);
     coordination::PlacementPolicy policy = coordination::makeCellPlacement({});
     for (int workers : sizes) {
         std::size_t bytes = stateBytes(workers);
         ScaleCase urgent = makeScaleCase(workers, 0);
         ScaleCase queued = makeScaleCase(workers, 500);
+        ScaleCase takenOver = makeScaleCase(workers, 0);
+        takeOver(takenOver);
+        ScaleCase rackLost = makeScaleCase(workers, 0);
+        loseRack(rackLost);
         output << "| " << workers << " | " << urgent.placement.accelerators() << " | "
                << urgent.placement.occupants().size() << " | " << decisionTime(urgent, policy).count() << " | "
-               << decisionTime(queued, policy).count() << " | " << bytes / 1024 << " |\n";
+               << decisionTime(queued, policy).count() << " | " << decisionTime(takenOver, policy).count() << " | "
+               << decisionTime(rackLost, policy).count() << " | " << bytes / 1024 << " |\n";
     }
 }
 
--- a/coordination/decisions/CellPlacement.h
+++ b/coordination/decisions/CellPlacement.h
@@ -7,8 +7,9 @@
 namespace lentilsaddle::coordination {
 
 struct CellPlacementOptions {
-    /// Weight of completion time against fragmentation, 0 to 1 (`completion_weight`). A higher weight lets jobs run in
-    /// accelerators that are kept for a larger job, if they are declared to end in time.
+    /// Weight of completion time against fragmentation, 0 to 1 (`completion_weight`). A higher weight keeps shapes for
+    /// fewer waiting jobs at a time, and lends them to jobs that are declared to end in time. Below 0.5, jobs within
+    /// their guarantee go to the fullest workers rather than to the account's own cells.
     double completionWeight = 0.5;
     /// Jobs that may be started ahead of an earlier submitted one, apart from jobs within their account's guarantee.
     int maximumBypass = 32;
--- a/coordination/decisions/CellPlanner.cpp
+++ b/coordination/decisions/CellPlanner.cpp
@@ -136,7 +136,8 @@
         std::stable_sort(fits->begin(), fits->end(), better);
         fits->resize(std::min(fits->size(), maximumCheckedFits));
     }
-    ranked.insert(ranked.end(), std::make_move_iterator(others.begin()), std::make_move_iterator(others.end()));
+    ranked.insert(packsFirst() ? ranked.begin() : ranked.end(), std::make_move_iterator(others.begin()),
+        std::make_move_iterator(others.end()));
     std::stable_sort(ranked.begin(), ranked.end(), better);
     for (RankedFit& candidate : ranked) {
         if (m_cells.absorb(specification.account, candidate.fit.tasks))
--- a/coordination/decisions/CellPlanner.h
+++ b/coordination/decisions/CellPlanner.h
@@ -56,6 +56,8 @@
     std::vector<RankedFit> rankedFits(const state::GangShape& shape, const GangRoom& room) const;
     /// @return the room that the account's own cells are assigned.
     GangRoom ownRoom(const state::AccountId& account, const GangRoom& room, WorkerRoom& easy, WorkerRoom& whole) const;
+    /// @return whether fragmentation outweighs completion time.
+    bool packsFirst() const { return m_options.completionWeight < 0.5; }
     bool bypassExhausted(std::size_t job) const { return m_bypassed[job] >= m_options.maximumBypass; }
     /// @return whether the job would start ahead of one of its own account that has been passed too often.
     bool passesOwnAccount(std::size_t job);
--- a/tests/coordination/decisions/PlacementFixture.h
+++ b/tests/coordination/decisions/PlacementFixture.h
@@ -27,7 +27,7 @@
     PlacementFixture(int racks, int workersPerRack, int accelerators)
     {
         std::vector<state::Worker> workers;
-        workers.reserve(static_cast<std::size_t>(racks * workersPerRack));
+        workers.reserve(static_cast<std::size_t>(racks) * static_cast<std::size_t>(workersPerRack));
         for (int i = 0; i < racks * workersPerRack; ++i)
             workers.push_back({ .id = workerId(i),
                 .rack = state::RackId("r" + std::to_string(i / workersPerRack)),
