Handle all messages that were posted before a task stops

The loop read the stop flag after draining the mailbox, so messages posted between the drain and the stop were lost. A stop requested before the loop began skipped the drain altogether.

Ruled out: draining once more after the loop, which would run handlers when timers and sockets are gone.

--- a/transport/EventLoop.cpp
+++ b/transport/EventLoop.cpp
@@ -44,8 +44,10 @@
     m_implementation->onWake = std::move(onWake);
     ev_async_init(&m_implementation->wakeWatcher, [](struct ev_loop* loop, ev_async* watcher, int) {
         auto* self = static_cast<Implementation*>(watcher->data);
+        // Read before the callback: what was posted before the stop is then handled by this callback.
+        bool stop = self->stopping;
         self->onWake();
-        if (self->stopping)
+        if (stop)
             ev_break(loop, EVBREAK_ALL);
     });
     m_implementation->wakeWatcher.data = m_implementation.get();
@@ -64,8 +66,9 @@
 
 void EventLoop::run()
 {
-    if (!m_implementation->stopping)
-        ev_run(m_implementation->loop, 0);
+    // A stop that was requested before the loop began ends it after the pending wake callback, so that no message that
+    // was posted before the stop is lost.
+    ev_run(m_implementation->loop, 0);
 }
 
 void EventLoop::wake()
