Place gangs by guaranteed cells in the daemon

Cause: the daemon planned with first fit, which knows no guarantees. The scheduler did not tell the placement state which jobs run within their guarantee, nor which were told to stop.

The start claim now carries whether the attempt runs within its account's guarantee, because a scheduler that takes over cannot infer it and would preempt protected jobs. The weight of completion time comes from the data centre's entry in the configuration, by a hook that makes the policy anew.

Ruled out: a shared variable for the weight, since tasks share nothing.

Checked: the demo and 216 coordination tests pass.

--- a/coordination/GangScheduler.cpp
+++ b/coordination/GangScheduler.cpp
@@ -271,6 +271,9 @@
 void GangScheduler::configure(const state::Configuration& configuration)
 {
     m_placement.setGuarantees(configuration, m_environment.dataCentre);
+    auto profile = configuration.dataCentres.find(m_environment.dataCentre);
+    if (m_hooks.policyFor && profile != configuration.dataCentres.end())
+        m_hooks.placementPolicy = m_hooks.policyFor(profile->second);
     m_planDue = true;
 }
 
--- a/coordination/GangScheduler.h
+++ b/coordination/GangScheduler.h
@@ -8,6 +8,7 @@
 #include "coordination/TaskEnvironment.h"
 #include "coordination/WorkerFleet.h"
 #include "coordination/decisions/JobQueue.h"
+#include "coordination/decisions/PlacementPlan.h"
 #include "coordination/decisions/PlacementPolicy.h"
 #include "coordination/decisions/TakeoverPolicy.h"
 #include "protocol/WorkerClient.h"
@@ -29,8 +30,6 @@
 
 namespace lentilsaddle::coordination {
 
-struct PlacementPlan;
-
 /// Starts, watches and ends the gangs of one data centre while its instance is the scheduler.
 ///
 /// Belongs to the scheduler task's thread. The job table stays the task's own; what the log decides reaches this object
@@ -39,6 +38,8 @@
 public:
     struct Hooks {
         PlacementPolicy placementPolicy;
+        /// Replaces the policy when the configuration changes. May be empty.
+        std::function<PlacementPolicy(const state::DataCentreProfile&)> policyFor;
         /// Appends a record; the result returns through appended().
         RecordOutbox::Append append;
         /// A worker has seen a higher epoch, so this instance is no longer the scheduler.
@@ -105,7 +106,7 @@
     void planProbes(const std::vector<QueuedJob>& queue, state::MonotonicTime now);
     std::vector<QueuedJob> eligibleJobs(state::MonotonicTime now);
     bool eligible(const state::JobTable::Job& job, state::MonotonicTime now) const;
-    void claimStart(const state::JobId& job, const std::vector<state::TaskPlacement>& placements);
+    void claimStart(const PlacementPlan::Start& start);
     void abandonProbes(const state::Record::StartClaim& claim);
     void dropClaim(const state::JobId& job);
     bool mayStartWithoutLog(const state::JobSpecification& job) const;
--- a/coordination/GangSchedulerPlanning.cpp
+++ b/coordination/GangSchedulerPlanning.cpp
@@ -37,6 +37,13 @@
         return result;
     }
 
+    // The declared run time is a guess; after a takeover it counts from then, because no start time is recorded.
+    state::PlacementState::OccupyOptions occupyOptions(
+        const state::JobSpecification& job, const Record::StartClaim& claim, MonotonicTime now)
+    {
+        return { .withinGuarantee = claim.withinGuarantee, .expectedEnd = now + job.declaredRunTime };
+    }
+
 } // namespace
 
 void GangScheduler::recover()
@@ -91,7 +98,8 @@
         reports[placement.worker] = task == report->second.end() ? std::nullopt : std::optional(task->state);
     }
     try {
-        m_placement.occupy(claim.job, job.specification.account, claim.placements);
+        m_placement.occupy(claim.job, job.specification.account, claim.placements,
+            occupyOptions(job.specification, claim, m_environment.monotonicClock()));
     } catch (const state::StateError& error) {
         transport::writeLog(transport::LogLevel::Warning, "scheduler", "cannot occupy the place of a claimed attempt",
             { { "job", claim.job.value() }, { "error", error.what() } });
@@ -179,7 +187,7 @@
     for (const JobId& victim : plan.preemptions)
         preempt(victim);
     for (const PlacementPlan::Start& start : plan.starts)
-        claimStart(start.job, start.placements);
+        claimStart(start);
     planProbes(queue, now);
     publishMetrics();
 }
@@ -200,21 +208,24 @@
             continue;
         const PlacementPlan::Start& probe = plan.starts.front();
         m_fleet.quarantine().probeStarted(worker, probe.job);
-        claimStart(probe.job, probe.placements);
+        claimStart(probe);
     }
 }
 
-void GangScheduler::claimStart(const JobId& id, const std::vector<state::TaskPlacement>& placements)
+void GangScheduler::claimStart(const PlacementPlan::Start& start)
 {
+    const JobId& id = start.job;
     const JobTable::Job* job = m_table.find(id);
     if (!job || m_claiming.contains(id) || m_runner.find(id))
         return;
     Record::StartClaim claim { .job = id,
         .attempt = job->attempts + 1,
         .token = { .epoch = m_epoch, .sequence = ++m_sequence },
-        .placements = mergeByWorker(placements) };
+        .placements = mergeByWorker(start.placements),
+        .withinGuarantee = start.withinGuarantee };
     try {
-        m_placement.occupy(id, job->specification.account, claim.placements);
+        m_placement.occupy(id, job->specification.account, claim.placements,
+            occupyOptions(job->specification, claim, m_environment.monotonicClock()));
     } catch (const state::StateError& error) {
         transport::writeLog(transport::LogLevel::Error, "scheduler", "the placement policy chose occupied space",
             { { "job", id.value() }, { "error", error.what() } });
@@ -253,6 +264,7 @@
         return;
     m_environment.recordEvent(job.value(), "job.preempted", "");
     m_environment.metrics->increment("lentilsaddle_jobs_preempted_total");
+    m_placement.markStopping(job);
     m_runner.preempt(job);
 }
 
--- a/coordination/SchedulerTask.cpp
+++ b/coordination/SchedulerTask.cpp
@@ -71,6 +71,7 @@
     m_scheduler = std::make_unique<GangScheduler>(*m_http, m_table, m_environment, m_options,
         GangScheduler::Hooks {
             .placementPolicy = m_hooks.placementPolicy,
+            .policyFor = m_hooks.policyFor,
             .append = [this](const std::string& key, const Record::Body& body) { append(key, body); },
             .onDeposed = [this] { m_deposedByWorker = true; },
             .onChange = [this] { scheduleEvent(); },
--- a/coordination/SchedulerTaskHooks.h
+++ b/coordination/SchedulerTaskHooks.h
@@ -5,6 +5,7 @@
 #include "coordination/LogMessage.h"
 #include "coordination/PeerMessage.h"
 #include "coordination/decisions/PlacementPolicy.h"
+#include "state/DataCentreProfile.h"
 
 #include <functional>
 
@@ -14,7 +15,10 @@
     std::function<void(LogMessage)> postLog;
     /// Called on the scheduler task's thread when the log names another scheduler or epoch.
     std::function<void(PeerMessage::SchedulerRole)> onRole;
+    /// Policy until the first configuration, and always if policyFor is empty.
     PlacementPolicy placementPolicy;
+    /// Makes the policy for the settings of the data centre; called for each configuration. May be empty.
+    std::function<PlacementPolicy(const state::DataCentreProfile&)> policyFor;
 };
 
 } // namespace lentilsaddle::coordination
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -14,6 +14,7 @@
 #include "coordination/SchedulerTaskHooks.h"
 #include "coordination/SchedulerTaskOptions.h"
 #include "coordination/TimelineTask.h"
+#include "coordination/decisions/CellPlacement.h"
 #include "coordination/decisions/FirstFitPlacement.h"
 #include "transport/Logger.h"
 
@@ -47,6 +48,17 @@
         return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
     }
 
+    // Makes the placement policy named in the settings, with the weight that the configuration sets.
+    std::function<coordination::PlacementPolicy(const state::DataCentreProfile&)> makePolicyFactory(
+        const std::string& name)
+    {
+        if (name == "first_fit")
+            return {};
+        return [](const state::DataCentreProfile& profile) {
+            return coordination::makeCellPlacement({ .completionWeight = profile.completionWeight });
+        };
+    }
+
     // Calls the hook after it was itself called a number of times, from any threads.
     std::function<void()> afterCalls(int count, std::function<void()> hook)
     {
@@ -129,6 +141,7 @@
             .onRole
             = [this](coordination::PeerMessage::SchedulerRole role) { m_peers->post({ .body = std::move(role) }); },
             .placementPolicy = coordination::firstFitPlacement,
+            .policyFor = makePolicyFactory(m_settings.placementPolicy),
         });
     m_peers = std::make_unique<coordination::PeerTask>(m_environment,
         coordination::PeerTaskOptions {
--- a/protocol/RecordCodec.cpp
+++ b/protocol/RecordCodec.cpp
@@ -68,6 +68,7 @@
         out.set_attempt(static_cast<std::uint32_t>(claim.attempt));
         out.set_epoch(claim.token.epoch);
         out.set_sequence(claim.token.sequence);
+        out.set_within_guarantee(claim.withinGuarantee);
         for (const state::TaskPlacement& placement : claim.placements) {
             wire::TaskPlacement* entry = out.add_placements();
             entry->set_worker(placement.worker.value());
@@ -83,6 +84,7 @@
             .attempt = static_cast<int>(in.attempt()),
             .token = { .epoch = in.epoch(), .sequence = in.sequence() },
             .placements = {},
+            .withinGuarantee = in.within_guarantee(),
         };
         for (const wire::TaskPlacement& entry : in.placements()) {
             state::TaskPlacement placement { .worker = state::WorkerId(entry.worker()), .accelerators = {} };
--- a/state/Record.h
+++ b/state/Record.h
@@ -57,6 +57,9 @@
         int attempt = 0;
         FencingToken token;
         std::vector<TaskPlacement> placements;
+        /// The attempt runs within its account's guarantee, so it is not preempted. A later scheduler learns it from
+        /// here.
+        bool withinGuarantee = false;
 
         bool operator==(const StartClaim&) const = default;
     };
