--- a/coordination/RequestClaims.cpp
+++ b/coordination/RequestClaims.cpp
@@ -34,18 +34,8 @@
 state::StreamReplay::Hooks RequestClaims::replayHooks()
 {
     return {
-        .snapshotOffset = [](const state::Record& record) -> std::optional<state::LogOffset> {
-            if (const auto* snapshot = std::get_if<state::Record::RequestSnapshot>(&record.body))
-                return snapshot->nextOffset;
-            return std::nullopt;
-        },
-        .loadSnapshot =
-            [this](const state::Record& record) {
-                const auto& snapshot = std::get<state::Record::RequestSnapshot>(record.body);
-                m_ledger.restore(snapshot, m_environment.monotonicClock());
-                for (const state::Record::RequestSnapshotEntry& saved : snapshot.entries)
-                    m_touched.push_back(saved.key);
-            },
+        .snapshotOffset = [this](const state::Record& record) { return snapshotOffset(record); },
+        .loadSnapshot = [this](const state::Record&) { loadSnapshot(); },
         .apply =
             [this](state::LogOffset, const state::Record& record) {
                 m_ledger.apply(record, m_environment.monotonicClock());
@@ -55,6 +45,31 @@
     };
 }
 
+std::optional<state::LogOffset> RequestClaims::snapshotOffset(const state::Record& record)
+{
+    const auto* part = std::get_if<state::Record::RequestSnapshot>(&record.body);
+    if (!part)
+        return std::nullopt;
+    // Only a reader that lacks the state needs snapshots.
+    if (m_replay.complete()) {
+        m_snapshotParts.clear();
+        return part->nextOffset;
+    }
+    std::optional<state::Record::RequestSnapshot> whole = m_snapshotParts.add(record.origin, *part);
+    if (!whole)
+        return std::nullopt;
+    m_wholeSnapshot = std::move(*whole);
+    return m_wholeSnapshot.nextOffset;
+}
+
+void RequestClaims::loadSnapshot()
+{
+    m_ledger.restore(m_wholeSnapshot, m_environment.monotonicClock());
+    for (const state::Record::RequestSnapshotEntry& saved : m_wholeSnapshot.entries)
+        m_touched.push_back(saved.key);
+    m_wholeSnapshot = {};
+}
+
 std::vector<state::KeyDigest> RequestClaims::accept(const state::StreamBatch& batch)
 {
     m_replay.accept(batch);
@@ -241,7 +256,9 @@
     m_ledger.expire(now);
     m_recordsSinceSnapshot = 0;
     m_snapshotSpread = m_environment.random() % maximumSnapshotSpread;
-    append(m_ledger.snapshot(m_replay.nextOffset(), now), now + m_options.outcomeAppendTimeout, {});
+    state::Record::RequestSnapshot snapshot = m_ledger.snapshot(m_replay.nextOffset(), now);
+    for (state::Record::RequestSnapshot& part : state::RequestSnapshotParts::split(snapshot))
+        append(std::move(part), now + m_options.outcomeAppendTimeout, {});
 }
 
 bool RequestClaims::hasUnrecordedOutcomes() const
--- a/coordination/RequestClaims.h
+++ b/coordination/RequestClaims.h
@@ -7,6 +7,7 @@
 #include "coordination/RequestTaskOptions.h"
 #include "coordination/TaskEnvironment.h"
 #include "state/RequestLedger.h"
+#include "state/RequestSnapshotParts.h"
 #include "state/StreamReplay.h"
 
 #include <chrono>
@@ -100,6 +101,8 @@
     using ClaimId = std::pair<state::KeyDigest, std::uint64_t>;
 
     state::StreamReplay::Hooks replayHooks();
+    std::optional<state::LogOffset> snapshotOffset(const state::Record& record);
+    void loadSnapshot();
     bool isOwn(const state::Origin& origin) const;
     const state::RequestLedger::Entry* entry(const state::KeyDigest& key) const;
     void append(state::Record::Body body, state::MonotonicTime deadline,
@@ -114,6 +117,9 @@
     const RequestTaskOptions& m_options;
     Hooks m_hooks;
     state::RequestLedger m_ledger;
+    state::RequestSnapshotParts m_snapshotParts;
+    /// Snapshot that the replay is about to load.
+    state::Record::RequestSnapshot m_wholeSnapshot;
     state::StreamReplay m_replay;
     std::map<ClaimId, Taken> m_taken;
     std::vector<state::KeyDigest> m_touched;
--- a/coordination/RequestTask.cpp
+++ b/coordination/RequestTask.cpp
@@ -28,11 +28,6 @@
 void RequestTask::onStart()
 {
     m_client = std::make_unique<transport::HttpClient>(loop(), transport::HttpClientOptions());
-    m_postLog({ .body
-        = LogMessage::WatchReachability {
-            .onChange
-            = [this](bool reachable) { post({ .body = RequestMessage::LogReachability { .reachable = reachable } }); },
-        } });
     scheduleSnapshots();
 }
 
--- a/coordination/RequestTask.h
+++ b/coordination/RequestTask.h
@@ -25,6 +25,8 @@
 class ServiceRouter;
 
 /// Owns the backend connections, the runner tables and the request ledgers.
+///
+/// Subscribes to its streams itself; RequestMessage::LogReachability comes from whoever connects the tasks.
 class RequestTask : public transport::Task<RequestMessage> {
 public:
     /// @param postLog posts to the log task, whose hooks call back into this task: the log task stops first.
--- a/protocol/RecordCodec.cpp
+++ b/protocol/RecordCodec.cpp
@@ -222,6 +222,8 @@
     {
         wire::RequestSnapshot* snapshot = out.mutable_request_snapshot();
         snapshot->set_next_offset(body.nextOffset);
+        snapshot->set_part(body.part);
+        snapshot->set_parts(body.parts);
         for (const Record::RequestSnapshotEntry& request : body.entries) {
             wire::RequestSnapshotEntry* entry = snapshot->add_entries();
             entry->set_key_digest(encode(request.key));
@@ -291,7 +293,9 @@
 
     Record::RequestSnapshot decode(const wire::RequestSnapshot& in)
     {
-        Record::RequestSnapshot snapshot { .entries = {}, .nextOffset = in.next_offset() };
+        Record::RequestSnapshot snapshot {
+            .entries = {}, .nextOffset = in.next_offset(), .part = in.part(), .parts = in.parts()
+        };
         for (const wire::RequestSnapshotEntry& entry : in.entries()) {
             Record::RequestSnapshotEntry request {
                 .key = decodeDigest(entry.key_digest()),
--- a/state/Record.h
+++ b/state/Record.h
@@ -117,6 +117,9 @@
     struct RequestSnapshot {
         std::vector<RequestSnapshotEntry> entries;
         LogOffset nextOffset = 0;
+        /// A large snapshot is split into records that the log service accepts; parts count from 0.
+        std::uint32_t part = 0;
+        std::uint32_t parts = 1;
     };
 
     using Body = std::variant<ConfigurationPatch, ConfigurationSnapshot, JobSubmitted, SchedulerClaim, StartClaim,
--- a/tests/coordination/FakeLog.h
+++ b/tests/coordination/FakeLog.h
@@ -47,8 +47,6 @@
                 accept(*append, { .instance = instance, .incarnation = incarnation, .sequence = ++m_sequence });
             else if (auto* subscribe = std::get_if<LogMessage::Subscribe>(&message.body))
                 accept(*subscribe);
-            else if (auto* watch = std::get_if<LogMessage::WatchReachability>(&message.body))
-                m_watchers.push_back(watch->onChange);
         };
     }
 
@@ -67,13 +65,6 @@
         m_duplicates.clear();
     }
 
-    void setReachable(bool reachable)
-    {
-        std::lock_guard lock(m_mutex);
-        for (const auto& onChange : m_watchers)
-            onChange(reachable);
-    }
-
     std::vector<state::Record> records(const std::string& stream)
     {
         std::lock_guard lock(m_mutex);
@@ -85,7 +76,6 @@
     {
         std::lock_guard lock(m_mutex);
         m_subscribers.clear();
-        m_watchers.clear();
     }
 
 private:
@@ -133,7 +123,6 @@
     std::uint64_t m_sequence = 0;
     std::map<std::string, std::vector<state::Record>> m_streams;
     std::map<std::string, std::vector<std::function<void(state::StreamBatch)>>> m_subscribers;
-    std::vector<std::function<void(bool)>> m_watchers;
     std::vector<std::pair<std::string, state::Record>> m_duplicates;
 };
 
--- a/tests/coordination/RequestTaskFixture.h
+++ b/tests/coordination/RequestTaskFixture.h
@@ -105,6 +105,12 @@
         return *m_tasks.back();
     }
 
+    void setLogReachable(bool reachable)
+    {
+        for (const auto& task : m_tasks)
+            task->post({ .body = RequestMessage::LogReachability { .reachable = reachable } });
+    }
+
     static RequestMessage::ServiceRequest request(const std::string& id, const std::string& key = "")
     {
         return {
--- a/tests/coordination/RequestTaskTest.cpp
+++ b/tests/coordination/RequestTaskTest.cpp
@@ -1,3 +1,4 @@
+#include "state/RequestSnapshotParts.h"
 #include "tests/coordination/RequestTaskFixture.h"
 
 #include <algorithm>
@@ -87,7 +88,7 @@
 TEST_F(RequestTaskTest, NonRepeatableRequestIsRefusedWhileTheLogIsUnavailable)
 {
     RequestTask& task = startInstance("e1");
-    m_log.setReachable(false);
+    setLogReachable(false);
     Answer answer = ask(task, request("q1", "order-7"));
     EXPECT_EQ(answer.outcome, RequestOutcome::NotRun);
     EXPECT_EQ(answer.reason, "log_unavailable");
@@ -101,6 +102,7 @@
     RequestTask& task = startInstance("e1");
     behave(Behaviour::RunAndHold);
     std::vector<std::future<Answer>> answers;
+    answers.reserve(5);
     for (int i = 0; i < 5; ++i)
         answers.push_back(submit(task, request("q" + std::to_string(i))));
     awaitArrivals(5);
@@ -147,6 +149,7 @@
     RequestTask& task = startInstance("e1", { .outliers = { .failuresToEject = 1000 } });
     behave(Behaviour::RunAndCross);
     std::vector<std::future<Answer>> answers;
+    answers.reserve(50);
     for (int i = 0; i < 50; ++i)
         answers.push_back(submit(task, request("q" + std::to_string(i))));
     for (std::future<Answer>& answer : answers)
@@ -255,13 +258,24 @@
     EXPECT_GE(snapshots(), 1);
     EXPECT_LE(snapshots(), 200 / 20);
     auto before = snapshots();
-    m_log.setReachable(false);
-    m_log.setReachable(true);
+    setLogReachable(false);
+    setLogReachable(true);
     ask(task, request("q", "order-0"));
     EXPECT_EQ(snapshots(), before + 1);
-    task.post({ .body = RequestMessage::LogBatch { .service = state::ServiceId("shop"),
-                    .batch = { .firstOffset = 1'000'000, .nextOffset = 1'000'000, .gap = true } } });
+    // The start of the stream has expired, and then a snapshot in two parts appears.
+    state::ServiceId shop("shop");
+    task.post({ .body = RequestMessage::LogBatch {
+                    .service = shop, .batch = { .firstOffset = 1000, .nextOffset = 1000, .gap = true } } });
     EXPECT_EQ(ask(task, request("q", "order-0")).reason, "ledger_incomplete");
+    state::Origin writer { state::InstanceId("e9"), 1, 1 };
+    state::Record::RequestSnapshotEntry taken { .key = state::KeyDigest::of("bilbao", "shop", "order-0"),
+        .issuer = writer };
+    state::Record::RequestSnapshot whole { .entries = { taken, taken }, .nextOffset = 1000 };
+    state::StreamBatch batch { .firstOffset = 1000, .nextOffset = 1002 };
+    for (const state::Record::RequestSnapshot& part : state::RequestSnapshotParts::split(whole, 1))
+        batch.entries.push_back({ 1000 + part.part, { writer, part } });
+    task.post({ .body = RequestMessage::LogBatch { .service = shop, .batch = batch } });
+    EXPECT_EQ(ask(task, request("q", "order-0")).reason, "claimed_by_another_attempt");
 }
 
 } // namespace lentilsaddle::coordination
--- a/tests/protocol/RecordCodecTest.cpp
+++ b/tests/protocol/RecordCodecTest.cpp
@@ -34,7 +34,10 @@
     Record::RequestSnapshotEntry saved { .issuer = { state::InstanceId("e1"), 1, 9 }, .ended = ended };
     Record outcome = decodeRecord(encodeRecord({ .origin = {}, .body = ended }));
     EXPECT_EQ(std::get<Record::RequestEnded>(outcome.body).claimSequence, 9U);
-    Record snapshot = decodeRecord(encodeRecord({ .origin = {}, .body = Record::RequestSnapshot { { saved }, 1 } }));
+    Record snapshot
+        = decodeRecord(encodeRecord({ .origin = {}, .body = Record::RequestSnapshot { { saved }, 1, 2, 3 } }));
+    EXPECT_EQ(std::get<Record::RequestSnapshot>(snapshot.body).part, 2U);
+    EXPECT_EQ(std::get<Record::RequestSnapshot>(snapshot.body).parts, 3U);
     EXPECT_EQ(std::get<Record::RequestSnapshot>(snapshot.body).entries.at(0).ended->claimSequence, 9U);
 }
 
--- a/tests/state/RequestLedgerTest.cpp
+++ b/tests/state/RequestLedgerTest.cpp
@@ -1,10 +1,13 @@
 #include "state/RequestLedger.h"
 
+#include "state/RequestSnapshotParts.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <set>
 #include <tuple>
 
@@ -244,6 +247,28 @@
     EXPECT_NE(issuerAt(late, third).instance, InstanceId("c"));
 }
 
+// Guards against a snapshot too large for the log service, and against serving from a part of one.
+RC_GTEST_PROP(RequestSnapshotParts, PartsInAnyOrderMakeTheWhole, ())
+{
+    Record::RequestSnapshot snapshot { .nextOffset = 7 };
+    for (std::size_t i = *rc::gen::inRange<std::size_t>(0, 50); i > 0; --i)
+        snapshot.entries.push_back({ .key = keyOf(i) });
+    auto parts = RequestSnapshotParts::split(snapshot, *rc::gen::inRange<std::size_t>(1, 20));
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    std::shuffle(parts.begin(), parts.end(), random);
+    RequestSnapshotParts collector;
+    std::optional<Record::RequestSnapshot> whole;
+    for (const Record::RequestSnapshot& part : parts) {
+        RC_ASSERT(!whole);
+        whole = collector.add({}, part);
+    }
+    RC_ASSERT(whole.has_value());
+    RC_ASSERT(whole->nextOffset == snapshot.nextOffset);
+    RC_ASSERT(whole->entries.size() == snapshot.entries.size());
+    for (std::size_t i = 0; i < whole->entries.size(); ++i)
+        RC_ASSERT(whole->entries[i].key == snapshot.entries[i].key);
+}
+
 // Guards against a snapshot that makes a key forgotten earlier than its window.
 TEST(RequestLedger, SnapshotKeepsTheAge)
 {
