--- a/tests/coordination/decisions/RunnerSelectorTest.cpp
+++ b/tests/coordination/decisions/RunnerSelectorTest.cpp
@@ -45,6 +45,7 @@
 TEST_F(RunnerSelectorTest, TwoChoicesKeepTheLoadsClose)
 {
     std::vector<state::InstanceInfo> runners;
+    runners.reserve(48);
     for (int i = 0; i < 48; ++i)
         runners.push_back(runner("r" + std::to_string(i), "here"));
     m_selector.setService({ .slotsPerServer = 64 });
