--- a/coordination/ConfigurationTask.cpp
+++ b/coordination/ConfigurationTask.cpp
@@ -60,6 +60,7 @@
           .apply = [this](state::LogOffset, const Record& record) { applyRecord(record); },
       })
     , m_replayed(std::make_shared<state::Configuration>())
+    , m_snapshotPolicy(m_options.snapshots)
     , m_published(view())
 {
 }
@@ -165,10 +166,17 @@
 
 void ConfigurationTask::handle(const ConfigurationMessage::LogBatch& message)
 {
+    for (const state::StreamBatch::Entry& entry : message.batch.entries) {
+        if (!std::holds_alternative<Record::ConfigurationSnapshot>(entry.record.body))
+            m_snapshotPolicy.noteRecords(1);
+        else if (m_caughtUpOnce)
+            m_snapshotPolicy.noteSnapshot(m_environment.monotonicClock());
+        else
+            m_snapshotPolicy.noteReplayedSnapshot();
+    }
     m_replay.accept(message.batch);
     m_caughtUpOnce = m_caughtUpOnce || m_replay.caughtUp();
-    if (m_replayed->version != m_history.current().version)
-        m_replayed = std::make_shared<state::Configuration>(m_history.current());
+    considerSnapshot();
     publish();
 }
 
@@ -206,11 +214,15 @@
 
 void ConfigurationTask::handle(ConfigurationMessage::PeerSnapshot message)
 {
-    if (m_told && m_told->configuration->version >= message.snapshot.version)
-        return;
     auto configuration = decodeSnapshot(message.snapshot);
     if (!configuration)
         return;
+    m_replay.offerSnapshot({ .origin = {}, .body = message.snapshot });
+    m_caughtUpOnce = m_caughtUpOnce || m_replay.caughtUp();
+    if (m_told && m_told->configuration->version >= message.snapshot.version) {
+        publish();
+        return;
+    }
     m_told = Told {
         .configuration = std::make_shared<state::Configuration>(std::move(*configuration)),
         .snapshot = std::move(message.snapshot),
@@ -220,7 +232,10 @@
 
 void ConfigurationTask::handle(const ConfigurationMessage::LogReachability& message)
 {
+    if (m_logReachable == false && message.reachable)
+        m_snapshotPolicy.noteOutageEnd();
     m_logReachable = message.reachable;
+    considerSnapshot();
     publish();
 }
 
@@ -245,6 +260,42 @@
     };
 }
 
+void ConfigurationTask::considerSnapshot()
+{
+    // A state that does not cover the whole stream must not replace it for other readers.
+    bool possible = m_replay.caughtUp() && m_logReachable != false;
+    if (!possible || m_snapshotTimer != 0
+        || !m_snapshotPolicy.due(m_environment.monotonicClock(), m_replay.nextOffset()))
+        return;
+    auto spread = static_cast<std::uint64_t>(m_options.snapshotSpread.count()) + 1;
+    m_snapshotTimer
+        = loop().startTimer(std::chrono::milliseconds(m_environment.random() % spread), [this] { appendSnapshot(); });
+}
+
+void ConfigurationTask::appendSnapshot()
+{
+    m_snapshotTimer = 0;
+    // Another instance's snapshot may have come meanwhile.
+    if (!m_replay.caughtUp() || !m_snapshotPolicy.due(m_environment.monotonicClock(), m_replay.nextOffset()))
+        return;
+    m_postLog({ LogMessage::Append {
+        .stream = m_options.stream,
+        .body = makeSnapshot(),
+        .deadline = m_environment.monotonicClock() + m_options.appendLimit,
+        .onResult = {},
+    } });
+    // Counts from now even if the append fails; the next record or interval tries again.
+    m_snapshotPolicy.noteSnapshot(m_environment.monotonicClock());
+}
+
+void ConfigurationTask::watchSnapshotAge()
+{
+    loop().startTimer(m_snapshotPolicy.interval() / 4, [this] {
+        considerSnapshot();
+        watchSnapshotAge();
+    });
+}
+
 std::optional<Record::PatchOutcome> ConfigurationTask::outcome(const state::PatchId& id) const
 {
     if (auto decided = m_history.outcome(id))
@@ -293,6 +344,8 @@
 
 void ConfigurationTask::publish()
 {
+    if (m_replayed->version != m_history.current().version)
+        m_replayed = std::make_shared<state::Configuration>(m_history.current());
     ConfigurationMessage::View next = view();
     bool changed = next.ready != m_published.ready || next.reason != m_published.reason
         || next.configuration->version != m_published.configuration->version;
--- a/coordination/ConfigurationTask.h
+++ b/coordination/ConfigurationTask.h
@@ -6,6 +6,7 @@
 #include "coordination/ConfigurationTaskOptions.h"
 #include "coordination/LogMessage.h"
 #include "coordination/TaskEnvironment.h"
+#include "coordination/decisions/SnapshotPolicy.h"
 #include "state/ConfigurationHistory.h"
 #include "state/StreamReplay.h"
 #include "transport/Task.h"
@@ -69,6 +70,11 @@
     PatchAnswer refusal(const state::PatchId& id, const std::string& reason) const;
     state::Record::ConfigurationSnapshot makeSnapshot() const;
 
+    /// Starts the random delay before a snapshot if one is due.
+    void considerSnapshot();
+    void appendSnapshot();
+    void watchSnapshotAge();
+
     std::string notReadyReason() const;
     ConfigurationMessage::View view() const;
     void publish();
@@ -87,6 +93,8 @@
     std::map<state::PatchId, Waiting> m_waiting;
     /// Patches whose append may still take effect.
     std::set<state::PatchId> m_unresolved;
+    SnapshotPolicy m_snapshotPolicy;
+    transport::EventLoop::TimerId m_snapshotTimer = 0;
     std::vector<std::function<void(ConfigurationMessage::View)>> m_watchers;
     ConfigurationMessage::View m_published;
 };
--- a/coordination/ConfigurationTaskOptions.h
+++ b/coordination/ConfigurationTaskOptions.h
@@ -2,8 +2,9 @@
 /// Options of ConfigurationTask.
 #pragma once
 
+#include "coordination/decisions/SnapshotPolicy.h"
+
 #include <chrono>
-#include <cstddef>
 #include <string>
 
 namespace lentilsaddle::coordination {
@@ -14,6 +15,9 @@
     std::chrono::milliseconds appendLimit { 5'000 };
     /// Time until a submission is answered; the difference to appendLimit is left for replay.
     std::chrono::milliseconds answerLimit { 7'000 };
+    SnapshotPolicy::Options snapshots;
+    /// A snapshot that is due is appended after a random part of this time, so that usually one instance appends it.
+    std::chrono::milliseconds snapshotSpread { 5'000 };
 };
 
 } // namespace lentilsaddle::coordination
--- a/coordination/LogMessage.h
+++ b/coordination/LogMessage.h
@@ -48,6 +48,8 @@
 
     /// Tells the subscriber when the log service becomes reachable or unreachable.
     struct WatchReachability {
+        /// Counts only the own connection to the service, not a relay through a peer.
+        bool directOnly = false;
         std::function<void(bool reachable)> onChange;
     };
 
--- /dev/null
+++ b/coordination/LogPath.h
@@ -0,0 +1,56 @@
+/// @file
+/// Way to the log service: the own connection, or a relay through a peer.
+#pragma once
+
+#include "coordination/LogTaskOptions.h"
+#include "protocol/LogClient.h"
+#include "transport/EventLoop.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::coordination {
+
+/// Sends calls over the own connection and, while that fails, alternately through a peer. Belongs to the loop's thread.
+class LogPath {
+public:
+    /// @param options the relay hooks in it must call back on the loop's thread.
+    /// @param onDirectChange called when the own connection starts to work or to fail.
+    LogPath(transport::EventLoop& loop, const LogTaskOptions& options, std::function<void(bool works)> onDirectChange);
+    ~LogPath();
+    LogPath(const LogPath&) = delete;
+    LogPath& operator=(const LogPath&) = delete;
+
+    /// The service of the own connection, for calls on behalf of peers: a relay must not relay again.
+    protocol::LogClient& direct() { return m_client; }
+
+    bool directFails() const { return m_directWorks == false; }
+
+    void append(const std::string& stream, const std::vector<std::string>& records,
+        protocol::LogClient::AppendCallback callback);
+    void read(const std::string& stream, state::LogOffset offset, std::chrono::milliseconds wait,
+        protocol::LogClient::ReadCallback callback);
+
+private:
+    bool useRelay(bool available) const { return available && directFails() && !m_relayFailed; }
+    void noteDirect(const std::string& stream, bool succeeded);
+    /// Asks the service in regular intervals while the own connection fails, since no other call may be due.
+    void probe(const std::string& stream);
+
+    transport::EventLoop& m_loop;
+    LogTaskOptions m_options;
+    std::function<void(bool)> m_onDirectChange;
+    protocol::LogClient m_client;
+    /// Result of the last call; nothing before the first one.
+    std::optional<bool> m_directWorks;
+    bool m_relayFailed = false;
+    transport::EventLoop::TimerId m_probeTimer = 0;
+    /// Lets the answer of a relay that comes after the destruction find out.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace lentilsaddle::coordination
--- a/coordination/LogTask.cpp
+++ b/coordination/LogTask.cpp
@@ -43,15 +43,14 @@
 
 void LogTask::onStart()
 {
-    m_client = std::make_unique<LogClient>(loop(), m_options.platformUrl);
+    m_path = std::make_unique<LogPath>(loop(), pathOptions(), [this](bool works) { onDirectChange(works); });
 }
 
 void LogTask::onStop()
 {
-    loop().cancelTimer(m_probeTimer);
     m_readers.clear();
     m_appenders.clear();
-    m_client.reset();
+    m_path.reset();
 }
 
 void LogTask::onMessage(LogMessage message)
@@ -88,14 +87,7 @@
             .read = [this, stream](state::LogOffset offset, std::chrono::milliseconds wait,
                         LogClient::ReadCallback callback) { sendRead(stream, offset, wait, std::move(callback)); },
             .onBatch = std::move(message.onBatch),
-            .onRead =
-                [this, index](bool succeeded) {
-                    if (succeeded)
-                        m_failingReaders.erase(index);
-                    else
-                        m_failingReaders.insert(index);
-                    updateReachability();
-                },
+            .onRead = [this, index](bool succeeded) { onRead(index, succeeded); },
             .onSkipped
             = [this, stream](state::LogOffset offset, const std::string& error) { onSkipped(stream, offset, error); },
         }));
@@ -104,14 +96,15 @@
 
 void LogTask::handle(LogMessage::WatchReachability message)
 {
-    if (m_reachable)
-        message.onChange(*m_reachable);
-    m_reachabilityWatchers.push_back(std::move(message.onChange));
+    std::optional<bool> known = message.directOnly ? m_directWorks : m_reachable;
+    if (known)
+        message.onChange(*known);
+    m_watchers.push_back(std::move(message));
 }
 
 void LogTask::handle(LogMessage::RelayAppend message)
 {
-    m_client->append(message.stream, message.records, m_options.appendTimeout,
+    m_path->direct().append(message.stream, message.records, m_options.appendTimeout,
         [reply = std::move(message.onResult)](const LogClient::AppendResult& result) {
             reply(result.status == LogClient::AppendResult::Status::Appended, result.firstOffset);
         });
@@ -119,8 +112,8 @@
 
 void LogTask::handle(LogMessage::RelayRead message)
 {
-    m_client->read(message.stream, message.offset, m_options.maximumReadRecords, message.wait, m_options.readTimeout,
-        std::move(message.onResult));
+    m_path->direct().read(message.stream, message.offset, m_options.maximumReadRecords, message.wait,
+        m_options.readTimeout, std::move(message.onResult));
 }
 
 void LogTask::handle(const LogMessage::Run& message)
@@ -152,8 +145,12 @@
     const std::string& stream, const std::vector<std::string>& records, LogClient::AppendCallback callback)
 {
     m_environment.faultPoint("log.before_append");
-    m_client->append(stream, records, m_options.appendTimeout,
-        [this, stream, callback = std::move(callback)](const LogClient::AppendResult& result) {
+    std::size_t bytes = 0;
+    for (const std::string& record : records)
+        bytes += record.size();
+    count("append", records.size(), bytes);
+    m_path->append(
+        stream, records, [this, stream, callback = std::move(callback)](const LogClient::AppendResult& result) {
             m_environment.faultPoint("log.after_append");
             onAppendAnswer(stream, result);
             callback(result);
@@ -165,19 +162,45 @@
     bool failed = result.status != LogClient::AppendResult::Status::Appended;
     bool first = failed && !m_appendFailing;
     m_appendFailing = failed;
-    if (failed) {
+    if (failed)
         transport::writeLog(first ? LogLevel::Warning : LogLevel::Debug, component,
             "append failed; retrying until the records' deadlines",
             { { .key = "stream", .value = stream }, { .key = "error", .value = result.error } });
-        probe(stream);
-    }
     updateReachability();
 }
 
 void LogTask::sendRead(const std::string& stream, state::LogOffset offset, std::chrono::milliseconds wait,
     LogClient::ReadCallback callback)
 {
-    m_client->read(stream, offset, m_options.maximumReadRecords, wait, m_options.readTimeout, std::move(callback));
+    m_path->read(stream, offset, wait, [this, callback = std::move(callback)](LogClient::ReadResult result) {
+        std::size_t bytes = 0;
+        for (const LogClient::EncodedRecord& record : result.records)
+            bytes += record.bytes.size();
+        count("read", result.records.size(), bytes);
+        callback(std::move(result));
+    });
+}
+
+void LogTask::onRead(std::size_t reader, bool succeeded)
+{
+    if (succeeded) {
+        m_failingReaders.erase(reader);
+        // A read through a peer shows that appends have a way again; nothing else would show it.
+        m_appendFailing = m_appendFailing && !m_path->directFails();
+    } else {
+        m_failingReaders.insert(reader);
+    }
+    updateReachability();
+}
+
+void LogTask::count(const std::string& direction, std::size_t records, std::size_t bytes)
+{
+    if (records == 0)
+        return;
+    m_environment.metrics->increment(
+        "lentilsaddle_log_records_total", { { "direction", direction } }, static_cast<double>(records));
+    m_environment.metrics->increment(
+        "lentilsaddle_log_bytes_total", { { "direction", direction } }, static_cast<double>(bytes));
 }
 
 void LogTask::onSkipped(const std::string& stream, state::LogOffset offset, const std::string& error)
@@ -188,24 +211,42 @@
     m_environment.metrics->increment("lentilsaddle_log_records_skipped_total", { { "stream", stream } });
 }
 
-void LogTask::probe(const std::string& stream)
+void LogTask::onDirectChange(bool works)
 {
-    if (m_probeTimer != 0)
+    m_directWorks = works;
+    tellWatchers(true, works);
+    if (!works)
         return;
-    m_probeTimer = loop().startTimer(m_options.probeInterval, [this, stream] {
-        m_client->read(stream, 0, 1, std::chrono::milliseconds(0), m_options.readTimeout,
-            [this, stream](const LogClient::ReadResult& result) {
-                m_probeTimer = 0;
-                if (!m_appendFailing)
-                    return;
-                if (result.status == LogClient::ReadResult::Status::Failed) {
-                    probe(stream);
-                    return;
-                }
-                m_appendFailing = false;
-                updateReachability();
+    m_appendFailing = false;
+    updateReachability();
+}
+
+LogTaskOptions LogTask::pathOptions()
+{
+    LogTaskOptions options = m_options;
+    if (m_options.relayRead) {
+        options.relayRead = [this](const auto& stream, auto offset, auto wait, auto reply) {
+            m_options.relayRead(stream, offset, wait, [this, reply](LogClient::ReadResult result) {
+                post({ LogMessage::Run { .work = [reply, result = std::move(result)] { reply(result); } } });
             });
-    });
+        };
+    }
+    if (m_options.relayAppend) {
+        options.relayAppend = [this](const auto& stream, const auto& records, auto reply) {
+            m_options.relayAppend(stream, records, [this, reply](LogClient::AppendResult result) {
+                post({ LogMessage::Run { .work = [reply, result = std::move(result)] { reply(result); } } });
+            });
+        };
+    }
+    return options;
+}
+
+void LogTask::tellWatchers(bool directOnly, bool reachable)
+{
+    for (const LogMessage::WatchReachability& watcher : m_watchers) {
+        if (watcher.directOnly == directOnly)
+            watcher.onChange(reachable);
+    }
 }
 
 void LogTask::updateReachability()
@@ -217,8 +258,7 @@
     transport::writeLog(reachable ? LogLevel::Info : LogLevel::Warning, component,
         reachable ? "log service is reachable" : "log service is unreachable");
     m_environment.metrics->setGauge("lentilsaddle_log_reachable", reachable ? 1 : 0);
-    for (const auto& watcher : m_reachabilityWatchers)
-        watcher(reachable);
+    tellWatchers(false, reachable);
     if (reachable)
         retryAll();
 }
--- a/coordination/LogTask.h
+++ b/coordination/LogTask.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/LogMessage.h"
+#include "coordination/LogPath.h"
 #include "coordination/LogTaskOptions.h"
 #include "coordination/StreamAppender.h"
 #include "coordination/StreamReader.h"
@@ -46,24 +47,29 @@
     void onAppendAnswer(const std::string& stream, const protocol::LogClient::AppendResult& result);
     void sendRead(const std::string& stream, state::LogOffset offset, std::chrono::milliseconds wait,
         protocol::LogClient::ReadCallback callback);
+    void onRead(std::size_t reader, bool succeeded);
+    /// Counts the traffic; a repeated append counts again.
+    void count(const std::string& direction, std::size_t records, std::size_t bytes);
     void onSkipped(const std::string& stream, state::LogOffset offset, const std::string& error);
 
-    /// Asks the service in regular intervals while appends fail, because the readers may all wait in a long poll.
-    void probe(const std::string& stream);
+    void onDirectChange(bool works);
     void updateReachability();
+    void tellWatchers(bool directOnly, bool reachable);
+    /// Makes the relay hooks answer on the own thread.
+    LogTaskOptions pathOptions();
     void retryAll();
 
     TaskEnvironment m_environment;
     LogTaskOptions m_options;
-    std::unique_ptr<protocol::LogClient> m_client;
+    std::unique_ptr<LogPath> m_path;
     std::uint64_t m_lastSequence = 0;
     std::map<std::string, std::unique_ptr<StreamAppender>> m_appenders;
     std::vector<std::unique_ptr<StreamReader>> m_readers;
-    std::vector<std::function<void(bool)>> m_reachabilityWatchers;
+    std::vector<LogMessage::WatchReachability> m_watchers;
     bool m_appendFailing = false;
     std::set<std::size_t> m_failingReaders;
     std::optional<bool> m_reachable;
-    transport::EventLoop::TimerId m_probeTimer = 0;
+    std::optional<bool> m_directWorks;
 };
 
 } // namespace lentilsaddle::coordination
--- a/coordination/LogTaskOptions.h
+++ b/coordination/LogTaskOptions.h
@@ -3,10 +3,13 @@
 #pragma once
 
 #include "coordination/decisions/Backoff.h"
+#include "protocol/LogClient.h"
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <string>
+#include <vector>
 
 namespace lentilsaddle::coordination {
 
@@ -27,6 +30,16 @@
     std::size_t maximumAppendRecords = 256;
     std::size_t maximumAppendBytes = 524'288;
     std::size_t maximumReadRecords = 1'000;
+    /// Longest long poll through a peer, so that the own connection is used again soon after it works.
+    std::chrono::milliseconds relayLongPoll { 5'000 };
+    /// Reads through a peer while the own connection fails, by PeerMessage::RelayRead. Empty if there is no relay.
+    std::function<void(std::string stream, state::LogOffset offset, std::chrono::milliseconds wait,
+        std::function<void(protocol::LogClient::ReadResult)> reply)>
+        relayRead;
+    /// Appends through a peer while the own connection fails, by PeerMessage::RelayAppend. Empty if there is no relay.
+    std::function<void(std::string stream, std::vector<std::string> records,
+        std::function<void(protocol::LogClient::AppendResult)> reply)>
+        relayAppend;
 };
 
 } // namespace lentilsaddle::coordination
--- a/coordination/PeerMessage.h
+++ b/coordination/PeerMessage.h
@@ -17,10 +17,11 @@
 namespace lentilsaddle::coordination {
 
 struct PeerMessage {
-    /// Own version, told to all peers. Posted once the instance is ready and after each change; until the first one the
-    /// task looks for a peer's configuration.
+    /// Own configuration, told to all peers. Posted after each change; while it is not ready the task looks for a
+    /// peer's configuration.
     struct ConfigurationVersion {
         state::ConfigurationVersion version = 0;
+        bool ready = true;
     };
     struct SchedulerRole {
         std::uint64_t epoch = 0;
--- a/coordination/PeerTask.cpp
+++ b/coordination/PeerTask.cpp
@@ -135,7 +135,7 @@
 
 void PeerTask::handle(const PeerMessage::ConfigurationVersion& message)
 {
-    m_configured = true;
+    m_configured = message.ready;
     if (m_own.configurationVersion == message.version)
         return;
     m_own.configurationVersion = message.version;
--- a/state/StreamReplay.cpp
+++ b/state/StreamReplay.cpp
@@ -45,12 +45,22 @@
     }
     // A snapshot that ends before the oldest record that was read leaves a gap behind it.
     if (*covered >= m_pendingFrom)
-        startFromSnapshot(entry, *covered);
+        startFromSnapshot(entry.record, *covered);
 }
 
-void StreamReplay::startFromSnapshot(const StreamBatch::Entry& snapshot, LogOffset covered)
+void StreamReplay::offerSnapshot(const Record& snapshot)
 {
-    m_hooks.loadSnapshot(snapshot.record);
+    std::optional<LogOffset> covered = m_hooks.snapshotOffset(snapshot);
+    if (!m_started || m_complete || !covered || *covered < m_pendingFrom)
+        return;
+    startFromSnapshot(snapshot, *covered);
+    // The snapshot may be ahead of this reader.
+    m_nextOffset = std::max(m_nextOffset, *covered);
+}
+
+void StreamReplay::startFromSnapshot(const Record& snapshot, LogOffset covered)
+{
+    m_hooks.loadSnapshot(snapshot);
     for (const StreamBatch::Entry& entry : m_pending) {
         if (entry.offset >= covered)
             m_hooks.apply(entry.offset, entry.record);
--- a/state/StreamReplay.h
+++ b/state/StreamReplay.h
@@ -30,6 +30,9 @@
     /// Applies a batch.
     void accept(const StreamBatch& batch);
 
+    /// Offers a snapshot that did not come from the stream. It is used only if it closes a gap.
+    void offerSnapshot(const Record& snapshot);
+
     /// @return whether the state covers every record from the stream's start, so that it may be served from.
     bool complete() const { return m_complete; }
 
@@ -41,7 +44,7 @@
 
 private:
     void acceptEntry(const StreamBatch::Entry& entry);
-    void startFromSnapshot(const StreamBatch::Entry& snapshot, LogOffset covered);
+    void startFromSnapshot(const Record& snapshot, LogOffset covered);
 
     Hooks m_hooks;
     bool m_complete = false;
--- a/tests/coordination/ConfigurationTaskTest.cpp
+++ b/tests/coordination/ConfigurationTaskTest.cpp
@@ -21,6 +21,8 @@
                     .stream = "configuration",
                     .appendLimit = std::chrono::milliseconds(50),
                     .answerLimit = std::chrono::milliseconds(100),
+                    .snapshots = { .records = 3, .outageAge = std::chrono::milliseconds(0) },
+                    .snapshotSpread = std::chrono::milliseconds(0),
                 },
                 [this](LogMessage message) {
                     if (auto* append = std::get_if<LogMessage::Append>(&message.body))
@@ -162,4 +164,42 @@
     EXPECT_EQ(view().configuration->version, 8U);
 }
 
+// Guards against a gap that lasts until the next snapshot in the stream although a peer has the state beyond it.
+TEST_F(ConfigurationTaskTest, PeersSnapshotClosesAGap)
+{
+    replay(0, { patch("a", 0) });
+    replay(9, { patch("z", 7) }, true);
+    tell(7, 8);
+    EXPECT_FALSE(view().ready);
+    tell(8, 10);
+    EXPECT_TRUE(view().ready);
+    replay(10, { patch("b", 8) });
+    EXPECT_EQ(view().configuration->version, 9U);
+}
+
+// Guards against a stream that expires without a snapshot, and against a snapshot that skips or repeats records.
+TEST_F(ConfigurationTaskTest, SnapshotFollowsTheRecordLimitAndAnOutage)
+{
+    replay(0, { patch("a", 0), patch("b", 0), patch("c", 1) });
+    auto first = std::get<Record::ConfigurationSnapshot>(m_appends.take().body);
+    EXPECT_EQ(first.version, 2U);
+    EXPECT_EQ(first.nextOffset, 3U);
+    EXPECT_EQ(first.outcomes.size(), 3U);
+    setLogReachable(false);
+    setLogReachable(true);
+    EXPECT_EQ(std::get<Record::ConfigurationSnapshot>(m_appends.take().body).nextOffset, 3U);
+}
+
+// Guards against a state with a gap replacing the stream for other readers.
+TEST_F(ConfigurationTaskTest, NoSnapshotIsTakenWithAGap)
+{
+    replay(9, { patch("a", 0), patch("b", 0), patch("c", 1) }, true);
+    setLogReachable(false);
+    setLogReachable(true);
+    // A snapshot would be appended by the second pass of the loop at the latest.
+    view();
+    EXPECT_FALSE(view().ready);
+    EXPECT_TRUE(m_appends.empty());
+}
+
 } // namespace lentilsaddle::coordination
--- a/tests/coordination/LogTaskTest.cpp
+++ b/tests/coordination/LogTaskTest.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 namespace lentilsaddle::coordination {
 
 using state::Record;
@@ -22,6 +24,10 @@
                     .appendTimeout = std::chrono::milliseconds(200),
                     .probeInterval = std::chrono::milliseconds(20),
                     .backoff = { .minimum = std::chrono::milliseconds(5), .maximum = std::chrono::milliseconds(20) },
+                    .relayRead
+                    = [this](const auto&, auto offset, auto, const auto& reply) { reply(relayRead(offset)); },
+                    .relayAppend
+                    = [this](const auto&, const auto&, const auto& reply) { reply({ .status = m_relayAppend }); },
                 })
         {
             m_task.start();
@@ -51,10 +57,24 @@
             return protocol::encodeRecord({ .origin = {}, .body = Record::SchedulerClaim { .epoch = epoch } });
         }
 
+        protocol::LogClient::ReadResult relayRead(state::LogOffset offset) const
+        {
+            if (!m_relayReads)
+                return {};
+            protocol::LogClient::ReadResult result { .status = protocol::LogClient::ReadResult::Status::Records };
+            if (offset == 0)
+                result.records.push_back({ .offset = 0, .bytes = claim(1) });
+            result.nextOffset = 1;
+            return result;
+        }
+
         /// Longer than any test takes.
         static constexpr std::chrono::minutes longLimit { 5 };
         transport::Metrics m_metrics;
         FakeLogService m_service;
+        std::atomic<bool> m_relayReads = false;
+        std::atomic<protocol::LogClient::AppendResult::Status> m_relayAppend
+            = protocol::LogClient::AppendResult::Status::NotSent;
         Mailbox<LogMessage::AppendResult> m_results;
         Mailbox<state::StreamBatch> m_batches;
         LogTask m_task;
@@ -159,4 +179,32 @@
     m_task.stop();
 }
 
+// Guards against an instance that only a peer connects to the log being cut off from it.
+TEST_F(LogTaskTest, FailingConnectionIsReplacedByARelay)
+{
+    Mailbox<bool> direct;
+    m_task.post(
+        { LogMessage::WatchReachability { .directOnly = true, .onChange = [&](bool value) { direct.put(value); } } });
+    m_service.shutDown();
+    m_relayReads = true;
+    m_relayAppend = protocol::LogClient::AppendResult::Status::Appended;
+    append(1, longLimit);
+    EXPECT_EQ(m_results.take().status, Status::Appended);
+    EXPECT_FALSE(direct.take());
+    subscribe();
+    EXPECT_EQ(m_batches.take().entries.size(), 1U);
+    m_service.listen();
+    EXPECT_TRUE(direct.take());
+    m_task.stop();
+}
+
+// Guards against a relayed append whose answer was lost being reported as absent.
+TEST_F(LogTaskTest, RelayedAppendWithoutAnswerIsUnresolved)
+{
+    m_service.shutDown();
+    m_relayAppend = protocol::LogClient::AppendResult::Status::Unresolved;
+    append(1, std::chrono::milliseconds(200));
+    EXPECT_EQ(m_results.take().status, Status::Unresolved);
+}
+
 } // namespace lentilsaddle::coordination
