--- a/state/Record.h
+++ b/state/Record.h
@@ -49,12 +49,16 @@
     };
     struct SchedulerClaim {
         std::uint64_t epoch = 0;
+        /// The role is given up: the epoch has no scheduler, and any instance may claim the next one at once.
+        bool vacant = false;
     };
     struct StartClaim {
         JobId job;
         int attempt = 0;
         FencingToken token;
         std::vector<TaskPlacement> placements;
+
+        bool operator==(const StartClaim&) const = default;
     };
     struct AttemptEnded {
         JobId job;
@@ -62,6 +66,8 @@
         /// succeeded, failed, preempted, released or unknown.
         std::string outcome;
         std::string reason;
+        /// Workers that the next attempt should avoid.
+        std::vector<WorkerId> failedWorkers;
     };
     struct JobEnded {
         JobId job;
@@ -79,6 +85,12 @@
         std::optional<StartClaim> claim;
         std::string state;
         std::string reason;
+        /// Outcome of the last ended attempt; empty before the first.
+        std::string lastOutcome;
+        bool cancelRequested = false;
+        std::vector<WorkerId> failedWorkers;
+
+        bool operator==(const JobSnapshotEntry&) const = default;
     };
     struct JobSnapshot {
         std::uint64_t epoch = 0;
@@ -86,6 +98,8 @@
         std::uint64_t schedulerIncarnation = 0;
         std::vector<JobSnapshotEntry> jobs;
         LogOffset nextOffset = 0;
+
+        bool operator==(const JobSnapshot&) const = default;
     };
     struct RequestClaim {
         KeyDigest key;
@@ -96,6 +110,9 @@
         RequestOutcome outcome = RequestOutcome::Unknown;
         /// HTTP status of the backend server's answer if the outcome is Done.
         int status = 0;
+        /// Sequence of the claim that ended, which has the same instance and incarnation. Without it, a late duplicate
+        /// of an earlier outcome could release a claim that is in use.
+        std::uint64_t claimSequence = 0;
     };
     struct RequestSnapshotEntry {
         KeyDigest key;
