--- a/coordination/GangScheduler.cpp
+++ b/coordination/GangScheduler.cpp
@@ -271,14 +271,12 @@
 void GangScheduler::configure(const state::Configuration& configuration)
 {
     m_placement.setGuarantees(configuration, m_environment.dataCentre);
+    auto profile = configuration.dataCentres.find(m_environment.dataCentre);
+    if (m_hooks.policyFor && profile != configuration.dataCentres.end())
+        m_hooks.placementPolicy = m_hooks.policyFor(profile->second);
     m_planDue = true;
 }
 
-bool GangScheduler::quiet() const
-{
-    return m_claiming.empty() && !m_runner.startInFlight() && (m_outbox.empty() || !m_logReachable);
-}
-
 void GangScheduler::recordOutcomes()
 {
     std::set<JobId> outcomes = std::exchange(m_outcomes, {});
@@ -350,7 +348,6 @@
     case Phase::Starting:
         return "starting";
     case Phase::Running:
-    case Phase::Succeeded:
         return "running";
     default:
         return "stopping";
--- a/coordination/SchedulerTask.cpp
+++ b/coordination/SchedulerTask.cpp
@@ -71,6 +71,7 @@
     m_scheduler = std::make_unique<GangScheduler>(*m_http, m_table, m_environment, m_options,
         GangScheduler::Hooks {
             .placementPolicy = m_hooks.placementPolicy,
+            .policyFor = m_hooks.policyFor,
             .append = [this](const std::string& key, const Record::Body& body) { append(key, body); },
             .onDeposed = [this] { m_deposedByWorker = true; },
             .onChange = [this] { scheduleEvent(); },
@@ -241,7 +242,8 @@
 
 void SchedulerTask::handle(SchedulerMessage::Drain message)
 {
-    m_draining = true;
+    if (!std::exchange(m_draining, true))
+        m_drainLimit = now() + m_options.drainLimit;
     m_onDrained.push_back(std::move(message.onDrained));
     m_scheduler->stopStarting();
 }
--- a/protocol/RecordCodec.cpp
+++ b/protocol/RecordCodec.cpp
@@ -68,6 +68,7 @@
         out.set_attempt(static_cast<std::uint32_t>(claim.attempt));
         out.set_epoch(claim.token.epoch);
         out.set_sequence(claim.token.sequence);
+        out.set_within_guarantee(claim.withinGuarantee);
         for (const state::TaskPlacement& placement : claim.placements) {
             wire::TaskPlacement* entry = out.add_placements();
             entry->set_worker(placement.worker.value());
@@ -83,6 +84,7 @@
             .attempt = static_cast<int>(in.attempt()),
             .token = { .epoch = in.epoch(), .sequence = in.sequence() },
             .placements = {},
+            .withinGuarantee = in.within_guarantee(),
         };
         for (const wire::TaskPlacement& entry : in.placements()) {
             state::TaskPlacement placement { .worker = state::WorkerId(entry.worker()), .accelerators = {} };
@@ -222,6 +224,8 @@
     {
         wire::RequestSnapshot* snapshot = out.mutable_request_snapshot();
         snapshot->set_next_offset(body.nextOffset);
+        snapshot->set_part(body.part);
+        snapshot->set_parts(body.parts);
         for (const Record::RequestSnapshotEntry& request : body.entries) {
             wire::RequestSnapshotEntry* entry = snapshot->add_entries();
             entry->set_key_digest(encode(request.key));
@@ -291,7 +295,9 @@
 
     Record::RequestSnapshot decode(const wire::RequestSnapshot& in)
     {
-        Record::RequestSnapshot snapshot { .entries = {}, .nextOffset = in.next_offset() };
+        Record::RequestSnapshot snapshot {
+            .entries = {}, .nextOffset = in.next_offset(), .part = in.part(), .parts = in.parts()
+        };
         for (const wire::RequestSnapshotEntry& entry : in.entries()) {
             Record::RequestSnapshotEntry request {
                 .key = decodeDigest(entry.key_digest()),
--- a/state/Record.h
+++ b/state/Record.h
@@ -57,6 +57,9 @@
         int attempt = 0;
         FencingToken token;
         std::vector<TaskPlacement> placements;
+        /// The attempt runs within its account's guarantee, so it is not preempted. A later scheduler learns it from
+        /// here.
+        bool withinGuarantee = false;
 
         bool operator==(const StartClaim&) const = default;
     };
@@ -123,6 +126,9 @@
     struct RequestSnapshot {
         std::vector<RequestSnapshotEntry> entries;
         LogOffset nextOffset = 0;
+        /// A large snapshot is split into records that the log service accepts; parts count from 0.
+        std::uint32_t part = 0;
+        std::uint32_t parts = 1;
     };
 
     using Body = std::variant<ConfigurationPatch, ConfigurationSnapshot, JobSubmitted, SchedulerClaim, StartClaim,
