Stop renewing for others once a successor can have been elected

Instances that cannot read the log renew the leases of running gangs without a limit. A successor elected where the log is available may start such a job again after the isolation limit, so both could run. Renewals for others now end two lease terms before that limit, and at once when a worker answers with a higher epoch.

Tests: renewals to the second worker end after the first one is fenced; a quarantined worker gets no job. The time limit itself has no test.

--- a/coordination/LeaseGuardian.cpp
+++ b/coordination/LeaseGuardian.cpp
@@ -18,8 +18,12 @@
 {
 }
 
-void LeaseGuardian::tick(bool needed, const std::vector<state::InstanceId>& members, state::MonotonicTime now)
+void LeaseGuardian::tick(bool needed, state::MonotonicTime logLostAt, const std::vector<state::InstanceId>& members,
+    state::MonotonicTime now)
 {
+    // The loss of the log is noticed late, after a long poll and its timeout; two lease terms cover that.
+    bool expired = now + 2 * m_options.leaseTtl >= logLostAt + m_options.isolationLimit;
+    needed = needed && !expired && m_fencedEpoch != m_table.epoch();
     // The leases may be close to their end when the need arises.
     if (needed && !m_needed)
         m_renewAt = now;
@@ -51,8 +55,12 @@
         bool mine = order.empty() || order.front() == m_environment.instance;
         if (!mine || worker == m_placement.workers().end())
             continue;
-        m_client.renew(
-            worker->second.worker, m_table.epoch(), leases, m_options.leaseTtl, [](const protocol::WorkerAnswer&) {});
+        m_client.renew(worker->second.worker, m_table.epoch(), leases, m_options.leaseTtl,
+            [this, epoch = m_table.epoch()](const protocol::WorkerAnswer& answer) {
+                // A successor was elected where the log is available; its gangs must not be kept alive in part.
+                if (answer.status == protocol::WorkerAnswer::Status::Fenced)
+                    m_fencedEpoch = epoch;
+            });
         m_environment.metrics->increment("lentilsaddle_guardian_renewals_total");
     }
 }
--- a/coordination/LeaseGuardian.h
+++ b/coordination/LeaseGuardian.h
@@ -9,6 +9,7 @@
 #include "state/Time.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -22,6 +23,8 @@
     struct Options {
         std::chrono::milliseconds leaseTtl;
         std::chrono::milliseconds renewInterval;
+        /// After this time without the log, a successor elsewhere may start the jobs again.
+        std::chrono::milliseconds isolationLimit;
     };
 
     /// @param client, table, placement and environment outlive this object.
@@ -29,8 +32,10 @@
         const TaskEnvironment& environment, const Options& options);
 
     /// @param needed whether the scheduler is gone and the log is unavailable.
+    /// @param logLostAt when the log was noticed to be unavailable.
     /// @param members live instances of the data centre.
-    void tick(bool needed, const std::vector<state::InstanceId>& members, state::MonotonicTime now);
+    void tick(bool needed, state::MonotonicTime logLostAt, const std::vector<state::InstanceId>& members,
+        state::MonotonicTime now);
     std::optional<state::MonotonicTime> nextTick() const;
 
 private:
@@ -42,6 +47,8 @@
     const TaskEnvironment& m_environment;
     Options m_options;
     bool m_needed = false;
+    /// Epoch that a worker's answer showed to have ended.
+    std::optional<std::uint64_t> m_fencedEpoch;
     state::MonotonicTime m_renewAt;
 };
 
--- a/coordination/SchedulerTask.cpp
+++ b/coordination/SchedulerTask.cpp
@@ -75,8 +75,11 @@
             .onDeposed = [this] { m_deposedByWorker = true; },
             .onChange = [this] { scheduleEvent(); },
         });
-    m_guardian = std::make_unique<LeaseGuardian>(m_scheduler->workerClient(), m_table, m_scheduler->placement(),
-        m_environment, LeaseGuardian::Options { m_options.leaseTtl, m_options.renewInterval });
+    m_guardian
+        = std::make_unique<LeaseGuardian>(m_scheduler->workerClient(), m_table, m_scheduler->placement(), m_environment,
+            LeaseGuardian::Options { .leaseTtl = m_options.leaseTtl,
+                .renewInterval = m_options.renewInterval,
+                .isolationLimit = m_options.isolationLimit });
     m_hooks.postLog(
         { .body = LogMessage::Subscribe { .stream = m_stream, .onBatch = [this](state::StreamBatch batch) {
                                              post({ .body = SchedulerMessage::LogBatch { std::move(batch) } });
@@ -235,6 +238,8 @@
 {
     if (message.reachable && !m_logReachable)
         m_snapshotDue = true;
+    if (!message.reachable && m_logReachable)
+        m_logLostAt = now();
     m_logReachable = message.reachable;
     m_scheduler->setLogReachable(message.reachable);
 }
--- a/coordination/SchedulerTask.h
+++ b/coordination/SchedulerTask.h
@@ -80,6 +80,7 @@
     SchedulerMessage::Members m_members;
     bool m_membersKnown = false;
     bool m_logReachable = false;
+    state::MonotonicTime m_logLostAt;
 
     /// Last role told by the onRole hook.
     std::optional<PeerMessage::SchedulerRole> m_toldRole;
--- a/coordination/SchedulerTaskRole.cpp
+++ b/coordination/SchedulerTaskRole.cpp
@@ -180,7 +180,7 @@
     // The election's view leaves out the suspected scheduler, which would otherwise own workers and renew nothing.
     const std::vector<state::InstanceId> members = electionView().members;
     bool guard = !m_scheduler->active() && !m_logReachable && m_members.schedulerSuspected && m_replay.complete();
-    m_guardian->tick(guard, members, time);
+    m_guardian->tick(guard, m_logLostAt, members, time);
     elect(time);
     advanceDrain();
     appendSnapshotIfDue();
--- a/tests/coordination/SchedulerTaskTest.cpp
+++ b/tests/coordination/SchedulerTaskTest.cpp
@@ -47,7 +47,7 @@
                 .unlistedDelay = 50ms,
                 .answerLimit = 300ms,
                 .fenceRetry = 100ms,
-                .quarantineDuration = 300ms,
+                .quarantineDuration = m_quarantineDuration,
                 .snapshotInterval = 8 };
             m_tasks.push_back(std::make_unique<SchedulerTask>(environment, options,
                 SchedulerTaskHooks { .postLog = m_log.port(environment.instance, incarnation),
@@ -158,6 +158,7 @@
             return eventually([&] { return stateOf(task, id) == state; });
         }
 
+        std::chrono::milliseconds m_quarantineDuration { 300 };
         std::mutex m_eventMutex;
         std::vector<std::string> m_events;
         transport::Metrics m_metrics;
@@ -476,6 +477,28 @@
     }));
 }
 
+// Guards against jobs that go on to a worker that fails everything.
+TEST_F(SchedulerTaskTest, QuarantinedWorkerGetsNoJob)
+{
+    m_quarantineDuration = 1h;
+    m_platform.run([&] { m_platform.m_workers["w1"].failsEverything = true; });
+    SchedulerTask& task = start("e1");
+    for (const char* id : { "j1", "j2", "j3" })
+        submit(task, job(id));
+    ASSERT_TRUE(eventually([&] {
+        return recorded("worker.quarantined j1 w1") || recorded("worker.quarantined j2 w1")
+            || recorded("worker.quarantined j3 w1");
+    }));
+    m_platform.run([&] { m_platform.m_workers["w1"].failsEverything = false; });
+    submit(task, job("first", 1));
+    submit(task, job("second", 1));
+    ASSERT_TRUE(reaches(task, "first", "running"));
+    m_platform.finish("first", "succeeded");
+    ASSERT_TRUE(reaches(task, "second", "running"));
+    m_platform.run([&] { EXPECT_TRUE(m_platform.m_workers["w1"].tasks.empty()); });
+    EXPECT_EQ(stateOf(task, "first"), "done");
+}
+
 // Guards against a stream that can be read only from its expired start.
 TEST_F(SchedulerTaskTest, SnapshotsFollowTheRecords)
 {
@@ -502,6 +525,13 @@
     EXPECT_TRUE(eventually([&] { return m_platform.renewals("w0") > 1 && m_platform.renewals("w1") > 1; }));
     EXPECT_FALSE(status(second).isScheduler);
     EXPECT_EQ(m_platform.starts("j", 1), 2);
+    // A successor elsewhere fenced one worker, so the other one must not be kept alive either.
+    m_platform.run([&] { m_platform.m_workers["w0"].epoch = 9; });
+    EXPECT_TRUE(eventually([&] {
+        int before = m_platform.renewals("w1");
+        std::this_thread::sleep_for(200ms);
+        return m_platform.renewals("w1") == before;
+    }));
 }
 
 } // namespace lentilsaddle::coordination
