Connect the log relay and the readiness of the configuration in the daemon

Peers learn whether the own configuration is ready and whether the own connection to the log works, and the log task relays through the peer task while its own connection fails.

--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -105,12 +105,32 @@
     };
 }
 
+coordination::LogTaskOptions Daemon::logTaskOptions()
+{
+    return {
+        .platformUrl = m_settings.platformUrl,
+        .relayRead =
+            [this](std::string stream, state::LogOffset offset, std::chrono::milliseconds wait,
+                std::function<void(protocol::LogClient::ReadResult)> reply) {
+                m_peers->post(
+                    { .body = coordination::PeerMessage::RelayRead {
+                          .stream = std::move(stream), .offset = offset, .wait = wait, .reply = std::move(reply) } });
+            },
+        .relayAppend =
+            [this](std::string stream, std::vector<std::string> records,
+                std::function<void(protocol::LogClient::AppendResult)> reply) {
+                m_peers->post(
+                    { .body = coordination::PeerMessage::RelayAppend {
+                          .stream = std::move(stream), .records = std::move(records), .reply = std::move(reply) } });
+            },
+    };
+}
+
 void Daemon::createTasks()
 {
     auto postLog = [this](coordination::LogMessage message) { m_log->post(std::move(message)); };
     m_timeline = std::make_unique<coordination::TimelineTask>(m_settings.instance, m_settings.timelineCapacity);
-    m_log = std::make_unique<coordination::LogTask>(
-        m_environment, coordination::LogTaskOptions { .platformUrl = m_settings.platformUrl });
+    m_log = std::make_unique<coordination::LogTask>(m_environment, logTaskOptions());
     m_configuration = std::make_unique<coordination::ConfigurationTask>(
         m_environment, coordination::ConfigurationTaskOptions {}, postLog);
     m_requests
@@ -201,16 +221,22 @@
                                          .configuration = view.configuration, .ready = view.ready } });
                   m_scheduler->post({ .body = coordination::SchedulerMessage::Configure {
                                           .configuration = view.configuration, .ready = view.ready } });
-                  m_peers->post({ .body = coordination::PeerMessage::ConfigurationVersion {
-                                      .version = view.configuration ? view.configuration->version : 0 } });
+                  m_peers->post(
+                      { .body = coordination::PeerMessage::ConfigurationVersion {
+                            .version = view.configuration ? view.configuration->version : 0, .ready = view.ready } });
               } } });
     m_log->post({ .body = coordination::LogMessage::WatchReachability { .onChange = [this](bool reachable) {
         m_configuration->post(
             { .body = coordination::ConfigurationMessage::LogReachability { .reachable = reachable } });
         m_requests->post({ .body = coordination::RequestMessage::LogReachability { .reachable = reachable } });
         m_scheduler->post({ .body = coordination::SchedulerMessage::LogReachability { .reachable = reachable } });
-        m_peers->post({ .body = coordination::PeerMessage::LogReachability { .reachable = reachable } });
     } } });
+    // Peers may relay through this instance only while its own connection works.
+    m_log->post({ .body = coordination::LogMessage::WatchReachability {
+                      .directOnly = true, .onChange = [this](bool reachable) {
+                          m_peers->post(
+                              { .body = coordination::PeerMessage::LogReachability { .reachable = reachable } });
+                      } } });
 }
 
 void Daemon::start()
--- a/daemon/Daemon.h
+++ b/daemon/Daemon.h
@@ -13,6 +13,7 @@
 class ApiTask;
 class ConfigurationTask;
 class LogTask;
+struct LogTaskOptions;
 class PeerTask;
 class RequestTask;
 class SchedulerTask;
@@ -39,6 +40,7 @@
 private:
     coordination::TaskEnvironment makeEnvironment();
     void createTasks();
+    coordination::LogTaskOptions logTaskOptions();
     void createApiTask();
     void connectTasks();
     void startDrain(const std::function<void()>& onDrained);
