Hold non-repeatable requests until the claim stream is read

Cause: for some milliseconds after a service is configured an instance has not read the claims yet. It answered "not-run" (ledger_incomplete) for any key, also for one that had run elsewhere, and process tests failed on it (3 failures in 30 repeats before they waited for it).

Requests now wait for the first read of the stream and then follow the ledger. After a gap they are refused at once as before. Ruled out: waiting after a gap as well, since the gap may last until an operator acts.

The instance list is read every 2 s instead of 1 s: at 55 entries it was estimated at 6.8 KB/s of the 8 KB/s that a node may spend. The API reports idleness by a callback instead of a 50 ms timer.

Checked: RequestTaskTest.RequestWaitsUntilTheStreamIsRead and all coordination tests; the demo passes.

--- a/coordination/ApiTask.cpp
+++ b/coordination/ApiTask.cpp
@@ -24,8 +24,6 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds idleCheckInterval { 50 };
-
     std::vector<std::string> splitPath(const std::string& path)
     {
         std::vector<std::string> parts;
@@ -82,18 +80,8 @@
         m_draining = true;
         return;
     }
-    m_onIdle = std::move(std::get<ApiMessage::StopListening>(message.body).onIdle);
     m_server->stopListening();
-    checkIdle();
-}
-
-void ApiTask::checkIdle()
-{
-    if (m_server->pendingRequests() == 0) {
-        m_onIdle();
-        return;
-    }
-    loop().startTimer(idleCheckInterval, [this] { checkIdle(); });
+    m_server->whenIdle(std::get<ApiMessage::StopListening>(message.body).onIdle);
 }
 
 template <typename Answer> std::function<void(Answer)> ApiTask::onThisThread(std::function<void(Answer)> handler)
--- a/coordination/ApiTask.h
+++ b/coordination/ApiTask.h
@@ -58,14 +58,12 @@
     template <typename Answer> std::function<void(Answer)> onThisThread(std::function<void(Answer)> handler);
 
     std::string generateId(const char* prefix) const;
-    void checkIdle();
 
     TaskEnvironment m_environment;
     transport::HttpServerOptions m_serverOptions;
     ApiTaskHooks m_hooks;
     std::unique_ptr<transport::HttpServer> m_server;
     bool m_draining = false;
-    std::function<void()> m_onIdle;
 };
 
 } // namespace lentilsaddle::coordination
--- a/coordination/NonRepeatableRequests.cpp
+++ b/coordination/NonRepeatableRequests.cpp
@@ -40,10 +40,10 @@
     std::string_view reason;
     if (!m_claims.logReachable())
         reason = "log_unavailable";
-    else if (standing == RequestClaims::Standing::Incomplete)
-        reason = "ledger_incomplete";
-    else
+    else if (standing == RequestClaims::Standing::Free)
         reason = m_hooks.refusal(pending);
+    else if (!m_claims.stillReading())
+        reason = "ledger_incomplete";
     if (reason.empty())
         return false;
     m_hooks.refuse(pending, reason);
@@ -153,7 +153,11 @@
 
 void NonRepeatableRequests::acceptLog(const state::StreamBatch& batch)
 {
-    for (const state::KeyDigest& key : m_claims.accept(batch)) {
+    bool wasReading = m_claims.stillReading();
+    std::vector<state::KeyDigest> touched = m_claims.accept(batch);
+    if (wasReading && !m_claims.stillReading())
+        resumeAll();
+    for (const state::KeyDigest& key : touched) {
         auto leader = m_leaders.find(key);
         if (leader == m_leaders.end())
             releaseIfAbandoned(key);
@@ -162,6 +166,18 @@
     }
 }
 
+void NonRepeatableRequests::resumeAll()
+{
+    std::vector<std::uint64_t> tickets;
+    for (const auto& [key, ticket] : m_leaders)
+        tickets.push_back(ticket);
+    for (std::uint64_t ticket : tickets) {
+        PendingRequest* pending = m_hooks.find(ticket);
+        if (pending && pending->phase == PendingRequest::Phase::Claiming && !refusedBeforeClaim(*pending))
+            advance(*pending);
+    }
+}
+
 void NonRepeatableRequests::claimAppended(const RequestMessage::ClaimAppended& message)
 {
     PendingRequest* pending = m_hooks.find(message.ticket);
--- a/coordination/NonRepeatableRequests.h
+++ b/coordination/NonRepeatableRequests.h
@@ -66,6 +66,8 @@
     void advance(PendingRequest& pending);
     void advanceFreeKey(PendingRequest& pending);
     void answerFromLedger(PendingRequest& pending, RequestClaims::Standing standing);
+    /// Continues the requests that waited until the stream was read.
+    void resumeAll();
     void releaseIfAbandoned(const state::KeyDigest& key);
     void finishFollowers(const std::vector<std::uint64_t>& followers, const RequestMessage::ServiceAnswer& answer);
 
--- a/coordination/PeerTaskOptions.h
+++ b/coordination/PeerTaskOptions.h
@@ -15,7 +15,8 @@
     std::uint16_t port = 0;
     /// Base URL of the platform, without a trailing slash.
     std::string platformUrl;
-    std::chrono::milliseconds instanceListInterval { 1'000 };
+    /// The list is the largest part of an instance's control traffic, about 120 bytes for each entry.
+    std::chrono::milliseconds instanceListInterval { 2'000 };
     std::chrono::milliseconds instanceListTimeout { 2'000 };
     /// Time between two heartbeats to the scheduler.
     std::chrono::milliseconds heartbeatInterval { 1'000 };
--- a/coordination/RequestClaims.h
+++ b/coordination/RequestClaims.h
@@ -62,6 +62,9 @@
 
     Standing standing(const state::KeyDigest& key) const;
 
+    /// @return whether nothing is known yet because the stream is being read for the first time.
+    bool stillReading() const { return !m_replay.complete() && m_replay.firstRead(); }
+
     /// @return the status of a request whose standing is Done.
     int doneStatus(const state::KeyDigest& key) const;
 
--- a/state/StreamReplay.cpp
+++ b/state/StreamReplay.cpp
@@ -29,6 +29,8 @@
     }
     m_nextOffset = std::max(m_nextOffset, batch.nextOffset);
     m_caughtUp = batch.caughtUp;
+    if (batch.caughtUp || batch.gap)
+        m_firstRead = false;
 }
 
 void StreamReplay::acceptEntry(const StreamBatch::Entry& entry)
--- a/state/StreamReplay.h
+++ b/state/StreamReplay.h
@@ -39,6 +39,10 @@
     /// @return whether the state is complete and the last batch reached the end of the stream.
     bool caughtUp() const { return m_complete && m_caughtUp; }
 
+    /// @return whether the stream is being read for the first time, so that an incomplete state may become complete
+    /// without a new record.
+    bool firstRead() const { return m_firstRead; }
+
     /// @return offset of the next record to read.
     LogOffset nextOffset() const { return m_nextOffset; }
 
@@ -50,6 +54,7 @@
     bool m_complete = false;
     bool m_caughtUp = false;
     bool m_started = false;
+    bool m_firstRead = true;
     /// Offset of the first record in m_pending or of the next one.
     LogOffset m_pendingFrom = 0;
     LogOffset m_nextOffset = 0;
--- a/tests/coordination/FakeLog.h
+++ b/tests/coordination/FakeLog.h
@@ -65,6 +65,24 @@
         m_duplicates.clear();
     }
 
+    /// Delivers nothing to new subscribers until releaseFirstBatches().
+    void holdFirstBatches()
+    {
+        std::lock_guard lock(m_mutex);
+        m_holdFirstBatches = true;
+    }
+
+    void releaseFirstBatches()
+    {
+        std::lock_guard lock(m_mutex);
+        m_holdFirstBatches = false;
+        for (const auto& [stream, onBatch] : m_heldSubscribers) {
+            m_subscribers[stream].push_back(onBatch);
+            onBatch(batch(m_streams[stream], 0));
+        }
+        m_heldSubscribers.clear();
+    }
+
     std::vector<state::Record> records(const std::string& stream)
     {
         std::lock_guard lock(m_mutex);
@@ -98,6 +116,10 @@
 
     void accept(const LogMessage::Subscribe& subscribe)
     {
+        if (m_holdFirstBatches) {
+            m_heldSubscribers.emplace_back(subscribe.stream, subscribe.onBatch);
+            return;
+        }
         m_subscribers[subscribe.stream].push_back(subscribe.onBatch);
         subscribe.onBatch(batch(m_streams[subscribe.stream], 0));
     }
@@ -124,6 +146,8 @@
     std::map<std::string, std::vector<state::Record>> m_streams;
     std::map<std::string, std::vector<std::function<void(state::StreamBatch)>>> m_subscribers;
     std::vector<std::pair<std::string, state::Record>> m_duplicates;
+    bool m_holdFirstBatches = false;
+    std::vector<std::pair<std::string, std::function<void(state::StreamBatch)>>> m_heldSubscribers;
 };
 
 } // namespace lentilsaddle::coordination
--- a/tests/coordination/RequestTaskTest.cpp
+++ b/tests/coordination/RequestTaskTest.cpp
@@ -84,6 +84,22 @@
     EXPECT_EQ(m_backend.runs("order-7"), 1);
 }
 
+// Guards against telling "not run" for a key that ran elsewhere, by an instance that has not read the stream yet.
+TEST_F(RequestTaskTest, RequestWaitsUntilTheStreamIsRead)
+{
+    EXPECT_EQ(ask(startInstance("e1"), request("q1", "order-7")).outcome, RequestOutcome::Done);
+    m_log.holdFirstBatches();
+    RequestTask& late = startInstance("e2");
+    std::future<Answer> again = submit(late, request("q2", "order-7"));
+    std::future<Answer> other = submit(late, request("q3", "order-8"));
+    ask(late, request("q4"));
+    m_log.releaseFirstBatches();
+    EXPECT_EQ(again.get().outcome, RequestOutcome::Done);
+    EXPECT_EQ(other.get().outcome, RequestOutcome::Done);
+    EXPECT_EQ(m_backend.runs("order-7"), 1);
+    EXPECT_EQ(m_backend.runs("order-8"), 1);
+}
+
 // Guards against handing over without a claim when the log cannot keep one.
 TEST_F(RequestTaskTest, NonRepeatableRequestIsRefusedWhileTheLogIsUnavailable)
 {
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -13,6 +13,7 @@
 #include <cstring>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace lentilsaddle::transport {
 
@@ -51,6 +52,7 @@
     MHD_socket quiescedSocket = MHD_INVALID_SOCKET;
     EventLoop::TimerId runTimer = 0;
     std::set<std::shared_ptr<Exchange>> exchanges;
+    std::function<void()> onIdle;
 
     static MHD_Result onAccess(void* context, MHD_Connection* connection, const char* url, const char* method,
         const char*, const char* uploadData, std::size_t* uploadSize, void** exchangeSlot);
@@ -62,6 +64,7 @@
     void respond(const std::shared_ptr<Exchange>& exchange, HttpResponse response);
     void run();
     void scheduleRun(std::chrono::milliseconds delay);
+    void reportIdle();
 };
 
 MHD_Result HttpServer::Implementation::beginExchange(
@@ -171,6 +174,15 @@
         return;
     raw->closed = true;
     std::erase_if(self->exchanges, [raw](const auto& exchange) { return exchange.get() == raw; });
+    self->reportIdle();
+}
+
+void HttpServer::Implementation::reportIdle()
+{
+    if (!exchanges.empty() || !onIdle)
+        return;
+    auto callback = std::exchange(onIdle, nullptr);
+    callback();
 }
 
 void HttpServer::Implementation::run()
@@ -241,9 +253,10 @@
         self.quiescedSocket = MHD_quiesce_daemon(self.daemon);
 }
 
-std::size_t HttpServer::pendingRequests() const
+void HttpServer::whenIdle(std::function<void()> callback)
 {
-    return m_implementation->exchanges.size();
+    m_implementation->onIdle = std::move(callback);
+    m_implementation->reportIdle();
 }
 
 } // namespace lentilsaddle::transport
--- a/transport/HttpServer.h
+++ b/transport/HttpServer.h
@@ -44,8 +44,8 @@
     /// Closes the listening socket; open connections go on.
     void stopListening();
 
-    /// @return requests handed to the handler whose response has not been sent completely.
-    std::size_t pendingRequests() const;
+    /// Calls back once when no request is in hand; at once if that is so now.
+    void whenIdle(std::function<void()> callback);
 
 private:
     struct Implementation;
