--- a/tests/process/GangProcessTest.cpp
+++ b/tests/process/GangProcessTest.cpp
@@ -176,6 +176,26 @@
     EXPECT_EQ(attempts("gang").size(), 1U);
 }
 
+// Guards against a guarantee that cannot be reclaimed, and against preempting more than the shape needs.
+TEST_F(GangProcessTest, UrgentJobReclaimsItsGuaranteeFromABorrower)
+{
+    json guarantee { { "data_centre", "norte-ovi" }, { "accelerators", 32 }, { "adjacency", "rack" } };
+    ASSERT_EQ(
+        patch(0, "guarantee", 1, { { "accounts", { { "shops", { { "guarantees", { guarantee } } } } } } }).status, 200);
+    json borrower { { "account", "overnight" }, { "payload", R"({"run_ms":600000})" } };
+    for (const std::string id : { "borrower-1", "borrower-2" }) {
+        ASSERT_EQ(submit(0, id, 32, borrower).status, 202);
+        ASSERT_TRUE(waitForGang(id, 32));
+    }
+    ASSERT_EQ(submit(0, "urgent", 32, { { "account", "shops" }, { "urgent", true } }).status, 202);
+    ASSERT_TRUE(waitForJob(0, "urgent", "done"));
+    expectRanOnce("urgent", 32);
+    // One borrower went on untouched; the other one is started again in the space that the urgent job has left.
+    ASSERT_TRUE(waitForGang("borrower-1", 32));
+    ASSERT_TRUE(waitForGang("borrower-2", 32));
+    EXPECT_EQ(attempts("borrower-1").size() + attempts("borrower-2").size(), 3U);
+}
+
 // Guards against a gang that loses its leases because the log is away.
 TEST_F(GangProcessTest, RunningGangSurvivesALogOutage)
 {
