--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -3,6 +3,7 @@
 
 #include "cli/CommandLine.h"
 #include "cli/Commands.h"
+#include "cli/ErrorText.h"
 
 #include <gflags/gflags.h>
 
@@ -45,7 +46,7 @@
     try {
         return static_cast<int>(lentilsaddle::cli::runCommand(commandLine.positional));
     } catch (const std::exception& error) {
-        std::cerr << "lentilsaddle: " << error.what() << '\n';
+        std::cerr << "lentilsaddle: " << lentilsaddle::cli::errorText(error) << '\n';
         return static_cast<int>(ExitCode::Failure);
     }
 }
--- a/coordination/SchedulerTask.cpp
+++ b/coordination/SchedulerTask.cpp
@@ -262,7 +262,7 @@
     else if (message.key == roleKey)
         roleAppended();
     else if (message.key == snapshotKey)
-        m_snapshotInFlight = false;
+        snapshotAppended(message.status);
     else
         m_scheduler->appended(message.key, message.status);
 }
--- a/coordination/SchedulerTask.h
+++ b/coordination/SchedulerTask.h
@@ -65,6 +65,9 @@
     /// @return a time that the drain waits for, or nothing if there is no drain or the time is past.
     std::optional<state::MonotonicTime> drainStep(state::MonotonicTime step, state::MonotonicTime now) const;
     void appendSnapshotIfDue();
+    void snapshotAppended(LogMessage::AppendStatus status);
+    /// @return when the next snapshot is due; nothing while none can be appended.
+    std::optional<state::MonotonicTime> nextSnapshot() const;
     state::MonotonicTime now() const { return m_environment.monotonicClock(); }
 
     TaskEnvironment m_environment;
@@ -101,6 +104,7 @@
 
     int m_recordsSinceSnapshot = 0;
     bool m_snapshotDue = false;
+    state::MonotonicTime m_lastSnapshot;
     bool m_snapshotInFlight = false;
 
     std::unique_ptr<transport::HttpClient> m_http;
--- a/coordination/SchedulerTaskOptions.h
+++ b/coordination/SchedulerTaskOptions.h
@@ -37,6 +37,9 @@
     std::chrono::milliseconds drainLimit { 5'000 };
     /// Records between two snapshots.
     int snapshotInterval = 1'000;
+    /// Age of the last snapshot at which the next one is due. A quiet stream would else lose its oldest records to the
+    /// log's retention before 1,000 others follow.
+    std::chrono::milliseconds snapshotAge = std::chrono::hours(6);
 };
 
 } // namespace lentilsaddle::coordination
--- a/coordination/SchedulerTaskRole.cpp
+++ b/coordination/SchedulerTaskRole.cpp
@@ -146,17 +146,34 @@
     return m_onDrained.empty() || step <= now ? std::nullopt : std::optional(step);
 }
 
+std::optional<MonotonicTime> SchedulerTask::nextSnapshot() const
+{
+    if (m_snapshotInFlight || !m_scheduler->active() || !m_logReachable || !m_replay.caughtUp())
+        return std::nullopt;
+    if (m_snapshotDue || m_recordsSinceSnapshot >= m_options.snapshotInterval)
+        return now();
+    return m_lastSnapshot + m_options.snapshotAge;
+}
+
 void SchedulerTask::appendSnapshotIfDue()
 {
-    bool due = m_snapshotDue || m_recordsSinceSnapshot >= m_options.snapshotInterval;
-    if (!due || m_snapshotInFlight || !m_scheduler->active() || !m_logReachable || !m_replay.caughtUp())
+    std::optional<MonotonicTime> due = nextSnapshot();
+    if (!due || *due > now())
         return;
     m_snapshotDue = false;
+    m_lastSnapshot = now();
     m_recordsSinceSnapshot = 0;
     m_snapshotInFlight = true;
     append("snapshot", m_table.snapshot(m_replay.nextOffset()));
 }
 
+void SchedulerTask::snapshotAppended(LogMessage::AppendStatus status)
+{
+    m_snapshotInFlight = false;
+    if (status != LogMessage::AppendStatus::Appended)
+        m_snapshotDue = true;
+}
+
 void SchedulerTask::scheduleEvent()
 {
     if (std::exchange(m_eventScheduled, true))
@@ -192,7 +209,7 @@
     MonotonicTime time = now();
     std::optional<MonotonicTime> next;
     for (const auto& candidate : { m_submissions.nextDeadline(), m_scheduler->nextTick(time), m_guardian->nextTick(),
-             m_claimAt, drainStep(m_roleRetryAt, time), drainStep(m_drainLimit, time) }) {
+             m_claimAt, nextSnapshot(), drainStep(m_roleRetryAt, time), drainStep(m_drainLimit, time) }) {
         if (candidate)
             next = next ? std::min(*next, *candidate) : candidate;
     }
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -2,6 +2,7 @@
 /// Daemon of an entry instance.
 
 #include "cli/CommandLine.h"
+#include "cli/ErrorText.h"
 #include "cli/ExitCode.h"
 #include "daemon/Daemon.h"
 #include "protocol/ProtocolError.h"
@@ -105,7 +106,7 @@
         try {
             return static_cast<int>(run());
         } catch (const std::exception& error) {
-            std::cerr << "lentilsaddled: " << error.what() << '\n';
+            std::cerr << "lentilsaddled: " << cli::errorText(error) << '\n';
             return static_cast<int>(cli::ExitCode::Failure);
         }
     }
--- a/tests/coordination/SchedulerTaskTest.cpp
+++ b/tests/coordination/SchedulerTaskTest.cpp
@@ -48,7 +48,8 @@
                 .answerLimit = 300ms,
                 .fenceRetry = 100ms,
                 .quarantineDuration = m_quarantineDuration,
-                .snapshotInterval = 8 };
+                .snapshotInterval = 8,
+                .snapshotAge = m_snapshotAge };
             m_tasks.push_back(std::make_unique<SchedulerTask>(environment, options,
                 SchedulerTaskHooks { .postLog = m_log.port(environment.instance, incarnation),
                     .onRole = [](const PeerMessage::SchedulerRole&) {},
@@ -159,6 +160,7 @@
         }
 
         std::chrono::milliseconds m_quarantineDuration { 300 };
+        std::chrono::milliseconds m_snapshotAge = std::chrono::hours(6);
         std::mutex m_eventMutex;
         std::vector<std::string> m_events;
         transport::Metrics m_metrics;
@@ -511,6 +513,14 @@
     EXPECT_LE(snapshot.nextOffset, m_log.records().size());
 }
 
+// Guards against a quiet stream whose records expire before enough of them follow for a snapshot.
+TEST_F(SchedulerTaskTest, SnapshotsFollowOneAnotherByAge)
+{
+    m_snapshotAge = 50ms;
+    start("e1");
+    EXPECT_TRUE(eventually([&] { return m_log.all<Record::JobSnapshot>().size() >= 3; }));
+}
+
 // Guards against running gangs that lapse when the scheduler dies during an outage of the log.
 TEST_F(SchedulerTaskTest, OtherInstanceRenewsWhileNobodyCanBeElected)
 {
