--- a/tools/processes.sh
+++ b/tools/processes.sh
@@ -1,6 +1,6 @@
 # Functions for scripts that start processes on loopback; sourced, not run.
 #
-# The script sets `folder` to a temporary folder and `title` to its name before it sources this file. All processes that
+# The script sets `address`, `folder` (a temporary folder) and `title` (its name) before it sources this file. All processes that
 # launch() starts are ended when the script ends.
 
 pids=
@@ -66,3 +66,13 @@
 http() {
     curl --silent --fail --max-time 5 "$@"
 }
+
+# Usage: answers PORT PATH
+answers() {
+    http "http://$address:$1$2" > /dev/null
+}
+
+# Usage: is_ready PORT; whether an entry instance is ready.
+is_ready() {
+    http "http://$address:$1/v1/status" | grep -q '"ready": *true'
+}
