--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -55,6 +55,7 @@
     ChildProcess& entry(int index) { return *m_entries.at(static_cast<std::size_t>(index)).process; }
     std::string entryName(int index) const { return m_entries.at(static_cast<std::size_t>(index)).name; }
     int entryCount() const { return static_cast<int>(m_entries.size()); }
+    std::uint16_t entryPort(int index) const { return m_entries.at(static_cast<std::size_t>(index)).httpPort; }
 
     std::uint16_t platformPort() const { return m_platformPort; }
     std::uint16_t workerPort(int dataCentre) const
