Check integer ranges in one place

Cause: Configuration and JobSpecification each had the same range check with the same message.

Ruled out: sharing the checks of JsonReader, which knows the encoding and must not be used by the state layer.

Errors and bounds are unchanged.

--- a/state/Configuration.cpp
+++ b/state/Configuration.cpp
@@ -1,5 +1,6 @@
 #include "state/Configuration.h"
 
+#include "state/RangeCheck.h"
 #include "state/StateError.h"
 
 #include <string>
@@ -12,13 +13,6 @@
     constexpr int maximumShape = 512;
     constexpr int acceleratorsPerWorkerLimit = 8;
 
-    void requireRange(const std::string& field, int value, int low, int high)
-    {
-        if (value < low || value > high)
-            throw StateError(field,
-                "must be " + std::to_string(low) + " to " + std::to_string(high) + ", got " + std::to_string(value));
-    }
-
     void validateGuarantee(const Configuration& configuration, const std::string& field, const Guarantee& guarantee)
     {
         requireRange(field + ".accelerators", guarantee.accelerators, 1, maximumShape);
--- a/state/JobSpecification.cpp
+++ b/state/JobSpecification.cpp
@@ -1,5 +1,6 @@
 #include "state/JobSpecification.h"
 
+#include "state/RangeCheck.h"
 #include "state/StateError.h"
 
 #include <string>
@@ -11,13 +12,6 @@
     constexpr std::chrono::hours maximumRunTime { 24 * 30 };
     constexpr std::size_t maximumPayloadBytes = 4096;
 
-    void requireRange(const char* field, int value, int low, int high)
-    {
-        if (value < low || value > high)
-            throw StateError(field,
-                "must be " + std::to_string(low) + " to " + std::to_string(high) + ", got " + std::to_string(value));
-    }
-
 } // namespace
 
 void validate(const JobSpecification& specification)
