--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -22,8 +22,13 @@
     std::chrono::milliseconds submitTimeout { 900 };
     /// Long poll of the journal. Short enough to notice a silent store within the readiness limit.
     std::chrono::milliseconds journalWait { 1'000 };
-    /// Long poll of the directory and the configuration.
-    std::chrono::milliseconds directoryWait { 5'000 };
+    /// Long poll of the directory and the configuration. A poll that the store swallows costs this, the read timeout
+    /// and the retry delay; the sum stays below the 2 s in which a version or a leaving worker must be known.
+    std::chrono::milliseconds directoryWait { 900 };
+    /// Least time between two reads of the journal, so that records that come one by one are read together.
+    std::chrono::milliseconds journalPace { 25 };
+    /// Least time between two reads of the directory. Workers write often and seldom change.
+    std::chrono::milliseconds directoryPace { 400 };
     /// Limit of a read beyond its wait.
     std::chrono::milliseconds readTimeout { 700 };
     /// Delay before a failed call to the store is repeated.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -78,10 +78,8 @@
         .clock = m_hooks.clock,
         .authorised = m_hooks.authorised,
         .onFenced = m_hooks.onFenced,
-        .onEnded = [this, worker](
-                       const EndedTask& ended, bool wasOccupant) { onEnded(worker, ended, wasOccupant); },
-        .onLost = [this, worker](
-                      const Occupant& lost, const std::string& reason) { onLost(worker, lost, reason); },
+        .onEnded = [this, worker](const EndedTask& ended, bool wasOccupant) { onEnded(worker, ended, wasOccupant); },
+        .onLost = [this, worker](const Occupant& lost, const std::string& reason) { onLost(worker, lost, reason); },
         .onRunning = [](const Occupant&) {},
         .onUnknownRun = [this, worker](const RunningTask& running) { onUnknownRun(worker, running); },
         .onChanged = [this] { requestPlan(); },
@@ -92,8 +90,8 @@
 {
     auto found = m_sessions.find(worker.id);
     if (found == m_sessions.end()) {
-        auto session = std::make_unique<WorkerSession>(
-            m_loop, m_worker, m_options, m_term, worker, sessionHooks(worker.id));
+        auto session
+            = std::make_unique<WorkerSession>(m_loop, m_worker, m_options, m_term, worker, sessionHooks(worker.id));
         found = m_sessions.emplace(worker.id, std::move(session)).first;
     }
     return *found->second;
@@ -142,22 +140,19 @@
         if (!workers.contains(id))
             session->setListed(false);
     }
-    std::erase_if(m_sessions, [](const auto& entry) {
-        return !entry.second->listed() && entry.second->occupants().empty();
-    });
+    std::erase_if(
+        m_sessions, [](const auto& entry) { return !entry.second->listed() && entry.second->occupants().empty(); });
     requestPlan();
 }
 
 BatchScheduler::GroupKey BatchScheduler::groupOf(const BatchTaskId& task, std::int64_t run) const
 {
     const BatchJobEntry* entry = m_table.find(task.job);
-    bool gang = entry && entry->contains(task)
-        && entry->job().steps[static_cast<std::size_t>(task.step)].gang;
+    bool gang = entry && entry->contains(task) && entry->job().steps[static_cast<std::size_t>(task.step)].gang;
     return { task.job, task.occurrence, task.step, gang ? -1 : task.index, run };
 }
 
-BatchScheduler::TaskStates BatchScheduler::statesAfterEnd(
-    const state::WorkerId& worker, const EndedTask& ended) const
+BatchScheduler::TaskStates BatchScheduler::statesAfterEnd(const state::WorkerId& worker, const EndedTask& ended) const
 {
     const BatchJobEntry* entry = m_table.find(ended.task.job);
     if (!entry || !entry->contains(ended.task))
@@ -180,8 +175,7 @@
         }
         return states;
     }
-    bool claimedHere
-        = current.phase == TaskPhase::Claimed && current.worker == worker && current.run == ended.run;
+    bool claimedHere = current.phase == TaskPhase::Claimed && current.worker == worker && current.run == ended.run;
     if (!claimedHere || entry->finished())
         return {};
     current.phase = TaskPhase::Queued;
@@ -214,9 +208,8 @@
 void BatchScheduler::onEnded(const state::WorkerId& worker, const EndedTask& ended, bool wasOccupant)
 {
     writeLog(LogLevel::Info, "scheduler", "run ended",
-        { { "job", ended.task.job.value() }, { "task", ended.task.toString() },
-            { "run", std::to_string(ended.run) }, { "worker", worker.value() }, { "how", endName(ended.how) },
-            { "known", wasOccupant ? "true" : "false" } });
+        { { "job", ended.task.job.value() }, { "task", ended.task.toString() }, { "run", std::to_string(ended.run) },
+            { "worker", worker.value() }, { "how", endName(ended.how) }, { "known", wasOccupant ? "true" : "false" } });
     m_metrics.increment("lentilsaddle_batch_runs_ended_total", { { "how", endName(ended.how) } });
     judgeWorker(worker, ended);
     PendingEnds& pending = m_pendingEnds[worker];
@@ -250,8 +243,7 @@
     if (!entry || !entry->contains(lost.task) || entry->finished())
         return;
     BatchTaskState current = entry->task(lost.task);
-    bool claimedHere
-        = current.phase == TaskPhase::Claimed && current.worker == worker && current.run == lost.run;
+    bool claimedHere = current.phase == TaskPhase::Claimed && current.worker == worker && current.run == lost.run;
     if (!claimedHere)
         return;
     current.phase = TaskPhase::Queued;
@@ -326,8 +318,8 @@
     for (auto& [group, gang] : gangs) {
         const BatchJobEntry* entry = m_table.find(std::get<0>(group));
         int expected = entry->job().steps[static_cast<std::size_t>(std::get<2>(group))].taskCount;
-        bool late = gang.starting && gang.since != state::MonotonicTime::max()
-            && now - gang.since > m_options.gangStartLimit;
+        bool late
+            = gang.starting && gang.since != state::MonotonicTime::max() && now - gang.since > m_options.gangStartLimit;
         if (gang.members == expected && !gang.broken && !late)
             continue;
         for (const auto& [session, key] : gang.runs)
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -25,7 +25,7 @@
 namespace lentilsaddle::transport {
 class EventLoop;
 class Metrics;
-}
+} // namespace lentilsaddle::transport
 
 namespace lentilsaddle::coordination::batch {
 
@@ -38,8 +38,7 @@
         /// Whether orders may be given now.
         std::function<bool()> authorised;
         /// Stores records of tasks and applies them to the table, then calls back.
-        std::function<void(
-            std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>> states,
+        std::function<void(std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>> states,
             std::function<void()> onStored)>
             storeTasks;
         /// A worker has seen a later term.
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -73,8 +73,7 @@
     }
 }
 
-void BatchScheduler::addStep(
-    PlanInput& input, const BatchJobEntry& entry, int occurrence, int step, milliseconds tail)
+void BatchScheduler::addStep(PlanInput& input, const BatchJobEntry& entry, int occurrence, int step, milliseconds tail)
 {
     const BatchJob& job = entry.job();
     const BatchStep& description = job.steps[static_cast<std::size_t>(step)];
@@ -164,8 +163,8 @@
             group.runs.push_back(key);
             if (known)
                 group.loss += lossOf(occupant, entry->job().steps[static_cast<std::size_t>(key.first.step)]);
-            bool leaving = occupant.phase == Occupant::Phase::Stopping
-                || occupant.phase == Occupant::Phase::StopAcknowledged;
+            bool leaving
+                = occupant.phase == Occupant::Phase::Stopping || occupant.phase == Occupant::Phase::StopAcknowledged;
             runs.push_back({ .group = found->second, .need = occupant.need, .leaving = leaving });
         }
         if (!session->usable())
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -22,6 +22,19 @@
 
     constexpr std::chrono::milliseconds readinessInterval { 200 };
 
+    const char* streamName(Stream stream)
+    {
+        switch (stream) {
+        case Stream::Journal:
+            return "journal";
+        case Stream::Directory:
+            return "directory";
+        case Stream::Configuration:
+            return "configuration";
+        }
+        return "unknown";
+    }
+
     const char* outcomeName(AppendResult::Status status)
     {
         switch (status) {
@@ -78,7 +91,6 @@
     createReaders();
     createLeadership();
     m_configurationReader->start();
-    m_directoryReader->start();
     m_journalReader->start();
     watchReadiness();
 }
@@ -93,49 +105,60 @@
     m_platform = {};
 }
 
+std::unique_ptr<KeyedReader> BatchTask::makeReader(Stream stream, std::chrono::milliseconds wait,
+    std::chrono::milliseconds pace, std::function<void(const std::vector<KeyedRecord>&)> onListing,
+    std::function<void(const std::vector<KeyedRecord>&)> onRecords, std::function<void()> onCurrent)
+{
+    return std::make_unique<KeyedReader>(loop(), m_platform.journal,
+        KeyedReader::Options {
+            .stream = stream,
+            .wait = wait,
+            .timeout = m_options.readTimeout,
+            .retry = m_options.storeRetry,
+            .pace = pace,
+        },
+        KeyedReader::Hooks {
+            .clock = m_environment.monotonicClock,
+            .onListing = std::move(onListing),
+            .onRecords = std::move(onRecords),
+            .onCurrent = std::move(onCurrent),
+            .onReachability =
+                [stream](bool reachable, const std::string& error) {
+                    writeLog(reachable ? LogLevel::Info : LogLevel::Warning, "store",
+                        reachable ? "stream reachable" : "stream lost",
+                        { { "stream", streamName(stream) }, { "error", error } });
+                },
+        });
+}
+
 void BatchTask::createReaders()
 {
-    auto makeReader = [this](Stream stream, const char* name, std::chrono::milliseconds wait,
-                          std::function<void(const std::vector<KeyedRecord>&)> onListing,
-                          std::function<void(const std::vector<KeyedRecord>&)> onRecords,
-                          std::function<void()> onCurrent) {
-        return std::make_unique<KeyedReader>(loop(), m_platform.journal,
-            KeyedReader::Options {
-                .stream = stream,
-                .wait = wait,
-                .timeout = m_options.readTimeout,
-                .retry = m_options.storeRetry,
-            },
-            KeyedReader::Hooks {
-                .clock = m_environment.monotonicClock,
-                .onListing = std::move(onListing),
-                .onRecords = std::move(onRecords),
-                .onCurrent = std::move(onCurrent),
-                .onReachability =
-                    [name](bool reachable, const std::string& error) {
-                        writeLog(reachable ? LogLevel::Info : LogLevel::Warning, "store",
-                            reachable ? "stream reachable" : "stream lost", { { "stream", name }, { "error", error } });
-                    },
-            });
-    };
     m_journalReader = makeReader(
-        Stream::Journal, "journal", m_options.journalWait,
+        Stream::Journal, m_options.journalWait, m_options.journalPace,
         [this](const std::vector<KeyedRecord>& records) { onJournal(records, true); },
         [this](const std::vector<KeyedRecord>& records) { onJournal(records, false); },
         [this] {
             updateReadiness();
             m_leadership->onCurrent();
         });
-    m_directoryReader = makeReader(
-        Stream::Directory, "directory", m_options.directoryWait,
-        [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, true); },
-        [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, false); }, [] {});
     m_configurationReader = makeReader(
-        Stream::Configuration, "configuration", m_options.directoryWait,
+        Stream::Configuration, m_options.directoryWait, std::chrono::milliseconds(0),
         [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); },
         [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); }, [] {});
 }
 
+void BatchTask::startDirectory(std::uint64_t term)
+{
+    m_directoryReader = makeReader(
+        Stream::Directory, m_options.directoryWait, m_options.directoryPace,
+        [this, term](const std::vector<KeyedRecord>& records) {
+            applyDirectory(records, true);
+            startScheduler(term);
+        },
+        [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, false); }, [] {});
+    m_directoryReader->start();
+}
+
 void BatchTask::createLeadership()
 {
     m_leadership = std::make_unique<Leadership>(loop(), m_platform.journal, m_options, m_environment.instance,
@@ -144,15 +167,7 @@
             .clock = m_environment.monotonicClock,
             .random = m_environment.random,
             .onElected = [this](std::uint64_t term) { onElected(term); },
-            .onDeposed =
-                [this](const std::string&) {
-                    m_environment.metrics->setGauge("lentilsaddle_batch_leading", 0);
-                    // The call may come from within the scheduler.
-                    loop().startTimer(std::chrono::microseconds(0), [this] {
-                        if (m_leadership && !m_leadership->leading())
-                            m_scheduler.reset();
-                    });
-                },
+            .onDeposed = [this](const std::string&) { onDeposed(); },
             .eligible = [this] { return !m_draining && m_configuration && journalCurrent(); },
         });
 }
@@ -161,14 +176,34 @@
 {
     m_environment.metrics->setGauge("lentilsaddle_batch_leading", 1);
     m_environment.metrics->increment("lentilsaddle_batch_terms_total");
+    m_scheduler.reset();
+    startDirectory(term);
+}
+
+void BatchTask::onDeposed()
+{
+    m_environment.metrics->setGauge("lentilsaddle_batch_leading", 0);
+    // The call may come from within the scheduler or the reader.
+    loop().startTimer(std::chrono::microseconds(0), [this] {
+        if (!m_leadership || m_leadership->leading())
+            return;
+        m_scheduler.reset();
+        m_directoryReader.reset();
+    });
+}
+
+void BatchTask::startScheduler(std::uint64_t term)
+{
+    if (m_scheduler || m_leadership->term() != term)
+        return;
     m_scheduler = std::make_unique<BatchScheduler>(loop(), m_options, m_platform.worker, term, m_table,
         *m_environment.metrics,
         BatchScheduler::Hooks {
             .clock = m_environment.monotonicClock,
             .wallClock = m_environment.wallClock,
             .authorised = [this, term] { return m_leadership->term() == term && m_leadership->authorised(); },
-            .storeTasks = [this](const TaskStates& states,
-                              const std::function<void()>& onStored) { storeTasks(states, onStored); },
+            .storeTasks
+            = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
             .onFenced =
                 [this, term] {
                     if (m_leadership->term() == term)
@@ -225,8 +260,7 @@
             state::JobId id { std::string(withoutPrefix(record.key, jobKeyPrefix)) };
             m_table.applyJob(protocol::batch::decodeJob(id, *record.value));
         } else if (record.key.starts_with(cancellationKeyPrefix)) {
-            m_table.applyCancellation(
-                state::JobId(std::string(withoutPrefix(record.key, cancellationKeyPrefix))));
+            m_table.applyCancellation(state::JobId(std::string(withoutPrefix(record.key, cancellationKeyPrefix))));
         } else if (record.key.starts_with(taskKeyPrefix)) {
             auto id = BatchTaskId::parse(std::string(withoutPrefix(record.key, taskKeyPrefix)));
             if (!id)
@@ -255,8 +289,7 @@
         bool wasDraining = known != m_workers.end() && known->second.draining;
         if (known == m_workers.end() || !worker || worker->draining != wasDraining)
             writeLog(LogLevel::Info, "directory", "worker entry",
-                { { "worker", record.key },
-                    { "state", !worker ? "gone" : (worker->draining ? "draining" : "ready") },
+                { { "worker", record.key }, { "state", !worker ? "gone" : (worker->draining ? "draining" : "ready") },
                     { "offset", std::to_string(record.offset) } });
         if (worker)
             m_workers[id] = std::move(*worker);
@@ -280,8 +313,7 @@
         if (m_configuration && configuration->version <= m_configuration->version)
             continue;
         writeLog(LogLevel::Info, "configuration", "version in force",
-            { { "version", std::to_string(configuration->version) },
-                { "offset", std::to_string(record.offset) } });
+            { { "version", std::to_string(configuration->version) }, { "offset", std::to_string(record.offset) } });
         m_environment.metrics->setGauge(
             "lentilsaddle_batch_configuration_version", static_cast<double>(configuration->version));
         m_configuration = std::make_shared<const state::batch::BatchConfiguration>(std::move(*configuration));
@@ -298,13 +330,13 @@
 void BatchTask::appendShared(KeyedRecord record, std::function<void(AppendResult::Status)> reply)
 {
     AppendRequest request { .records = { std::move(record) }, .timeout = m_options.submitTimeout };
-    m_platform.journal.append(request, [key = request.records.front().key, reply = std::move(reply)](
-                                           const AppendResult& result) {
-        if (result.status != AppendResult::Status::Stored)
-            writeLog(LogLevel::Warning, "store", "append not confirmed",
-                { { "key", key }, { "status", outcomeName(result.status) }, { "error", result.error } });
-        reply(result.status);
-    });
+    m_platform.journal.append(
+        request, [key = request.records.front().key, reply = std::move(reply)](const AppendResult& result) {
+            if (result.status != AppendResult::Status::Stored)
+                writeLog(LogLevel::Warning, "store", "append not confirmed",
+                    { { "key", key }, { "status", outcomeName(result.status) }, { "error", result.error } });
+            reply(result.status);
+        });
 }
 
 void BatchTask::handle(BatchMessage::Submit submit)
@@ -357,8 +389,8 @@
 {
     appendShared({ .key = makeKey(cancellationKeyPrefix, job.value()), .value = "1" },
         [this, job, reply](AppendResult::Status status) {
-            writeLog(LogLevel::Info, "api", "job cancelled",
-                { { "job", job.value() }, { "outcome", outcomeName(status) } });
+            writeLog(
+                LogLevel::Info, "api", "job cancelled", { { "job", job.value() }, { "outcome", outcomeName(status) } });
             if (status == AppendResult::Status::Stored) {
                 m_table.applyCancellation(job);
                 if (m_scheduler)
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -45,7 +45,12 @@
 private:
     using TaskStates = std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>>;
 
+    std::unique_ptr<KeyedReader> makeReader(Stream stream, std::chrono::milliseconds wait,
+        std::chrono::milliseconds pace, std::function<void(const std::vector<KeyedRecord>&)> onListing,
+        std::function<void(const std::vector<KeyedRecord>&)> onRecords, std::function<void()> onCurrent);
     void createReaders();
+    /// Only the leader needs the directory.
+    void startDirectory(std::uint64_t term);
     void createLeadership();
 
     void onJournal(const std::vector<KeyedRecord>& records, bool listing);
@@ -66,6 +71,8 @@
     void cancelKnown(const state::JobId& job, const std::function<void(ChangeOutcome)>& reply);
 
     void onElected(std::uint64_t term);
+    void onDeposed();
+    void startScheduler(std::uint64_t term);
     void storeTasks(const TaskStates& states, const std::function<void()>& onStored);
     bool journalCurrent() const;
     void updateReadiness();
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -6,8 +6,7 @@
 
 namespace lentilsaddle::coordination::batch {
 
-KeyedReader::KeyedReader(
-    transport::EventLoop& loop, const JournalHooks& journal, const Options& options, Hooks hooks)
+KeyedReader::KeyedReader(transport::EventLoop& loop, const JournalHooks& journal, const Options& options, Hooks hooks)
     : m_loop(loop)
     , m_journal(journal)
     , m_options(options)
@@ -26,8 +25,8 @@
 
 void KeyedReader::list(const std::string& afterKey)
 {
-    m_journal.newest(m_options.stream, afterKey, m_options.timeout,
-        [this, alive = std::weak_ptr(m_alive)](NewestResult result) {
+    m_journal.newest(
+        m_options.stream, afterKey, m_options.timeout, [this, alive = std::weak_ptr(m_alive)](NewestResult result) {
             if (!alive.expired())
                 onNewest(std::move(result));
         });
@@ -84,7 +83,10 @@
     if (m_position >= result.end)
         m_currentAsOf = m_hooks.clock();
     m_hooks.onCurrent();
-    read();
+    if (result.records.empty() || m_options.pace.count() == 0)
+        read();
+    else
+        callLater(m_options.pace, [this] { read(); });
 }
 
 void KeyedReader::noteReachable()
@@ -101,7 +103,12 @@
         m_reachable = false;
         m_hooks.onReachability(false, error);
     }
-    m_loop.startTimer(m_options.retry, [call, alive = std::weak_ptr(m_alive)] {
+    callLater(m_options.retry, call);
+}
+
+void KeyedReader::callLater(std::chrono::milliseconds delay, const std::function<void()>& call)
+{
+    m_loop.startTimer(delay, [call, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             call();
     });
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -24,6 +24,8 @@
         std::chrono::milliseconds wait { 0 };
         std::chrono::milliseconds timeout { 0 };
         std::chrono::milliseconds retry { 0 };
+        /// Least time from an answer with records to the next read.
+        std::chrono::milliseconds pace { 0 };
     };
 
     struct Hooks {
@@ -54,6 +56,7 @@
     void onNewest(NewestResult result);
     void read();
     void onRead(ReadResult result);
+    void callLater(std::chrono::milliseconds delay, const std::function<void()>& call);
     void retryLater(const std::function<void()>& call, const std::string& error);
     void noteReachable();
 
--- a/coordination/batch/LeaderAppender.h
+++ b/coordination/batch/LeaderAppender.h
@@ -33,8 +33,7 @@
         std::function<void(const std::string& reason)> onDeposed;
     };
 
-    LeaderAppender(
-        transport::EventLoop& loop, const JournalHooks& journal, const BatchOptions& options, Hooks hooks);
+    LeaderAppender(transport::EventLoop& loop, const JournalHooks& journal, const BatchOptions& options, Hooks hooks);
     ~LeaderAppender();
 
     /// Starts writing under a term and drops everything of an earlier one.
--- a/coordination/batch/Leadership.cpp
+++ b/coordination/batch/Leadership.cpp
@@ -46,8 +46,8 @@
 
 void Leadership::drawJitter()
 {
-    m_jitter = std::chrono::milliseconds(
-        m_hooks.random() % static_cast<std::uint64_t>(m_options.claimJitter.count() + 1));
+    m_jitter
+        = std::chrono::milliseconds(m_hooks.random() % static_cast<std::uint64_t>(m_options.claimJitter.count() + 1));
 }
 
 void Leadership::start(const std::optional<LeaderRecord>& leader)
@@ -117,8 +117,8 @@
     if (due - now > m_options.journalWait)
         return;
     // The next answered read may come later than the claim is due.
-    m_loop.startTimer(std::chrono::duration_cast<std::chrono::microseconds>(due - now),
-        [this, alive = std::weak_ptr(m_alive)] {
+    m_loop.startTimer(
+        std::chrono::duration_cast<std::chrono::microseconds>(due - now), [this, alive = std::weak_ptr(m_alive)] {
             if (!alive.expired())
                 considerClaim();
         });
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -50,7 +50,8 @@
     if (m_listed == listed)
         return;
     m_listed = listed;
-    writeLog(LogLevel::Info, "worker", listed ? "listed" : "no longer listed", { { "worker", m_description.id.value() } });
+    writeLog(
+        LogLevel::Info, "worker", listed ? "listed" : "no longer listed", { { "worker", m_description.id.value() } });
     m_hooks.onChanged();
 }
 
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -201,8 +201,7 @@
     return { names.begin(), names.end() };
 }
 
-std::optional<BatchPlanner::WorkerChoice> BatchPlanner::choosePlaces(
-    const BatchUnit& unit, bool soon, bool far) const
+std::optional<BatchPlanner::WorkerChoice> BatchPlanner::choosePlaces(const BatchUnit& unit, bool soon, bool far) const
 {
     std::size_t count = unit.indices.size();
     if (far)
@@ -238,8 +237,7 @@
         room.free -= placed.need;
         room.freeSoon -= placed.need;
         ++placed.onWorker[room.worker.id];
-        m_plan.placements.push_back(
-            { .unit = unit, .index = placed.indices[first + task], .worker = choice[task] });
+        m_plan.placements.push_back({ .unit = unit, .index = placed.indices[first + task], .worker = choice[task] });
     }
 }
 
@@ -293,8 +291,7 @@
             Resources available = free[worker];
             std::vector<std::pair<double, std::size_t>> victims;
             for (const WorkerRoom::Run& run : room.runs) {
-                if (!run.leaving && !plan.groups.contains(run.group)
-                    && mayPreempt(unit, m_input.groups[run.group]))
+                if (!run.leaving && !plan.groups.contains(run.group) && mayPreempt(unit, m_input.groups[run.group]))
                     victims.emplace_back(m_input.groups[run.group].loss, run.group);
             }
             std::sort(victims.begin(), victims.end());
--- a/daemon/BatchDaemon.cpp
+++ b/daemon/BatchDaemon.cpp
@@ -30,7 +30,8 @@
         return state::MonotonicTime(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
     }
 
-    // Wall clock of the process start, advanced by the boot clock, so that later steps of the time of day have no effect.
+    // Wall clock of the process start, advanced by the boot clock, so that later steps of the time of day have no
+    // effect.
     state::WallClock makeWallClock()
     {
         auto wallStart = std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
@@ -65,12 +66,11 @@
         });
     m_batch = std::make_unique<coordination::batch::BatchTask>(environment, batchOptions(),
         coordination::batch::BatchTask::Hooks {
-            .connect = [url = m_settings.platformUrl](
-                           transport::EventLoop& loop) { return platform::connect(loop, url); },
+            .connect
+            = [url = m_settings.platformUrl](transport::EventLoop& loop) { return platform::connect(loop, url); },
             .onConfiguration =
                 [this](std::shared_ptr<const state::batch::BatchConfiguration> configuration) {
-                    m_front->post(
-                        { .body = FrontMessage::Configure { .configuration = std::move(configuration) } });
+                    m_front->post({ .body = FrontMessage::Configure { .configuration = std::move(configuration) } });
                 },
             .onReadiness
             = [this](bool ready) { m_front->post({ .body = FrontMessage::Readiness { .ready = ready } }); },
@@ -121,8 +121,8 @@
 {
     auto idle = std::make_shared<std::promise<void>>();
     m_batch->post({ .body = BatchMessage::Drain {} });
-    m_front->post({ .body = FrontMessage::Drain {
-                        .notice = m_settings.shutdownNotice, .onIdle = [idle] { idle->set_value(); } } });
+    m_front->post({ .body
+        = FrontMessage::Drain { .notice = m_settings.shutdownNotice, .onIdle = [idle] { idle->set_value(); } } });
     bool finished = idle->get_future().wait_for(m_settings.shutdownLimit) == std::future_status::ready;
     transport::writeLog(finished ? transport::LogLevel::Info : transport::LogLevel::Warning, "daemon",
         finished ? "all requests finished" : "shutdown limit reached with requests in hand");
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -49,7 +49,8 @@
     {
         try {
             protocol::readSettings(FLAGS_settings);
-            transport::writeLog(transport::LogLevel::Info, "daemon", "changed settings are valid and take effect at a start");
+            transport::writeLog(
+                transport::LogLevel::Info, "daemon", "changed settings are valid and take effect at a start");
         } catch (const protocol::ProtocolError& error) {
             transport::writeLog(transport::LogLevel::Error, "daemon", "changed settings are invalid; the old ones stay",
                 { { "error", error.what() } });
--- a/protocol/batch/BatchRecordCodec.cpp
+++ b/protocol/batch/BatchRecordCodec.cpp
@@ -52,8 +52,8 @@
 
     json encodeStep(const BatchStep& step)
     {
-        int flags = (step.savesProgress ? 1 : 0) | (step.gang ? 2 : 0) | (step.sameRack ? 4 : 0)
-            | (step.speculative ? 8 : 0);
+        int flags
+            = (step.savesProgress ? 1 : 0) | (step.gang ? 2 : 0) | (step.sameRack ? 4 : 0) | (step.speculative ? 8 : 0);
         return json::array({ step.taskCount, step.need.milliCores, step.need.memoryMegabytes, step.need.accelerators,
             step.estimate.count(), step.after, flags, step.requiredLabel, step.preferredRack, step.maximumPerWorker });
     }
@@ -90,9 +90,9 @@
     json steps = json::array();
     for (const BatchStep& step : job.steps)
         steps.push_back(encodeStep(step));
-    return json::array({ layoutVersion, job.account.value(), encodeQueue(job.queue), job.payload, std::move(steps),
-                           job.occurrences, job.firstDue.time_since_epoch().count(), job.interval.count(),
-                           job.submitted.time_since_epoch().count() })
+    return json::array(
+        { layoutVersion, job.account.value(), encodeQueue(job.queue), job.payload, std::move(steps), job.occurrences,
+            job.firstDue.time_since_epoch().count(), job.interval.count(), job.submitted.time_since_epoch().count() })
         .dump();
 }
 
--- a/state/batch/BatchJobEntry.cpp
+++ b/state/batch/BatchJobEntry.cpp
@@ -83,8 +83,7 @@
 bool BatchJobEntry::predecessorsDone(int occurrence, int step) const
 {
     const std::vector<int>& after = m_job.steps[static_cast<std::size_t>(step)].after;
-    return std::all_of(
-        after.begin(), after.end(), [&](int predecessor) { return stepDone(occurrence, predecessor); });
+    return std::all_of(after.begin(), after.end(), [&](int predecessor) { return stepDone(occurrence, predecessor); });
 }
 
 int BatchJobEntry::failures(const BatchTaskId& task) const
@@ -112,8 +111,8 @@
     std::int64_t highest = 0;
     int count = m_job.steps[static_cast<std::size_t>(step)].taskCount;
     for (int index = 0; index < count; ++index)
-        highest = std::max(
-            highest, task({ .job = m_job.id, .occurrence = occurrence, .step = step, .index = index }).run);
+        highest
+            = std::max(highest, task({ .job = m_job.id, .occurrence = occurrence, .step = step, .index = index }).run);
     return highest;
 }
 
