--- /dev/null
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -0,0 +1,321 @@
+#include "coordination/batch/BatchTask.h"
+
+#include "FakeStore.h"
+#include "FakeWorkers.h"
+#include "coordination/batch/JournalKeys.h"
+#include "tests/coordination/TestEnvironment.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace lentilsaddle::coordination::batch {
+
+namespace {
+
+    using state::batch::BatchConfiguration;
+    using state::batch::BatchJob;
+    using state::batch::BatchJobEntry;
+    using state::batch::BatchWorker;
+    using std::chrono::milliseconds;
+
+    const state::JobId jobId { "00000000000000aa" };
+    constexpr const char* taskName = "00000000000000aa.0.0.0";
+
+    // Short limits, in the proportions of the defaults.
+    BatchOptions shortOptions()
+    {
+        BatchOptions options;
+        options.leaderLease = milliseconds(300);
+        options.takeoverDelay = milliseconds(450);
+        options.claimJitter = milliseconds(20);
+        options.beatInterval = milliseconds(100);
+        options.appendTimeout = milliseconds(100);
+        options.submitTimeout = milliseconds(100);
+        options.journalWait = milliseconds(50);
+        options.directoryWait = milliseconds(50);
+        options.readTimeout = milliseconds(100);
+        options.storeRetry = milliseconds(10);
+        options.staleAfter = milliseconds(250);
+        options.workerLease = milliseconds(900);
+        options.observeWait = milliseconds(100);
+        options.orderTimeout = milliseconds(80);
+        options.orderRetry = milliseconds(20);
+        options.stopGrace = milliseconds(50);
+        options.refusalPause = milliseconds(50);
+        options.planRefresh = milliseconds(30);
+        options.lookupDelay = milliseconds(60);
+        return options;
+    }
+
+    BatchJob makeJob(int tasks = 1)
+    {
+        return {
+            .id = jobId,
+            .queue = { .name = "q", .service = state::ServiceId("s"), .maximumAttempts = 2 },
+            .payload = "text",
+            .steps = { { .taskCount = tasks, .need = { .milliCores = 1, .accelerators = 1 } } },
+        };
+    }
+
+    bool waitUntil(const std::function<bool()>& condition, milliseconds limit = milliseconds(5'000))
+    {
+        auto end = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < end) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        return condition();
+    }
+
+    class BatchTaskTest : public testing::Test {
+    protected:
+        BatchTaskTest()
+        {
+            m_store.put(Stream::Configuration, "config", "1");
+            m_store.put(Stream::Directory, "w1", "ready");
+        }
+
+        std::unique_ptr<BatchTask> startInstance(const std::string& name)
+        {
+            TaskEnvironment environment = makeTestEnvironment(name, m_metrics);
+            environment.incarnation = ++m_incarnation;
+            auto task = std::make_unique<BatchTask>(environment, shortOptions(),
+                BatchTask::Hooks {
+                    .connect = [this](transport::EventLoop& loop) { return platformFor(loop); },
+                    .onConfiguration = [](const std::shared_ptr<const BatchConfiguration>&) {},
+                    .onReadiness = [this](bool ready) { m_ready = ready; },
+                });
+            task->start();
+            return task;
+        }
+
+        BatchPlatform platformFor(transport::EventLoop& loop)
+        {
+            return {
+                .journal = m_store.hooksFor(loop),
+                .worker = m_workers.hooksFor(loop),
+                .decodeWorker =
+                    [](const std::string& key, const std::string& value) {
+                        return std::optional(BatchWorker {
+                            .id = state::WorkerId(key),
+                            .service = state::ServiceId("s"),
+                            .capacity = { .milliCores = 8, .memoryMegabytes = 8, .accelerators = 8 },
+                            .draining = value == "draining",
+                            .birth = 1,
+                        });
+                    },
+                .decodeConfiguration =
+                    [](const std::string&, const std::string& value) {
+                        return std::optional(BatchConfiguration { .version = std::stoul(value) });
+                    },
+                .owner = nullptr,
+            };
+        }
+
+        static ChangeOutcome submit(BatchTask& task, const BatchJob& job)
+        {
+            auto outcome = std::make_shared<std::promise<ChangeOutcome>>();
+            task.post({ .body = BatchMessage::Submit {
+                            .job = job, .reply = [outcome](ChangeOutcome value) { outcome->set_value(value); } } });
+            return outcome->get_future().get();
+        }
+
+        static ChangeOutcome cancel(BatchTask& task, const state::JobId& job)
+        {
+            auto outcome = std::make_shared<std::promise<ChangeOutcome>>();
+            task.post({ .body = BatchMessage::Cancel {
+                            .job = job, .reply = [outcome](ChangeOutcome value) { outcome->set_value(value); } } });
+            return outcome->get_future().get();
+        }
+
+        static BatchMessage::QueryAnswer query(BatchTask& task, const state::JobId& job)
+        {
+            auto answer = std::make_shared<std::promise<BatchMessage::QueryAnswer>>();
+            task.post({ .body = BatchMessage::Query { .job = job,
+                            .reply = [answer](BatchMessage::QueryAnswer value) { answer->set_value(value); } } });
+            return answer->get_future().get();
+        }
+
+        bool isRunning()
+        {
+            return waitUntil([this] { return m_workers.running().size() == 1; });
+        }
+
+        transport::Metrics m_metrics;
+        FakeStore m_store;
+        FakeWorkers m_workers;
+        std::atomic<bool> m_ready = false;
+        std::uint64_t m_incarnation = 10;
+    };
+
+} // namespace
+
+TEST_F(BatchTaskTest, JobRunsOnceAndIsShownAsCompleted)
+{
+    auto task = startInstance("e-1");
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(isRunning());
+    m_workers.finish("w1", taskName, EndedTask::How::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against an acknowledgement of a job that is not stored.
+TEST_F(BatchTaskTest, AcknowledgedJobIsInTheJournal)
+{
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    bool stored = false;
+    for (const KeyedRecord& record : m_store.records(Stream::Journal))
+        stored = stored || record.key == makeKey(jobKeyPrefix, jobId.value());
+    EXPECT_TRUE(stored);
+}
+
+// Guards against "not run" for a submission that was stored although its answer was lost.
+TEST_F(BatchTaskTest, LostAnswerOfTheStoreIsReportedAsUnknownAndStaysOneJob)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.setAppendFault(FakeStore::AppendFault::LoseAnswer);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Unknown);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(isRunning());
+    m_workers.finish("w1", taskName, EndedTask::How::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against a job that runs although its submission was refused.
+TEST_F(BatchTaskTest, RefusedSubmissionNeverRuns)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Refused);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    EXPECT_TRUE(query(*task, jobId).noSuchJob);
+}
+
+// Guards against an end that is forgotten by the worker before it is stored.
+TEST_F(BatchTaskTest, EndIsStoredBeforeItIsAcknowledged)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(isRunning());
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_workers.finish("w1", taskName, EndedTask::How::Done);
+    std::this_thread::sleep_for(milliseconds(150));
+    EXPECT_EQ(m_workers.acknowledged("w1"), 0);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_TRUE(waitUntil([&] { return m_workers.acknowledged("w1") == 1; }));
+}
+
+// Guards against a task that runs twice because a start without an answer is carried out late.
+TEST_F(BatchTaskTest, LateStartDoesNotRunATaskTwice)
+{
+    m_store.put(Stream::Directory, "w2", "ready");
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_workers.delayNextStart(milliseconds(400));
+    submit(*task, makeJob());
+    ASSERT_TRUE(isRunning());
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_FALSE(m_workers.ranTwice());
+    EXPECT_EQ(m_workers.running().size(), 1U);
+}
+
+// Guards against a task that a new leader starts again although it still runs, or never looks at again.
+TEST_F(BatchTaskTest, NewLeaderAdoptsWhatRuns)
+{
+    auto first = startInstance("e-1");
+    submit(*first, makeJob());
+    ASSERT_TRUE(isRunning());
+    auto second = startInstance("e-2");
+    first.reset();
+    std::this_thread::sleep_for(milliseconds(700));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+    m_workers.finish("w1", taskName, EndedTask::How::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*second, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against seconds without a leader when the leader is stopped as planned.
+TEST_F(BatchTaskTest, LeaderThatDrainsIsReplacedBeforeTheTakeoverDelay)
+{
+    auto first = startInstance("e-1");
+    submit(*first, makeJob());
+    ASSERT_TRUE(isRunning());
+    auto second = startInstance("e-2");
+    ASSERT_TRUE(waitUntil([&] { return query(*second, jobId).phase.has_value(); }));
+    auto before = std::chrono::steady_clock::now();
+    first->post({ .body = BatchMessage::Drain {} });
+    m_workers.finish("w1", taskName, EndedTask::How::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*second, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - before, shortOptions().takeoverDelay);
+}
+
+// Guards against a job that runs on after its cancellation was acknowledged.
+TEST_F(BatchTaskTest, CancelledJobIsStopped)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(isRunning());
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::Done);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().empty(); }));
+    EXPECT_EQ(query(*task, jobId).phase, BatchJobEntry::Phase::Cancelled);
+}
+
+// Guards against attempts beyond the limit, and against a failure that is never reported.
+TEST_F(BatchTaskTest, JobFailsAfterItsLastAttempt)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == attempt + 1; }));
+        m_workers.finish("w1", taskName, EndedTask::How::Failed);
+    }
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_EQ(m_workers.starts(taskName), 2);
+}
+
+// Guards against new work on a worker that is about to leave.
+TEST_F(BatchTaskTest, DrainingWorkerGetsNoWork)
+{
+    m_store.put(Stream::Directory, "w1", "draining");
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(isRunning());
+}
+
+// Guards against an instance that stays ready while it cannot see the journal.
+TEST_F(BatchTaskTest, SilentStoreMakesTheInstanceNotReady)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.setSilent(true);
+    EXPECT_TRUE(waitUntil([this] { return !m_ready.load(); }, milliseconds(1'000)));
+    m_store.setSilent(false);
+    EXPECT_TRUE(waitUntil([this] { return m_ready.load(); }, milliseconds(1'000)));
+}
+
+// Guards against "no such job" for a job that another instance accepted a moment ago.
+TEST_F(BatchTaskTest, QueryFindsAJobThatAnotherInstanceAccepted)
+{
+    auto first = startInstance("e-1");
+    auto second = startInstance("e-2");
+    ASSERT_EQ(submit(*first, makeJob()), ChangeOutcome::Done);
+    EXPECT_TRUE(query(*second, jobId).phase.has_value());
+}
+
+} // namespace lentilsaddle::coordination::batch
--- /dev/null
+++ b/tests/coordination/batch/FakeStore.h
@@ -0,0 +1,186 @@
+/// @file
+/// In-memory store of keyed streams with faults.
+#pragma once
+
+#include "coordination/batch/JournalHooks.h"
+#include "transport/EventLoop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentilsaddle::coordination::batch {
+
+/// Shared by the tasks of one test; each task has hooks of its own, whose replies run on its loop.
+class FakeStore {
+public:
+    enum class AppendFault {
+        None,
+        /// Nothing is done, and the store says so.
+        Refuse,
+        /// The append is done and not answered.
+        LoseAnswer,
+    };
+
+    JournalHooks hooksFor(transport::EventLoop& loop)
+    {
+        return {
+            .append = [this, &loop](const AppendRequest& request,
+                          const std::function<void(AppendResult)>& reply) { append(loop, request, reply); },
+            .read
+            = [this, &loop](Stream stream, std::uint64_t from, std::chrono::milliseconds wait,
+                  std::chrono::milliseconds timeout,
+                  const std::function<void(ReadResult)>& reply) { read(loop, stream, from, wait, timeout, reply); },
+            .newest = [this, &loop](Stream stream, const std::string&, std::chrono::milliseconds,
+                          const std::function<void(NewestResult)>& reply) { newest(loop, stream, reply); },
+        };
+    }
+
+    /// Appends on behalf of the operator or of a worker.
+    void put(Stream stream, const std::string& key, const std::optional<std::string>& value)
+    {
+        std::lock_guard lock(m_mutex);
+        store(stream, { .key = key, .value = value });
+    }
+
+    /// @param loop the task whose appends are affected; null for all.
+    void setAppendFault(AppendFault fault)
+    {
+        std::lock_guard lock(m_mutex);
+        m_appendFault = fault;
+    }
+
+    /// Reads that are sent while this is set are never answered before their timeout.
+    void setSilent(bool silent)
+    {
+        std::lock_guard lock(m_mutex);
+        m_silent = silent;
+    }
+
+    /// Makes the records of a stream before its end unreadable, as after their expiry.
+    void expire(Stream stream)
+    {
+        std::lock_guard lock(m_mutex);
+        m_streams[stream].first = m_streams[stream].records.size();
+    }
+
+    std::vector<KeyedRecord> records(Stream stream)
+    {
+        std::lock_guard lock(m_mutex);
+        return m_streams[stream].records;
+    }
+
+private:
+    struct StreamState {
+        std::vector<KeyedRecord> records;
+        std::uint64_t first = 0;
+    };
+
+    std::uint64_t store(Stream stream, KeyedRecord record)
+    {
+        std::vector<KeyedRecord>& records = m_streams[stream].records;
+        record.offset = records.size();
+        records.push_back(std::move(record));
+        return records.back().offset;
+    }
+
+    AppendResult perform(const AppendRequest& request)
+    {
+        std::uint64_t end = m_streams[Stream::Journal].records.size();
+        if (request.writer) {
+            const Writer& writer = *request.writer;
+            if (m_writer && writer.term < m_writer->term)
+                return { .status = AppendResult::Status::Fenced };
+            if (m_writer && writer.term == m_writer->term) {
+                if (writer.sequence == m_writer->sequence)
+                    return m_lastResult;
+                if (writer.sequence != m_writer->sequence + 1)
+                    return { .status = AppendResult::Status::OutOfSequence };
+            }
+        }
+        if (request.expectedEnd && *request.expectedEnd != end)
+            return { .status = AppendResult::Status::ConditionFailed };
+        for (const KeyedRecord& record : request.records)
+            store(Stream::Journal, record);
+        AppendResult result { .status = AppendResult::Status::Stored, .firstOffset = end };
+        if (request.writer) {
+            m_writer = request.writer;
+            m_lastResult = result;
+        }
+        return result;
+    }
+
+    void append(
+        transport::EventLoop& loop, const AppendRequest& request, const std::function<void(AppendResult)>& reply)
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_appendFault == AppendFault::Refuse) {
+            answer(loop, reply, AppendResult { .status = AppendResult::Status::NotStored });
+            return;
+        }
+        AppendResult result = perform(request);
+        if (m_appendFault == AppendFault::LoseAnswer) {
+            loop.startTimer(request.timeout, [reply] { reply({ .status = AppendResult::Status::Unknown }); });
+            return;
+        }
+        answer(loop, reply, result);
+    }
+
+    template <typename Result>
+    static void answer(transport::EventLoop& loop, const std::function<void(Result)>& reply, const Result& result)
+    {
+        loop.startTimer(std::chrono::microseconds(0), [reply, result] { reply(result); });
+    }
+
+    void read(transport::EventLoop& loop, Stream stream, std::uint64_t from, std::chrono::milliseconds wait,
+        std::chrono::milliseconds timeout, const std::function<void(ReadResult)>& reply)
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_silent) {
+            loop.startTimer(timeout, [reply] { reply({ .status = ReadResult::Status::Failed }); });
+            return;
+        }
+        StreamState& current = m_streams[stream];
+        if (from < current.first) {
+            answer(loop, reply, ReadResult { .status = ReadResult::Status::Expired });
+            return;
+        }
+        if (from >= current.records.size() && wait.count() > 0) {
+            std::chrono::milliseconds step { 2 };
+            loop.startTimer(step, [=, this, &loop] { read(loop, stream, from, wait - step, timeout - step, reply); });
+            return;
+        }
+        ReadResult result { .status = ReadResult::Status::Ok, .next = current.records.size() };
+        result.end = result.next;
+        for (std::uint64_t offset = from; offset < result.end; ++offset)
+            result.records.push_back(current.records[offset]);
+        answer(loop, reply, result);
+    }
+
+    void newest(transport::EventLoop& loop, Stream stream, const std::function<void(NewestResult)>& reply)
+    {
+        std::lock_guard lock(m_mutex);
+        std::map<std::string, KeyedRecord> newestOfKey;
+        for (const KeyedRecord& record : m_streams[stream].records)
+            newestOfKey[record.key] = record;
+        NewestResult result { .ok = true, .end = m_streams[stream].records.size() };
+        for (const auto& [key, record] : newestOfKey) {
+            if (record.value)
+                result.records.push_back(record);
+        }
+        answer(loop, reply, result);
+    }
+
+    std::mutex m_mutex;
+    std::map<Stream, StreamState> m_streams;
+    std::optional<Writer> m_writer;
+    AppendResult m_lastResult;
+    AppendFault m_appendFault = AppendFault::None;
+    bool m_silent = false;
+};
+
+} // namespace lentilsaddle::coordination::batch
--- /dev/null
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -0,0 +1,114 @@
+#include "coordination/batch/KeyedReader.h"
+
+#include "FakeStore.h"
+#include "coordination/batch/BatchOptions.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace lentilsaddle::coordination::batch {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    class KeyedReaderTest : public testing::Test {
+    protected:
+        KeyedReaderTest()
+            : m_journal(m_store.hooksFor(m_loop))
+        {
+        }
+
+        void startReader(const KeyedReader::Options& options)
+        {
+            m_reader = std::make_unique<KeyedReader>(m_loop, m_journal, options,
+                KeyedReader::Hooks {
+                    .clock = [] { return std::chrono::steady_clock::now(); },
+                    .onListing =
+                        [this](const std::vector<KeyedRecord>& records) {
+                            m_keys.clear();
+                            apply(records);
+                        },
+                    .onRecords = [this](const std::vector<KeyedRecord>& records) { apply(records); },
+                    .onCurrent = [] {},
+                    .onReachability = [](bool, const std::string&) {},
+                });
+            m_reader->start();
+        }
+
+        void runFor(milliseconds duration)
+        {
+            m_loop.startTimer(duration, [this] { m_loop.requestStop(); });
+            m_loop.run();
+        }
+
+        void apply(const std::vector<KeyedRecord>& records)
+        {
+            for (const KeyedRecord& record : records) {
+                if (record.value)
+                    m_keys.insert(record.key);
+                else
+                    m_keys.erase(record.key);
+                m_lastSeen = std::chrono::steady_clock::now();
+            }
+        }
+
+        FakeStore m_store;
+        transport::EventLoop m_loop { [] {} };
+        JournalHooks m_journal;
+        std::unique_ptr<KeyedReader> m_reader;
+        std::set<std::string> m_keys;
+        std::chrono::steady_clock::time_point m_lastSeen;
+    };
+
+    KeyedReader::Options shortOptions()
+    {
+        return {
+            .stream = Stream::Directory,
+            .wait = milliseconds(50),
+            .timeout = milliseconds(50),
+            .retry = milliseconds(5),
+        };
+    }
+
+} // namespace
+
+// Guards against a key that was removed while the store had dropped the records in between.
+TEST_F(KeyedReaderTest, ListsAnewAfterRecordsHaveExpired)
+{
+    m_store.put(Stream::Directory, "a", "1");
+    m_store.put(Stream::Directory, "b", "1");
+    startReader(shortOptions());
+    m_loop.startTimer(milliseconds(20), [this] {
+        m_store.put(Stream::Directory, "a", std::nullopt);
+        m_store.put(Stream::Directory, "c", "1");
+        m_store.expire(Stream::Directory);
+    });
+    runFor(milliseconds(150));
+    EXPECT_EQ(m_keys, (std::set<std::string> { "b", "c" }));
+}
+
+// Guards against a version that comes into force too late because the store swallowed the poll that should bring it.
+TEST_F(KeyedReaderTest, SwallowedPollDelaysAVersionByLessThanTwoSeconds)
+{
+    BatchOptions options;
+    startReader({
+        .stream = Stream::Directory,
+        .wait = options.directoryWait,
+        .timeout = options.readTimeout,
+        .retry = options.storeRetry,
+    });
+    auto written = std::make_shared<std::chrono::steady_clock::time_point>();
+    m_store.setSilent(true);
+    m_loop.startTimer(milliseconds(10), [this, written] {
+        m_store.setSilent(false);
+        m_store.put(Stream::Directory, "version", "2");
+        *written = std::chrono::steady_clock::now();
+    });
+    runFor(milliseconds(2'000));
+    ASSERT_TRUE(m_keys.contains("version"));
+    EXPECT_LT(m_lastSeen - *written, milliseconds(1'900));
+}
+
+} // namespace lentilsaddle::coordination::batch
--- /dev/null
+++ b/tests/coordination/batch/LeaderAppenderTest.cpp
@@ -0,0 +1,87 @@
+#include "coordination/batch/LeaderAppender.h"
+
+#include "FakeStore.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::coordination::batch {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    class LeaderAppenderTest : public testing::Test {
+    protected:
+        LeaderAppenderTest()
+            : m_journal(m_store.hooksFor(m_loop))
+            , m_appender(m_loop, m_journal, m_options,
+                  {
+                      .clock = [] { return std::chrono::steady_clock::now(); },
+                      .onStored = [](state::MonotonicTime) {},
+                      .onDeposed = [this](const std::string&) { m_deposed = true; },
+                  })
+        {
+            m_options.appendTimeout = milliseconds(20);
+            m_options.storeRetry = milliseconds(5);
+            m_appender.begin(1, 100);
+        }
+
+        void append(const std::string& key)
+        {
+            m_appender.append(
+                { { .key = key, .value = "v" } }, [this, key](std::uint64_t) { m_stored.push_back(key); });
+        }
+
+        void runFor(milliseconds duration)
+        {
+            m_loop.startTimer(duration, [this] { m_loop.requestStop(); });
+            m_loop.run();
+        }
+
+        FakeStore m_store;
+        transport::EventLoop m_loop { [] {} };
+        JournalHooks m_journal;
+        BatchOptions m_options;
+        bool m_deposed = false;
+        std::vector<std::string> m_stored;
+        LeaderAppender m_appender;
+    };
+
+} // namespace
+
+// Guards against a record stored twice, or taken for lost, when the store's answer does not arrive.
+TEST_F(LeaderAppenderTest, LostAnswerIsRepeatedUnderTheSameNumber)
+{
+    m_store.setAppendFault(FakeStore::AppendFault::LoseAnswer);
+    append("a");
+    m_loop.startTimer(milliseconds(60), [this] { m_store.setAppendFault(FakeStore::AppendFault::None); });
+    runFor(milliseconds(200));
+    EXPECT_EQ(m_stored, std::vector<std::string> { "a" });
+    EXPECT_EQ(m_store.records(Stream::Journal).size(), 1U);
+    EXPECT_FALSE(m_deposed);
+}
+
+// Guards against records that overtake each other.
+TEST_F(LeaderAppenderTest, KeepsTheOrderOfRecords)
+{
+    append("a");
+    append("b");
+    m_loop.startTimer(milliseconds(1), [this] { append("c"); });
+    runFor(milliseconds(50));
+    EXPECT_EQ(m_stored, (std::vector<std::string> { "a", "b", "c" }));
+}
+
+// Guards against a deposed leader that goes on writing.
+TEST_F(LeaderAppenderTest, LaterTermDeposes)
+{
+    append("a");
+    runFor(milliseconds(20));
+    m_journal.append({ .writer = Writer { .term = 2, .sequence = 1 } }, [](const AppendResult&) {});
+    append("b");
+    m_loop.startTimer(milliseconds(30), [this] { m_loop.requestStop(); });
+    m_loop.run();
+    EXPECT_TRUE(m_deposed);
+    EXPECT_EQ(m_stored, std::vector<std::string> { "a" });
+}
+
+} // namespace lentilsaddle::coordination::batch
--- /dev/null
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -0,0 +1,201 @@
+#include "coordination/decisions/batch/BatchPlanner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace lentilsaddle::coordination::batch {
+
+namespace {
+
+    using state::batch::Resources;
+    using std::chrono::milliseconds;
+
+    constexpr Resources wholeWorker { .milliCores = 32'000, .memoryMegabytes = 65'536, .accelerators = 8 };
+
+    WorkerRoom makeWorker(const std::string& id, const std::string& rack = "r1")
+    {
+        return {
+            .worker = { .id = state::WorkerId(id),
+                .service = state::ServiceId("s"),
+                .capacity = wholeWorker,
+                .labels = { "a", rack },
+                .rack = rack },
+            .free = wholeWorker,
+            .freeSoon = wholeWorker,
+        };
+    }
+
+    BatchUnit makeUnit(const std::string& job, int tasks, std::int64_t accelerators, int priority = 1)
+    {
+        BatchUnit unit {
+            .job = state::JobId(job),
+            .account = state::AccountId("a"),
+            .need = { .milliCores = 1'000, .memoryMegabytes = 1'000, .accelerators = accelerators },
+            .service = state::ServiceId("s"),
+            .priority = priority,
+            .deadline = state::MonotonicTime(milliseconds(100'000)),
+            .worthlessAfter = state::MonotonicTime(milliseconds(300'000)),
+            .readySince = state::MonotonicTime(milliseconds(10'000)),
+            .estimate = milliseconds(5'000),
+        };
+        for (int index = 0; index < tasks; ++index)
+            unit.indices.push_back(index);
+        return unit;
+    }
+
+    // Fills a worker with one run of a group.
+    void occupy(PlanInput& input, std::size_t worker, std::size_t group, std::int64_t accelerators)
+    {
+        Resources need { .milliCores = 1'000, .memoryMegabytes = 1'000, .accelerators = accelerators };
+        input.workers[worker].free -= need;
+        input.workers[worker].freeSoon -= need;
+        input.workers[worker].runs.push_back({ .group = group, .need = need });
+    }
+
+    BatchPlan plan(PlanInput input)
+    {
+        if (input.now == state::MonotonicTime {})
+            input.now = state::MonotonicTime(milliseconds(10'000));
+        return BatchPlanner({}, std::move(input)).plan();
+    }
+
+} // namespace
+
+// Guards against a gang of which only some members find room.
+TEST(BatchPlanner, GangIsPlacedWholeOrNotAtAll)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.units = { makeUnit("j", 3, 8) };
+    input.units[0].gang = true;
+    EXPECT_TRUE(plan(input).placements.empty());
+    input.units[0].gang = false;
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+}
+
+// Guards against a gang spread over racks, where it would run slower, while one rack has room for it.
+TEST(BatchPlanner, SameRackGangStaysInOneRack)
+{
+    PlanInput input { .workers = { makeWorker("w1", "r1"), makeWorker("w2", "r2"), makeWorker("w3", "r2") } };
+    input.units = { makeUnit("j", 2, 8) };
+    input.units[0].gang = true;
+    input.units[0].sameRack = true;
+    BatchPlan result = plan(input);
+    ASSERT_EQ(result.placements.size(), 2U);
+    for (const Placement& placement : result.placements)
+        EXPECT_EQ(input.workers[placement.worker].worker.rack, "r2");
+}
+
+// Guards against preemption that throws away more work than is needed.
+TEST(BatchPlanner, UrgentUnitPreemptsWhatLosesLeast)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.groups = { { .priority = 1, .loss = 50 }, { .priority = 2, .loss = 5 } };
+    occupy(input, 0, 0, 8);
+    occupy(input, 1, 1, 8);
+    input.units = { makeUnit("j", 1, 8, 0) };
+    BatchPlan result = plan(input);
+    EXPECT_TRUE(result.placements.empty());
+    EXPECT_EQ(result.preemptions, std::vector<std::size_t> { 1 });
+}
+
+// Guards against stopping more runs in each round while the first ones are still stopping.
+TEST(BatchPlanner, WaitsForRoomThatIsBeingFreed)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.groups = { { .priority = 2, .loss = 5 }, { .priority = 2, .loss = 5 } };
+    occupy(input, 0, 0, 8);
+    occupy(input, 1, 1, 8);
+    input.workers[0].runs[0].leaving = true;
+    input.workers[0].freeSoon = wholeWorker;
+    input.units = { makeUnit("j", 1, 8, 0) };
+    BatchPlan result = plan(input);
+    EXPECT_TRUE(result.placements.empty());
+    EXPECT_TRUE(result.preemptions.empty());
+}
+
+// Guards against work of equal priority being stopped for a unit that no guarantee covers.
+TEST(BatchPlanner, OnlyAGuaranteePreemptsTheSamePriority)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 0, .loss = 5 } };
+    occupy(input, 0, 0, 8);
+    input.units = { makeUnit("j", 1, 8, 0) };
+    EXPECT_TRUE(plan(input).preemptions.empty());
+    input.units[0].guaranteed = true;
+    EXPECT_EQ(plan(input).preemptions.size(), 1U);
+}
+
+// Guards against more tasks of a step on one worker than the job allows, counting those that run there already.
+TEST(BatchPlanner, KeepsTheLimitPerWorker)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.units = { makeUnit("j", 4, 1) };
+    input.units[0].maximumPerWorker = 2;
+    input.units[0].onWorker[state::WorkerId("w1")] = 1;
+    EXPECT_EQ(plan(input).placements.size(), 3U);
+}
+
+TEST(BatchPlanner, RequiredLabelIsNeverIgnored)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.units = { makeUnit("j", 1, 1, 0) };
+    input.units[0].guaranteed = true;
+    input.units[0].requiredLabel = "b";
+    EXPECT_TRUE(plan(input).placements.empty());
+}
+
+// Guards against small work that keeps a large task from ever finding an empty worker.
+TEST(BatchPlanner, KeepsRoomForALargeTaskThatWaits)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2, .loss = 5 } };
+    occupy(input, 0, 0, 2);
+    input.units = { makeUnit("large", 1, 8, 1), makeUnit("small", 1, 1, 2) };
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_TRUE(plan(input).placements.empty());
+}
+
+// Guards against a worker that is given more than it has, whatever the mix of units.
+RC_GTEST_PROP(BatchPlanner, NeverExceedsAWorkersRoom, ())
+{
+    PlanInput input;
+    int workers = *rc::gen::inRange(1, 6);
+    for (int worker = 0; worker < workers; ++worker)
+        input.workers.push_back(makeWorker("w" + std::to_string(worker), "r" + std::to_string(worker / 2)));
+    int groups = *rc::gen::inRange(0, 5);
+    for (int group = 0; group < groups; ++group) {
+        input.groups.push_back({ .priority = *rc::gen::inRange(0, 3), .loss = 1.0 * group });
+        auto worker = static_cast<std::size_t>(*rc::gen::inRange(0, workers));
+        std::int64_t accelerators = *rc::gen::inRange(1, 9);
+        if (input.workers[worker].free.accelerators >= accelerators)
+            occupy(input, worker, static_cast<std::size_t>(group), accelerators);
+    }
+    int units = *rc::gen::inRange(1, 8);
+    for (int index = 0; index < units; ++index) {
+        BatchUnit unit = makeUnit(
+            "j" + std::to_string(index), *rc::gen::inRange(1, 5), *rc::gen::inRange(1, 9), *rc::gen::inRange(0, 3));
+        unit.gang = *rc::gen::arbitrary<bool>();
+        unit.sameRack = *rc::gen::arbitrary<bool>();
+        unit.guaranteed = unit.priority == 0 && *rc::gen::arbitrary<bool>();
+        input.units.push_back(unit);
+    }
+    input.now = state::MonotonicTime(milliseconds(*rc::gen::inRange(10'000, 200'000)));
+    BatchPlan result = plan(input);
+    std::map<std::size_t, Resources> taken;
+    std::map<std::size_t, std::set<int>> placed;
+    for (const Placement& placement : result.placements) {
+        taken[placement.worker] += input.units[placement.unit].need;
+        RC_ASSERT(placed[placement.unit].insert(placement.index).second);
+    }
+    for (const auto& [worker, resources] : taken)
+        RC_ASSERT(resources.fitsInto(input.workers[worker].free));
+    for (const auto& [unit, indices] : placed) {
+        if (input.units[unit].gang)
+            RC_ASSERT(indices.size() == input.units[unit].indices.size());
+    }
+}
+
+} // namespace lentilsaddle::coordination::batch
--- /dev/null
+++ b/tests/coordination/decisions/batch/LeaderElectionTest.cpp
@@ -0,0 +1,48 @@
+#include "coordination/decisions/batch/LeaderElection.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::coordination::batch {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds takeover { 2'000 };
+
+    LeadershipView viewOf(std::optional<state::batch::LeaderRecord> leader)
+    {
+        return {
+            .self = state::InstanceId("e-1"),
+            .incarnation = 1,
+            .leader = std::move(leader),
+            .lastSign = state::MonotonicTime(milliseconds(10'000)),
+            .jitter = milliseconds(40),
+        };
+    }
+
+} // namespace
+
+// Guards against a claim while the leader's authority may still hold.
+TEST(LeaderElection, WaitsForTheWholeTakeoverDelayAfterTheLastSign)
+{
+    auto view = viewOf(state::batch::LeaderRecord { .term = 3, .instance = state::InstanceId("e-2") });
+    EXPECT_EQ(claimTime(view, takeover), view.lastSign + takeover + view.jitter);
+}
+
+// Guards against seconds without a leader after a planned stop.
+TEST(LeaderElection, ClaimsAVacantTermAtOnce)
+{
+    auto view = viewOf(state::batch::LeaderRecord { .term = 3, .instance = state::InstanceId("e-2"), .vacant = true });
+    EXPECT_EQ(claimTime(view, takeover), view.lastSign + view.jitter);
+}
+
+// Guards against seconds without a leader after the leader's process was started again.
+TEST(LeaderElection, ClaimsAtOnceAfterItsOwnPredecessor)
+{
+    auto view
+        = viewOf(state::batch::LeaderRecord { .term = 3, .instance = state::InstanceId("e-1"), .incarnation = 9 });
+    EXPECT_EQ(claimTime(view, takeover), view.lastSign);
+}
+
+} // namespace lentilsaddle::coordination::batch
--- /dev/null
+++ b/tests/coordination/decisions/batch/WorkerClockTest.cpp
@@ -0,0 +1,37 @@
+#include "coordination/decisions/batch/WorkerClock.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::coordination::batch {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    state::MonotonicTime at(int milli)
+    {
+        return state::MonotonicTime(milliseconds(milli));
+    }
+
+} // namespace
+
+// Guards against starting a task again while a worker with a slow clock still runs it under its old lease.
+TEST(WorkerClock, SlowClockDelaysTheEndOfALease)
+{
+    WorkerClock clock(0.02);
+    clock.learn(milliseconds(1'000), at(50'000));
+    // A clock that runs 2% slow needs 5,000 / 0.98 ms for 4,900 ms more.
+    EXPECT_GE(clock.surelyPassed(milliseconds(1'000 + 4'900)), at(55'000));
+    EXPECT_LE(clock.surelyPassed(milliseconds(1'000 + 4'900)), at(55'001));
+}
+
+// Guards against an answer that was overtaken by a newer one setting the clock back.
+TEST(WorkerClock, OlderAnswerIsIgnored)
+{
+    WorkerClock clock(0.02);
+    clock.learn(milliseconds(2'000), at(100));
+    clock.learn(milliseconds(1'000), at(200));
+    EXPECT_EQ(clock.estimate(at(100)), milliseconds(2'000));
+}
+
+} // namespace lentilsaddle::coordination::batch
--- /dev/null
+++ b/tests/platform/CodecTest.cpp
@@ -0,0 +1,216 @@
+#include "platform/DirectoryCodec.h"
+#include "platform/JobCodec.h"
+#include "platform/OperatorCodec.h"
+#include "platform/StoreCodec.h"
+#include "platform/WorkerCodec.h"
+#include "protocol/ProtocolError.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilsaddle::platform {
+
+using namespace coordination::batch;
+using protocol::ProtocolError;
+using std::chrono::milliseconds;
+
+namespace {
+
+    std::string readBody(const std::vector<KeyedRecord>& records, std::uint64_t end)
+    {
+        std::string header;
+        for (int shift = 56; shift >= 0; shift -= 8)
+            header.push_back(static_cast<char>((end >> shift) & 0xff));
+        header.append(8, '\0');
+        return header + encodeRecords(records);
+    }
+
+    constexpr const char* entry
+        = R"({"service":"s","addr":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready",
+            "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1-3"],"born":1785000000000,"seq":4})";
+
+} // namespace
+
+TEST(StoreCodec, RecordsSurviveTheStore)
+{
+    std::vector<KeyedRecord> records { { .key = "a", .value = "x" }, { .key = "b", .value = std::nullopt } };
+    ReadResult result = decodeRead(readBody(records, 9), 7);
+    ASSERT_EQ(result.records.size(), 2U);
+    EXPECT_EQ(result.records[0].key, "a");
+    EXPECT_EQ(result.records[0].value, "x");
+    EXPECT_EQ(result.records[0].offset, 7U);
+    EXPECT_FALSE(result.records[1].value.has_value());
+    EXPECT_EQ(result.next, 9U);
+    EXPECT_EQ(result.end, 9U);
+}
+
+// Guards against a cut answer that is taken for a shorter stream.
+TEST(StoreCodec, CutAnswerIsAnError)
+{
+    std::string body = readBody({ { .key = "a", .value = "x" } }, 1);
+    for (std::size_t size : { std::size_t(3), std::size_t(18), body.size() - 1 })
+        EXPECT_THROW(decodeRead(body.substr(0, size), 0), ProtocolError);
+}
+
+// Guards against "nothing was done" for an append that may have been done.
+TEST(StoreCodec, OnlyDefiniteAnswersToAnAppendAreDefinite)
+{
+    using Status = AppendResult::Status;
+    EXPECT_EQ(decodeAppend(200, R"({"offset":840,"end_offset":842})").status, Status::Stored);
+    EXPECT_EQ(decodeAppend(200, R"({"offset":840,"end_offset":842})").firstOffset, 840U);
+    EXPECT_EQ(decodeAppend(200, "{").status, Status::Unknown);
+    EXPECT_EQ(decodeAppend(500, "").status, Status::Unknown);
+    EXPECT_EQ(decodeAppend(503, "").status, Status::NotStored);
+    EXPECT_EQ(decodeAppend(429, "").status, Status::NotStored);
+    EXPECT_EQ(decodeAppend(412, R"({"end_offset":3})").status, Status::ConditionFailed);
+    EXPECT_EQ(decodeAppend(409, R"({"reason":"fenced"})").status, Status::Fenced);
+    EXPECT_EQ(decodeAppend(409, R"({"reason":"seq","seq":3})").status, Status::OutOfSequence);
+}
+
+TEST(StoreCodec, NewestDecodesValues)
+{
+    NewestResult result
+        = decodeNewest(R"({"items":[{"key":"config","value":"YWI=","offset":4}],"has_more":true,"end_offset":6})");
+    ASSERT_EQ(result.records.size(), 1U);
+    EXPECT_EQ(result.records[0].value, "ab");
+    EXPECT_EQ(result.records[0].offset, 4U);
+    EXPECT_TRUE(result.more);
+    EXPECT_EQ(result.end, 6U);
+    EXPECT_THROW(decodeNewest(R"({"items":[{"key":"config","value":"%","offset":4}],"end_offset":6})"), ProtocolError);
+}
+
+TEST(WorkerCodec, DecodesBothLists)
+{
+    Observation observation = decodeAnswer(200,
+        R"({"clock_ms":482113,"born":5,"running":[["00000000000000aa.0.1.17",2,"00000bb8",41,3]],
+            "ended":[[58,"00000000000000aa.0.1.9",1,"failed",""]]})");
+    EXPECT_EQ(observation.result.status, OrderResult::Status::Done);
+    EXPECT_EQ(observation.result.clock, milliseconds(482'113));
+    EXPECT_EQ(observation.result.birth, 5);
+    ASSERT_EQ(observation.running.size(), 1U);
+    EXPECT_EQ(observation.running[0].task.index, 17);
+    EXPECT_EQ(observation.running[0].percent, 41);
+    ASSERT_EQ(observation.ended.size(), 1U);
+    EXPECT_EQ(observation.ended[0].how, EndedTask::How::Failed);
+    EXPECT_EQ(observation.lastEnd, 58);
+}
+
+// Guards against one unreadable entry that hides the others of its list.
+TEST(WorkerCodec, UnreadableEntryBreaksNoOther)
+{
+    Observation observation = decodeAnswer(
+        200, R"({"clock_ms":1,"running":[7,["x",1,"",0],["00000000000000aa.0.0.0",1,"",0]],"ended":[["1"]]})");
+    EXPECT_EQ(observation.running.size(), 1U);
+    EXPECT_TRUE(observation.ended.empty());
+}
+
+// Guards against a start counted as "did nothing" when its answer cannot be read.
+TEST(WorkerCodec, StatusOfOrders)
+{
+    using Status = OrderResult::Status;
+    EXPECT_EQ(decodeAnswer(200, "{").result.status, Status::Unknown);
+    EXPECT_EQ(decodeAnswer(500, "").result.status, Status::Unknown);
+    EXPECT_EQ(decodeAnswer(503, "").result.status, Status::NotDelivered);
+    EXPECT_EQ(decodeAnswer(421, "").result.status, Status::OtherLifetime);
+    EXPECT_EQ(decodeAnswer(409, R"({"reason":"fence"})").result.status, Status::Fenced);
+    EXPECT_EQ(decodeAnswer(409, R"({"reason":"old"})").result.status, Status::OldRun);
+    EXPECT_EQ(decodeAnswer(409, R"({"reason":"late"})").result.status, Status::LeaseOver);
+    EXPECT_EQ(decodeAnswer(409, R"({"reason":"room"})").result.status, Status::NoRoom);
+}
+
+TEST(DirectoryCodec, DecodesAnEntry)
+{
+    auto worker = decodeWorkerEntry("i-1", entry);
+    ASSERT_TRUE(worker);
+    EXPECT_EQ(worker->address, "10.128.0.9:8080");
+    EXPECT_EQ(worker->rack, "r1-3");
+    EXPECT_EQ(worker->capacity.accelerators, 8);
+    EXPECT_FALSE(worker->draining);
+    EXPECT_EQ(worker->birth, 1'785'000'000'000);
+}
+
+// Guards against work on what another writer put into the directory.
+TEST(DirectoryCodec, UnreadableEntryNamesNoWorker)
+{
+    EXPECT_FALSE(decodeWorkerEntry("i-1", "\xff{"));
+    EXPECT_FALSE(decodeWorkerEntry("i-1", R"({"service":"s"})"));
+    std::string unknownState = entry;
+    unknownState.replace(unknownState.find("ready"), 5, "other");
+    EXPECT_FALSE(decodeWorkerEntry("i-1", unknownState));
+}
+
+TEST(OperatorCodec, DecodesQueuesAndAccounts)
+{
+    auto configuration = decodeOperatorRecord("config",
+        R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","target_runtime_ms":250.0,"priority":0,
+            "service":"s","max_attempts":3,"stretch":1.5,"public":false}],
+            "tenants":[{"name":"t","api_keys":["k"],"guaranteed":{"gpu":72}}]})");
+    ASSERT_TRUE(configuration);
+    EXPECT_EQ(configuration->version, 7U);
+    const state::batch::BatchQueue* queue = configuration->findQueue("h", "/p/x");
+    ASSERT_TRUE(queue);
+    EXPECT_EQ(queue->targetRuntime, milliseconds(250));
+    EXPECT_EQ(queue->maximumAttempts, 3);
+    EXPECT_FALSE(configuration->findQueue("other", "/p/x"));
+    ASSERT_TRUE(configuration->findAccountByKey("k"));
+    EXPECT_EQ(configuration->guaranteedAccelerators(state::AccountId("t")), 72);
+    EXPECT_FALSE(decodeOperatorRecord("wave/1", "{}"));
+    EXPECT_FALSE(decodeOperatorRecord("config", "{\"version\":\"7\"}"));
+}
+
+TEST(JobCodec, DecodesSteps)
+{
+    SubmittedJob submitted = decodeJob(
+        R"({"spec":"t","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"preferred_rack":"r1-3"},
+            {"count":20,"cpu":2000,"after":[0],"gang":true,"same_rack":true}],"repeats":3,"first_ms":1000,"interval_ms":5})");
+    EXPECT_TRUE(submitted.unsupported.empty());
+    ASSERT_EQ(submitted.job.steps.size(), 2U);
+    EXPECT_EQ(submitted.job.steps[0].preferredRack, "r1-3");
+    EXPECT_EQ(submitted.job.steps[1].after, std::vector<int> { 0 });
+    EXPECT_TRUE(submitted.job.steps[1].gang);
+    EXPECT_EQ(submitted.job.occurrences, 3);
+    EXPECT_EQ(submitted.job.due(2).time_since_epoch(), milliseconds(1'010));
+}
+
+// Guards against a job that runs wrongly because a part of it is not served.
+TEST(JobCodec, NamesWhatIsNotServed)
+{
+    EXPECT_FALSE(decodeJob(R"({"steps":[{"perpetual":true}]})").unsupported.empty());
+    EXPECT_FALSE(decodeJob(R"({"steps":[{"fills":true}]})").unsupported.empty());
+    EXPECT_FALSE(decodeJob(R"({"steps":[{"target_ms":50}]})").unsupported.empty());
+}
+
+TEST(JobCodec, ErrorsNameTheField)
+{
+    auto fieldOf = [](const std::string& body) {
+        try {
+            decodeJob(body);
+        } catch (const ProtocolError& error) {
+            return error.field();
+        }
+        return std::string();
+    };
+    EXPECT_EQ(fieldOf("{"), "body");
+    EXPECT_EQ(fieldOf(R"({"spec":1,"steps":[{}]})"), "spec");
+    EXPECT_EQ(fieldOf(R"({"spec":"t"})"), "steps");
+    EXPECT_EQ(fieldOf(R"({"steps":[{"count":0}]})"), "steps.count");
+    EXPECT_EQ(fieldOf(R"({"steps":[{"after":[0]}]})"), "steps.after");
+}
+
+// Guards against bytes from outside that stop the process.
+RC_GTEST_PROP(PlatformCodec, ArbitraryBytesNeverEscapeTheDecoders, (const std::string& bytes))
+{
+    decodeAnswer(200, bytes);
+    decodeAppend(409, bytes);
+    decodeWorkerEntry("x", bytes);
+    decodeOperatorRecord("config", bytes);
+    for (const auto& decoder : { std::function<void()>([&] { decodeRead(bytes, 0); }),
+             std::function<void()>([&] { decodeNewest(bytes); }), std::function<void()>([&] { decodeJob(bytes); }) }) {
+        try {
+            decoder();
+        } catch (const ProtocolError&) {
+        }
+    }
+}
+
+} // namespace lentilsaddle::platform
--- /dev/null
+++ b/tests/protocol/batch/BatchRecordCodecTest.cpp
@@ -0,0 +1,86 @@
+#include "protocol/batch/BatchRecordCodec.h"
+
+#include "protocol/ProtocolError.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilsaddle::protocol::batch {
+
+using state::batch::BatchJob;
+using state::batch::BatchTaskState;
+using state::batch::LeaderRecord;
+
+// Guards against a field that is lost between the instance that accepts a job and the one that schedules it.
+TEST(BatchRecordCodec, JobSurvivesTheJournal)
+{
+    BatchJob job {
+        .id = state::JobId("00000000000000aa"),
+        .account = state::AccountId("a"),
+        .queue = { .name = "q",
+            .service = state::ServiceId("s"),
+            .priority = 2,
+            .maximumAttempts = 3,
+            .stretch = 1.5,
+            .targetRuntime = std::chrono::milliseconds(250) },
+        .payload = "text",
+        .steps = { { .taskCount = 4,
+                       .need = { .milliCores = 500, .memoryMegabytes = 256, .accelerators = 8 },
+                       .estimate = std::chrono::milliseconds(900),
+                       .savesProgress = true,
+                       .gang = true,
+                       .sameRack = true,
+                       .requiredLabel = "a",
+                       .preferredRack = "r1-3",
+                       .maximumPerWorker = 2 },
+            { .taskCount = 1, .after = { 0 }, .speculative = true } },
+        .occurrences = 3,
+        .firstDue = state::WallTime(std::chrono::microseconds(77)),
+        .interval = std::chrono::milliseconds(5),
+        .submitted = state::WallTime(std::chrono::microseconds(99)),
+    };
+    BatchJob read = decodeJob(job.id, encodeJob(job));
+    EXPECT_EQ(read.account, job.account);
+    EXPECT_EQ(read.queue, job.queue);
+    EXPECT_EQ(read.payload, job.payload);
+    EXPECT_EQ(read.steps, job.steps);
+    EXPECT_EQ(read.occurrences, job.occurrences);
+    EXPECT_EQ(read.firstDue, job.firstDue);
+    EXPECT_EQ(read.interval, job.interval);
+    EXPECT_EQ(read.submitted, job.submitted);
+}
+
+TEST(BatchRecordCodec, TaskStateAndLeaderSurviveTheJournal)
+{
+    BatchTaskState taskState {
+        .phase = BatchTaskState::Phase::Claimed,
+        .run = 7,
+        .worker = state::WorkerId("w"),
+        .workerBirth = 1'785'000'000'000,
+        .checkpoint = "00000bb8",
+        .failures = 2,
+        .lastFailedRun = 6,
+    };
+    EXPECT_EQ(decodeTaskState(encodeTaskState(taskState)), taskState);
+    LeaderRecord leader { .term = 4, .instance = state::InstanceId("e-1"), .incarnation = ~0ULL, .vacant = true };
+    EXPECT_EQ(decodeLeader(encodeLeader(leader)), leader);
+}
+
+// Guards against a record of another program or layout that stops the process or is taken for a state.
+RC_GTEST_PROP(BatchRecordCodec, ArbitraryBytesAreRejectedOrDecoded, (const std::string& text))
+{
+    try {
+        decodeTaskState(text);
+    } catch (const ProtocolError&) {
+    }
+    try {
+        decodeJob(state::JobId("x"), text);
+    } catch (const ProtocolError&) {
+    }
+    try {
+        decodeLeader(text);
+    } catch (const ProtocolError&) {
+    }
+}
+
+} // namespace lentilsaddle::protocol::batch
--- /dev/null
+++ b/tests/state/batch/BatchTableTest.cpp
@@ -0,0 +1,119 @@
+#include "state/batch/BatchTable.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::state::batch {
+
+namespace {
+
+    using Phase = BatchJobEntry::Phase;
+    using TaskPhase = BatchTaskState::Phase;
+
+    const JobId jobId { "00000000000000aa" };
+
+    BatchJob makeJob(int tasks, bool gang = false, int maximumAttempts = 2)
+    {
+        return {
+            .id = jobId,
+            .queue = { .name = "q", .maximumAttempts = maximumAttempts },
+            .steps = { { .taskCount = tasks, .gang = gang } },
+        };
+    }
+
+    BatchTaskId taskId(int index, int step = 0)
+    {
+        return { .job = jobId, .occurrence = 0, .step = step, .index = index };
+    }
+
+} // namespace
+
+// Guards against a job shown as completed while one of its tasks is not done.
+TEST(BatchTable, JobIsCompletedOnlyWhenAllTasksAreDone)
+{
+    BatchTable table;
+    table.applyJob(makeJob(2));
+    table.applyTask(taskId(0), { .phase = TaskPhase::Done, .run = 1 }, 5);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Running);
+    table.applyTask(taskId(1), { .phase = TaskPhase::Done, .run = 1 }, 6);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Completed);
+    EXPECT_TRUE(table.activeJobs().empty());
+}
+
+// Guards against the tail reverting a state that the writer applied when its append was acknowledged.
+TEST(BatchTable, OlderRecordDoesNotReplaceNewerState)
+{
+    BatchTable table;
+    table.applyJob(makeJob(1));
+    table.applyTask(taskId(0), { .phase = TaskPhase::Done, .run = 1 }, 9);
+    table.applyTask(taskId(0), { .phase = TaskPhase::Claimed, .run = 1 }, 8);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Completed);
+}
+
+// Guards against a repeated submission that makes a finished or cancelled job start again.
+TEST(BatchTable, RepeatedSubmissionChangesNothing)
+{
+    BatchTable table;
+    table.applyJob(makeJob(1));
+    table.applyCancellation(jobId);
+    table.applyJob(makeJob(1));
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Cancelled);
+    EXPECT_TRUE(table.activeJobs().empty());
+}
+
+// Guards against losing a cancellation or a claim that a listing delivers before the job itself.
+TEST(BatchTable, RecordsBeforeTheirJobAreKept)
+{
+    BatchTable table;
+    table.applyCancellation(jobId);
+    table.applyTask(taskId(0), { .phase = TaskPhase::Claimed, .run = 3 }, 2);
+    table.applyJob(makeJob(1));
+    EXPECT_TRUE(table.find(jobId)->cancelled());
+    EXPECT_EQ(table.find(jobId)->task(taskId(0)).run, 3);
+}
+
+// Guards against a gang of which two members fail in one run being given up one attempt too early.
+TEST(BatchTable, MembersThatFailInOneRunCountOnce)
+{
+    BatchTable table;
+    table.applyJob(makeJob(2, true));
+    table.applyTask(taskId(0), { .run = 1, .failures = 1, .lastFailedRun = 1 }, 1);
+    table.applyTask(taskId(1), { .run = 1, .failures = 1, .lastFailedRun = 1 }, 2);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Running);
+    table.applyTask(taskId(1), { .run = 2, .failures = 2, .lastFailedRun = 2 }, 3);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Failed);
+}
+
+// Guards against a record of a task that the job does not have touching memory outside its tasks.
+TEST(BatchTable, TaskOutsideItsJobIsIgnored)
+{
+    BatchTable table;
+    table.applyJob(makeJob(1));
+    table.applyTask(taskId(1), { .phase = TaskPhase::Done, .run = 1 }, 1);
+    table.applyTask(taskId(0, 1), { .phase = TaskPhase::Done, .run = 1 }, 2);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Queued);
+}
+
+TEST(BatchTable, PendingCountsJobsWithoutAStartedTask)
+{
+    BatchTable table;
+    table.applyJob(makeJob(2));
+    EXPECT_EQ(table.pendingCount("q"), 1U);
+    EXPECT_EQ(table.pendingCount("other"), 0U);
+    table.applyTask(taskId(1), { .phase = TaskPhase::Claimed, .run = 1 }, 1);
+    EXPECT_EQ(table.pendingCount("q"), 0U);
+}
+
+// Guards against a step that starts before all tasks of an earlier one are done.
+TEST(BatchTable, StepWaitsForAllTasksOfItsPredecessors)
+{
+    BatchTable table;
+    BatchJob job = makeJob(2);
+    job.steps.push_back({ .after = { 0 } });
+    table.applyJob(job);
+    table.applyTask(taskId(0), { .phase = TaskPhase::Done, .run = 1 }, 1);
+    EXPECT_FALSE(table.find(jobId)->predecessorsDone(0, 1));
+    table.applyTask(taskId(1), { .phase = TaskPhase::Done, .run = 1 }, 2);
+    EXPECT_TRUE(table.find(jobId)->predecessorsDone(0, 1));
+}
+
+} // namespace lentilsaddle::state::batch
