Let the lease of a silent worker end

A silent worker is observed without renewing its lease. The new test failed before the change and passes after it.

--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -286,10 +286,12 @@
     bool stopConfirmationPending = std::any_of(m_occupants.begin(), m_occupants.end(),
         [](const auto& entry) { return entry.second.phase == Phase::StopAcknowledged && !entry.second.startAnswered; });
     bool wait = m_observed && m_reachable && !endsPending && !m_occupants.empty() && !stopConfirmationPending;
+    // A silent worker's lease is left to end: each attempt to renew it could still take effect.
+    bool renew = m_clock.known() && !m_silentSince;
     ObserveOrder order {
         .term = m_term,
         .acknowledgedEnd = m_acknowledgedEnd,
-        .leaseEnd = m_clock.known() ? std::optional(nextLeaseEnd()) : std::nullopt,
+        .leaseEnd = renew ? std::optional(nextLeaseEnd()) : std::nullopt,
         .wait = wait ? m_options.observeWait : milliseconds(0),
     };
     m_observing = true;
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -231,6 +231,19 @@
     EXPECT_EQ(m_workers.running().size(), 1U);
 }
 
+// Guards against a task that waits for a silent worker for good, and against one that starts elsewhere while the worker
+// still runs it.
+TEST_F(BatchTaskTest, TaskOfASilentWorkerStartsElsewhereWhenItsLeaseHasEnded)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(isRunning());
+    m_workers.silence("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }, milliseconds(2'500)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 // Guards against a task that a new leader starts again although it still runs, or never looks at again.
 TEST_F(BatchTaskTest, NewLeaderAdoptsWhatRuns)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -41,6 +41,13 @@
         m_nextStartDelay = delay;
     }
 
+    /// Cuts a worker off. Its tasks run on until their lease ends.
+    void silence(const std::string& worker)
+    {
+        std::lock_guard lock(m_mutex);
+        m_workers[worker].silent = true;
+    }
+
     /// Ends a running task.
     void finish(const std::string& worker, const std::string& task, EndedTask::How how)
     {
@@ -94,6 +101,8 @@
         std::vector<EndedTask> ended;
         std::int64_t lastEnd = 0;
         std::int64_t acknowledged = 0;
+        WorkerTime leaseEnd { 0 };
+        bool silent = false;
     };
 
     static WorkerTime clockNow()
@@ -118,6 +127,15 @@
         });
     }
 
+    // Ends what runs beyond its lease on workers that nobody reaches.
+    void lapse()
+    {
+        for (auto& [id, worker] : m_workers) {
+            if (worker.silent && clockNow() > worker.leaseEnd)
+                worker.running.clear();
+        }
+    }
+
     OrderResult carryOut(const std::string& id, const StartOrder& order)
     {
         Worker& worker = m_workers[id];
@@ -132,6 +150,8 @@
         if (result.status != OrderResult::Status::Done)
             return result;
         worker.term = order.term;
+        worker.leaseEnd = std::max(worker.leaseEnd, order.leaseEnd);
+        lapse();
         for (const auto& [other, otherWorker] : m_workers)
             m_ranTwice = m_ranTwice || otherWorker.running.contains(task);
         worker.running[task] = order.run;
@@ -143,6 +163,10 @@
         std::chrono::milliseconds timeout, const std::function<void(OrderResult)>& reply)
     {
         std::lock_guard lock(m_mutex);
+        if (m_workers[worker.id.value()].silent) {
+            loop.startTimer(timeout, [reply] { reply({ .status = OrderResult::Status::Unknown }); });
+            return;
+        }
         if (m_nextStartDelay.count() == 0) {
             answer(loop, reply, carryOut(worker.id.value(), order));
             return;
@@ -159,6 +183,10 @@
     {
         std::lock_guard lock(m_mutex);
         Worker& target = m_workers[worker.id.value()];
+        if (target.silent) {
+            loop.startTimer(std::chrono::milliseconds(50), [reply] { reply({}); });
+            return;
+        }
         std::string task = order.task.toString();
         OrderResult result { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = 1 };
         if (order.term < target.term) {
@@ -178,6 +206,12 @@
     {
         std::lock_guard lock(m_mutex);
         Worker& target = m_workers[worker.id.value()];
+        if (target.silent) {
+            loop.startTimer(timeout, [reply] { reply({}); });
+            return;
+        }
+        if (order.leaseEnd)
+            target.leaseEnd = std::max(target.leaseEnd, *order.leaseEnd);
         Observation observation;
         observation.result = { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = 1 };
         if (order.term < target.term) {
