Write logs to standard output without blocking and record call latencies

One thread writes a bounded queue of lines; what does not fit is dropped and counted. Histograms of store calls, worker calls, time to a start and time to store an end.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -223,9 +223,10 @@
         return;
     }
     ++pending.stores;
-    m_hooks.storeTasks(std::move(states), [this, worker, alive = std::weak_ptr(m_alive)] {
+    m_hooks.storeTasks(std::move(states), [this, worker, listed = m_hooks.clock(), alive = std::weak_ptr(m_alive)] {
         if (alive.expired())
             return;
+        m_metrics.observe("lentilsaddle_batch_end_store_seconds", m_hooks.clock() - listed);
         PendingEnds& stored = m_pendingEnds[worker];
         --stored.stores;
         auto session = m_sessions.find(worker);
@@ -385,6 +386,9 @@
             continue;
         }
         m_metrics.increment("lentilsaddle_batch_starts_total");
+        if (auto ready = m_readySince.find({ id.job, id.occurrence, id.step }); ready != m_readySince.end())
+            m_metrics.observe("lentilsaddle_batch_start_wait_seconds", m_hooks.clock() - ready->second,
+                { { "priority", std::to_string(entry.job().queue.priority) } });
         session->second->start({ id, run }, entry.job().payload);
     }
     requestPlan();
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -4,6 +4,7 @@
 #include "coordination/batch/JournalKeys.h"
 #include "coordination/batch/KeyedReader.h"
 #include "coordination/batch/Leadership.h"
+#include "coordination/batch/MeasuredPlatform.h"
 #include "protocol/ProtocolError.h"
 #include "protocol/batch/BatchRecordCodec.h"
 #include "transport/Logger.h"
@@ -87,7 +88,7 @@
 
 void BatchTask::onStart()
 {
-    m_platform = m_hooks.connect(loop());
+    m_platform = measuredPlatform(m_hooks.connect(loop()), *m_environment.metrics, m_environment.monotonicClock);
     createReaders();
     createLeadership();
     m_configurationReader->start();
--- a/coordination/batch/Leadership.cpp
+++ b/coordination/batch/Leadership.cpp
@@ -136,7 +136,10 @@
     m_claimedTerm = (m_leader ? m_leader->term : 0) + 1;
     m_claimSequence = m_hooks.random() % sequenceRange;
     writeLog(LogLevel::Info, "leadership", "claiming",
-        { { "term", std::to_string(m_claimedTerm) }, { "at", std::to_string(m_reader.position()) } });
+        { { "term", std::to_string(m_claimedTerm) }, { "at", std::to_string(m_reader.position()) },
+            { "silent_ms",
+                std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - m_lastSign).count()) } });
     AppendRequest request {
         .records = { leaderRecord(m_claimedTerm, false) },
         .writer = Writer { .term = m_claimedTerm, .sequence = m_claimSequence },
--- a/transport/Logger.cpp
+++ b/transport/Logger.cpp
@@ -1,5 +1,7 @@
 #include "transport/Logger.h"
 
+#include "transport/LogWriter.h"
+
 #include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
@@ -10,6 +12,23 @@
 
     LogLevel minimumLogLevel = LogLevel::Info;
 
+    // Hands each formatted line to the writer, in place of easylogging++'s own blocking output.
+    class WriterCallback : public el::LogDispatchCallback {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            if (data->dispatchAction() != el::base::DispatchAction::NormalLog)
+                return;
+            const el::LogMessage* message = data->logMessage();
+            m_writer.write(message->logger()->logBuilder()->build(message, false));
+        }
+
+    private:
+        LogWriter m_writer { {} };
+    };
+
+    constexpr const char* callbackName = "lentilsaddle";
+
     void appendQuoted(std::string& line, std::string_view value)
     {
         bool plain = !value.empty() && value.find_first_of(" \"=\n\t\\") == std::string_view::npos;
@@ -34,12 +53,13 @@
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    // ELPP_CUSTOM_COUT sends the "standard output" of easylogging++ to standard error.
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     std::string format = "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level instance=" + instance + " %msg";
     configuration.setGlobally(el::ConfigurationType::Format, format);
     el::Loggers::reconfigureAllLoggers(configuration);
     el::Loggers::setDefaultConfigurations(configuration, true);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<WriterCallback>(callbackName);
 }
 
 void writeLog(
--- a/transport/Logger.h
+++ b/transport/Logger.h
@@ -1,5 +1,5 @@
 /// @file
-/// Structured logs on standard error.
+/// Structured logs on standard output.
 #pragma once
 
 #include <initializer_list>
@@ -20,7 +20,8 @@
     std::string value;
 };
 
-/// Sets the minimum level and the instance name shown in each line. Call once before the first thread starts.
+/// Sets the minimum level and the instance name shown in each line, and starts the writer of standard output. Call once
+/// before the first thread starts.
 void configureLogging(const std::string& instance, LogLevel minimumLevel);
 
 /// Writes one line of `key=value` pairs: time, level, instance, component, message, then the fields.
--- a/transport/Metrics.cpp
+++ b/transport/Metrics.cpp
@@ -2,11 +2,20 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 namespace lentilsaddle::transport {
 
+namespace {
+
+    // Upper bounds in seconds, from a call within a data centre to a job that waits for room.
+    const prometheus::Histogram::BucketBoundaries latencyBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2,
+        5, 10, 30 };
+
+} // namespace
+
 struct Metrics::Implementation {
     prometheus::Registry registry;
 };
@@ -30,6 +39,12 @@
     family.Add(labels).Set(value);
 }
 
+void Metrics::observe(const std::string& name, std::chrono::nanoseconds duration, const MetricLabels& labels)
+{
+    auto& family = prometheus::BuildHistogram().Name(name).Register(m_implementation->registry);
+    family.Add(labels, latencyBuckets).Observe(std::chrono::duration<double>(duration).count());
+}
+
 std::string Metrics::render() const
 {
     return prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
--- a/transport/Metrics.h
+++ b/transport/Metrics.h
@@ -2,6 +2,7 @@
 /// Metrics on the prometheus-cpp core registry.
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +24,10 @@
     /// Sets a gauge, creating it on first use.
     void setGauge(const std::string& name, double value, const MetricLabels& labels = {});
 
+    /// Adds a duration to a latency histogram, creating it on first use.
+    /// @param name metric name, ending in `_seconds`.
+    void observe(const std::string& name, std::chrono::nanoseconds duration, const MetricLabels& labels = {});
+
     /// @return all metrics in the Prometheus text format.
     std::string render() const;
 
