--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -10,6 +10,9 @@
 struct BatchOptions {
     /// Authority of the leader after it sent an append that was acknowledged. Below takeoverDelay.
     std::chrono::milliseconds leaderLease { 1'500 };
+    /// How long after the end of its authority a leader that no other has replaced goes on renewing the workers'
+    /// leases, so that an outage of the store does not end what runs. It starts nothing in that time.
+    std::chrono::milliseconds renewalGrace { 3'500 };
     /// Silence of the leader after which others claim. Covers the leader's lease and the time of a read.
     std::chrono::milliseconds takeoverDelay { 2'000 };
     /// Upper bound of the random delay before a claim, so that instances seldom claim together.
@@ -19,7 +22,10 @@
     /// Limit of an append. Two appends fit into the leader's lease.
     std::chrono::milliseconds appendTimeout { 700 };
     /// Limit of the append of a submission: a caller waits some seconds and needs time to ask another instance.
-    std::chrono::milliseconds submitTimeout { 900 };
+    std::chrono::milliseconds submitTimeout { 700 };
+    /// After a change that the store did not confirm, other changes are refused at once for this long, unless the store
+    /// answers before.
+    std::chrono::milliseconds storeSuspicion { 400 };
     /// Long poll of the journal. Short enough to notice a silent store within the readiness limit.
     std::chrono::milliseconds journalWait { 1'000 };
     /// Long poll of the directory and the configuration. A poll that the store swallows costs this, the read timeout
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -77,6 +77,7 @@
     return {
         .clock = m_hooks.clock,
         .authorised = m_hooks.authorised,
+        .mayRenew = m_hooks.mayRenew,
         .onFenced = m_hooks.onFenced,
         .onEnded = [this, worker](const EndedTask& ended, bool wasOccupant) { onEnded(worker, ended, wasOccupant); },
         .onLost = [this, worker](const Occupant& lost, const std::string& reason) { onLost(worker, lost, reason); },
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -37,6 +37,8 @@
         state::WallClock wallClock;
         /// Whether orders may be given now.
         std::function<bool()> authorised;
+        /// Whether leases may be renewed now.
+        std::function<bool()> mayRenew;
         /// Stores records of tasks and applies them to the table, then calls back.
         std::function<void(std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>> states,
             std::function<void()> onStored)>
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -139,6 +139,7 @@
         [this](const std::vector<KeyedRecord>& records) { onJournal(records, true); },
         [this](const std::vector<KeyedRecord>& records) { onJournal(records, false); },
         [this] {
+            m_storeSuspectUntil.reset();
             updateReadiness();
             m_leadership->onCurrent();
         });
@@ -203,6 +204,7 @@
             .clock = m_environment.monotonicClock,
             .wallClock = m_environment.wallClock,
             .authorised = [this, term] { return m_leadership->term() == term && m_leadership->authorised(); },
+            .mayRenew = [this, term] { return m_leadership->term() == term && m_leadership->mayRenew(); },
             .storeTasks
             = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
             .onFenced =
@@ -330,12 +332,22 @@
 
 void BatchTask::appendShared(KeyedRecord record, std::function<void(AppendResult::Status)> reply)
 {
+    // While the store is silent, a call would only hold its caller up.
+    if (m_storeSuspectUntil && m_environment.monotonicClock() < *m_storeSuspectUntil) {
+        writeLog(LogLevel::Warning, "store", "append refused while the store is suspected", { { "key", record.key } });
+        reply(AppendResult::Status::NotStored);
+        return;
+    }
     AppendRequest request { .records = { std::move(record) }, .timeout = m_options.submitTimeout };
     m_platform.journal.append(
-        request, [key = request.records.front().key, reply = std::move(reply)](const AppendResult& result) {
-            if (result.status != AppendResult::Status::Stored)
+        request, [this, key = request.records.front().key, reply = std::move(reply)](const AppendResult& result) {
+            if (result.status == AppendResult::Status::Stored) {
+                m_storeSuspectUntil.reset();
+            } else {
+                m_storeSuspectUntil = m_environment.monotonicClock() + m_options.storeSuspicion;
                 writeLog(LogLevel::Warning, "store", "append not confirmed",
                     { { "key", key }, { "status", outcomeName(result.status) }, { "error", result.error } });
+            }
             reply(result.status);
         });
 }
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -94,6 +94,8 @@
     std::optional<state::batch::LeaderRecord> m_listedLeader;
     bool m_journalListed = false;
     bool m_draining = false;
+    /// Set while the last change was not confirmed by the store.
+    std::optional<state::MonotonicTime> m_storeSuspectUntil;
     std::optional<bool> m_ready;
 };
 
--- a/coordination/batch/Leadership.cpp
+++ b/coordination/batch/Leadership.cpp
@@ -91,10 +91,20 @@
     considerClaim();
 }
 
-bool Leadership::authorised() const
+bool Leadership::confirmedWithin(std::chrono::milliseconds limit) const
 {
     std::optional<state::MonotonicTime> confirmed = m_appender.lastConfirmed();
-    return m_leading && confirmed && m_hooks.clock() < *confirmed + m_options.leaderLease;
+    return m_leading && confirmed && m_hooks.clock() < *confirmed + limit;
+}
+
+bool Leadership::authorised() const
+{
+    return confirmedWithin(m_options.leaderLease);
+}
+
+bool Leadership::mayRenew() const
+{
+    return confirmedWithin(m_options.leaderLease + m_options.renewalGrace);
 }
 
 void Leadership::considerClaim()
--- a/coordination/batch/Leadership.h
+++ b/coordination/batch/Leadership.h
@@ -62,10 +62,14 @@
     /// @return whether orders may be given now.
     bool authorised() const;
 
+    /// @return whether the workers' leases may be renewed now.
+    bool mayRenew() const;
+
     /// Appends records under the term; only while leading.
     void append(std::vector<KeyedRecord> records, LeaderAppender::StoredCallback onStored);
 
 private:
+    bool confirmedWithin(std::chrono::milliseconds limit) const;
     void considerClaim();
     void claim();
     void onClaimed(std::uint64_t term, std::uint64_t sequence, const AppendResult& result);
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -278,7 +278,7 @@
     m_observationTimer = 0;
     if (m_observing)
         return;
-    if (!m_hooks.authorised()) {
+    if (!m_hooks.mayRenew()) {
         scheduleObservation(m_options.orderRetry);
         return;
     }
@@ -366,8 +366,9 @@
     if (m_occupants.empty() || m_reachable)
         return;
     state::MonotonicTime now = m_hooks.clock();
-    // A lease that an earlier leader gave ends at most a whole lease after this term began.
-    auto whole = std::chrono::duration<double, std::milli>(m_options.workerLease) / (1 - m_options.clockSlowness);
+    // An earlier leader renewed leases at most until its grace had ended, which began before this term.
+    auto whole = std::chrono::duration<double, std::milli>(m_options.workerLease) / (1 - m_options.clockSlowness)
+        + m_options.renewalGrace;
     state::MonotonicTime end = m_termStart + std::chrono::duration_cast<state::MonotonicTime::duration>(whole);
     if (m_clock.known() && m_latestLeaseEnd.count() > 0)
         end = std::max(end, m_clock.surelyPassed(m_latestLeaseEnd));
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -33,6 +33,8 @@
         state::MonotonicClock clock;
         /// Whether orders may be given now.
         std::function<bool()> authorised;
+        /// Whether leases may be renewed now.
+        std::function<bool()> mayRenew;
         /// The worker has seen a later term.
         std::function<void()> onFenced;
         /// A run ended. The occupant has been removed. The end stays listed until acknowledge().
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -41,6 +41,11 @@
 
 } // namespace
 
+struct BatchPlanner::Victims {
+    std::vector<std::size_t> groups;
+    double loss = 0;
+};
+
 struct BatchPlanner::PreemptionPlan {
     WorkerChoice workers;
     std::set<std::size_t> groups;
@@ -256,6 +261,45 @@
     return unit.guaranteed && !group.guaranteed;
 }
 
+std::optional<BatchPlanner::Victims> BatchPlanner::chooseVictims(const BatchUnit& unit, const WorkerRoom& room,
+    Resources available, const std::set<std::size_t>& alreadyChosen) const
+{
+    std::map<std::size_t, Resources> roomOfGroup;
+    for (const WorkerRoom::Run& run : room.runs) {
+        if (!run.leaving && !alreadyChosen.contains(run.group) && mayPreempt(unit, m_input.groups[run.group]))
+            roomOfGroup[run.group] += run.need;
+    }
+    std::vector<std::size_t> candidates;
+    for (const auto& [group, resources] : roomOfGroup)
+        candidates.push_back(group);
+    auto lossOf = [this](std::size_t group) { return m_input.groups[group].loss; };
+    std::sort(candidates.begin(), candidates.end(),
+        [&](std::size_t a, std::size_t b) { return std::pair(lossOf(a), a) < std::pair(lossOf(b), b); });
+    std::vector<std::size_t> chosen;
+    for (std::size_t group : candidates) {
+        if (unit.need.fitsInto(available))
+            break;
+        chosen.push_back(group);
+        available += roomOfGroup[group];
+    }
+    if (!unit.need.fitsInto(available))
+        return std::nullopt;
+    // A later victim may have made an earlier one needless.
+    Victims victims;
+    for (std::size_t index = chosen.size(); index-- > 0;) {
+        std::size_t group = chosen[index];
+        Resources without = available;
+        without -= roomOfGroup[group];
+        if (unit.need.fitsInto(without)) {
+            available = without;
+            continue;
+        }
+        victims.groups.push_back(group);
+        victims.loss += lossOf(group);
+    }
+    return victims;
+}
+
 std::optional<BatchPlanner::PreemptionPlan> BatchPlanner::planPreemption(
     const BatchUnit& unit, const std::string* rack) const
 {
@@ -288,32 +332,12 @@
                 if (used >= unit.maximumPerWorker)
                     continue;
             }
-            Resources available = free[worker];
-            std::vector<std::pair<double, std::size_t>> victims;
-            for (const WorkerRoom::Run& run : room.runs) {
-                if (!run.leaving && !plan.groups.contains(run.group) && mayPreempt(unit, m_input.groups[run.group]))
-                    victims.emplace_back(m_input.groups[run.group].loss, run.group);
-            }
-            std::sort(victims.begin(), victims.end());
-            double loss = 0;
-            std::vector<std::size_t> groups;
-            for (const auto& [groupLoss, group] : victims) {
-                if (unit.need.fitsInto(available))
-                    break;
-                if (std::find(groups.begin(), groups.end(), group) != groups.end())
-                    continue;
-                groups.push_back(group);
-                loss += groupLoss;
-                for (const WorkerRoom::Run& run : room.runs) {
-                    if (run.group == group)
-                        available += run.need;
-                }
-            }
-            if (!unit.need.fitsInto(available) || loss >= bestLoss)
+            std::optional<Victims> victims = chooseVictims(unit, room, free[worker], plan.groups);
+            if (!victims || victims->loss >= bestLoss)
                 continue;
-            bestLoss = loss;
+            bestLoss = victims->loss;
             best = worker;
-            bestGroups = groups;
+            bestGroups = victims->groups;
         }
         if (bestLoss == noPlace)
             return std::nullopt;
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lentilsaddle::coordination::batch {
@@ -69,7 +70,10 @@
     double fitScore(const BatchUnit& unit, const state::batch::Resources& free, const WorkerRoom& room) const;
     bool farAllowed(const BatchUnit& unit) const;
     bool preempt(const BatchUnit& unit, bool far);
+    struct Victims;
     struct PreemptionPlan;
+    std::optional<Victims> chooseVictims(const BatchUnit& unit, const WorkerRoom& room,
+        state::batch::Resources available, const std::set<std::size_t>& alreadyChosen) const;
     std::optional<PreemptionPlan> planPreemption(const BatchUnit& unit, const std::string* rack) const;
     bool mayPreempt(const BatchUnit& unit, const RunningGroup& group) const;
     void take(std::size_t unit, const WorkerChoice& choice, std::size_t first);
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -86,6 +86,13 @@
         return m_ranTwice;
     }
 
+    /// @return how long the lease of a worker's tasks goes on.
+    std::chrono::milliseconds leaseLeft(const std::string& worker)
+    {
+        std::lock_guard lock(m_mutex);
+        return m_workers[worker].leaseEnd - clockNow();
+    }
+
     /// @return the highest acknowledged end of a worker.
     std::int64_t acknowledged(const std::string& worker)
     {
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -101,6 +101,17 @@
     EXPECT_EQ(result.preemptions, std::vector<std::size_t> { 1 });
 }
 
+// Guards against a small run that is stopped although a larger one, stopped as well, makes enough room alone.
+TEST(BatchPlanner, StopsNoRunWhoseRoomIsNotNeeded)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2, .loss = 1 }, { .priority = 2, .loss = 5 } };
+    occupy(input, 0, 0, 2);
+    occupy(input, 0, 1, 6);
+    input.units = { makeUnit("j", 1, 6, 0) };
+    EXPECT_EQ(plan(input).preemptions, std::vector<std::size_t> { 1 });
+}
+
 // Guards against stopping more runs in each round while the first ones are still stopping.
 TEST(BatchPlanner, WaitsForRoomThatIsBeingFreed)
 {
