Learn worker speeds and notice a lost store sooner

Ruled out: start latency (half within 60 ms).

A worker's slowness is learned from run times against estimates and, for a short time, from tasks far behind; the planner prefers other workers.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -26,8 +26,8 @@
     /// After a change that the store did not confirm, other changes are refused at once for this long, unless the store
     /// answers before.
     std::chrono::milliseconds storeSuspicion { 400 };
-    /// Long poll of the journal. Short enough to notice a silent store within the readiness limit.
-    std::chrono::milliseconds journalWait { 1'000 };
+    /// Long poll of the journal. With the read timeout below staleAfter, so that one lost answer does not matter.
+    std::chrono::milliseconds journalWait { 400 };
     /// Long poll of the directory and the configuration. A poll that the store swallows costs this, the read timeout
     /// and the retry delay; the sum stays below the 2 s in which a version or a leaving worker must be known.
     std::chrono::milliseconds directoryWait { 900 };
@@ -36,11 +36,11 @@
     /// Least time between two reads of the directory. Workers write often and seldom change.
     std::chrono::milliseconds directoryPace { 400 };
     /// Limit of a read beyond its wait.
-    std::chrono::milliseconds readTimeout { 700 };
+    std::chrono::milliseconds readTimeout { 600 };
     /// Delay before a failed call to the store is repeated.
     std::chrono::milliseconds storeRetry { 150 };
     /// The instance is not ready if its view of the journal is older than this.
-    std::chrono::milliseconds staleAfter { 1'800 };
+    std::chrono::milliseconds staleAfter { 1'200 };
     /// Lease of the tasks on a worker.
     std::chrono::milliseconds workerLease { 4'500 };
     /// How long a worker may wait for an end before it answers an observation.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -79,9 +79,10 @@
         .authorised = m_hooks.authorised,
         .mayRenew = m_hooks.mayRenew,
         .onFenced = m_hooks.onFenced,
-        .onEnded = [this, worker](const EndedTask& ended, bool wasOccupant) { onEnded(worker, ended, wasOccupant); },
+        .onEnded
+        = [this, worker](const EndedTask& ended, const Occupant* occupant) { onEnded(worker, ended, occupant); },
         .onLost = [this, worker](const Occupant& lost, const std::string& reason) { onLost(worker, lost, reason); },
-        .onRunning = [](const Occupant&) {},
+        .onRunning = [this, worker](const Occupant& occupant) { onRunning(worker, occupant); },
         .onUnknownRun = [this, worker](const RunningTask& running) { onUnknownRun(worker, running); },
         .onChanged = [this] { requestPlan(); },
     };
@@ -206,13 +207,38 @@
     }
 }
 
-void BatchScheduler::onEnded(const state::WorkerId& worker, const EndedTask& ended, bool wasOccupant)
+void BatchScheduler::learnSpeed(const state::WorkerId& worker, const Occupant& occupant)
+{
+    const BatchJobEntry* entry = m_table.find(occupant.task.job);
+    if (!entry || !entry->contains(occupant.task) || !occupant.wholeRunSeen)
+        return;
+    const BatchStep& step = entry->job().steps[static_cast<std::size_t>(occupant.task.step)];
+    // The members of a gang end together, so their run time tells of the slowest one only.
+    if (step.gang && step.taskCount > 1)
+        return;
+    auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - occupant.since);
+    m_speed.finished(worker, entry->job().queue.name, duration, step.estimate);
+}
+
+void BatchScheduler::onRunning(const state::WorkerId& worker, const Occupant& occupant)
+{
+    const BatchJobEntry* entry = m_table.find(occupant.task.job);
+    if (!entry || !entry->contains(occupant.task) || !occupant.wholeRunSeen)
+        return;
+    const BatchStep& step = entry->job().steps[static_cast<std::size_t>(occupant.task.step)];
+    auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - occupant.since);
+    m_speed.running(worker, entry->job().queue.name, elapsed, occupant.percent, step.estimate, m_hooks.clock());
+}
+
+void BatchScheduler::onEnded(const state::WorkerId& worker, const EndedTask& ended, const Occupant* occupant)
 {
     writeLog(LogLevel::Info, "scheduler", "run ended",
         { { "job", ended.task.job.value() }, { "task", ended.task.toString() }, { "run", std::to_string(ended.run) },
-            { "worker", worker.value() }, { "how", endName(ended.how) }, { "known", wasOccupant ? "true" : "false" } });
+            { "worker", worker.value() }, { "how", endName(ended.how) }, { "known", occupant ? "true" : "false" } });
     m_metrics.increment("lentilsaddle_batch_runs_ended_total", { { "how", endName(ended.how) } });
     judgeWorker(worker, ended);
+    if (occupant && ended.how == EndedTask::How::Done)
+        learnSpeed(worker, *occupant);
     PendingEnds& pending = m_pendingEnds[worker];
     pending.highest = std::max(pending.highest, ended.number);
     TaskStates states = statesAfterEnd(worker, ended);
@@ -357,6 +383,7 @@
             .phase = Occupant::Phase::Claiming,
             .checkpoint = claimed.checkpoint,
             .since = m_hooks.clock(),
+            .wholeRunSeen = claimed.checkpoint.empty(),
         });
         m_quarantine.probeStarted(worker, unit.job);
         m_claiming.insert(id);
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -9,6 +9,7 @@
 #include "coordination/batch/WorkerSession.h"
 #include "coordination/decisions/WorkerQuarantine.h"
 #include "coordination/decisions/batch/BatchPlanner.h"
+#include "coordination/decisions/batch/WorkerSpeed.h"
 #include "state/Time.h"
 #include "state/batch/BatchTable.h"
 #include "state/batch/BatchWorker.h"
@@ -77,8 +78,10 @@
     WorkerSession::Hooks sessionHooks(const state::WorkerId& worker);
     void inheritClaims(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
 
-    void onEnded(const state::WorkerId& worker, const EndedTask& ended, bool wasOccupant);
+    void onEnded(const state::WorkerId& worker, const EndedTask& ended, const Occupant* occupant);
+    void learnSpeed(const state::WorkerId& worker, const Occupant& occupant);
     void onLost(const state::WorkerId& worker, const Occupant& lost, const std::string& reason);
+    void onRunning(const state::WorkerId& worker, const Occupant& occupant);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     TaskStates statesAfterEnd(const state::WorkerId& worker, const EndedTask& ended) const;
     void judgeWorker(const state::WorkerId& worker, const EndedTask& ended);
@@ -117,6 +120,7 @@
     std::map<std::tuple<state::JobId, int, int>, state::MonotonicTime> m_readySince;
     std::map<std::tuple<state::JobId, int, int>, std::set<state::WorkerId>> m_failedOn;
     WorkerQuarantine m_quarantine;
+    WorkerSpeed m_speed;
     bool m_planRequested = false;
     state::MonotonicTime m_lastPlan {};
     /// Calls in flight hold a weak reference, so that an answer after the destruction is dropped.
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -180,6 +180,7 @@
                 room.freeSoon += run.need;
         }
         room.runs = std::move(runs);
+        room.slowness = m_speed.slowness(id, input.now);
         input.workers.push_back(std::move(room));
     }
 }
--- a/coordination/batch/Occupant.h
+++ b/coordination/batch/Occupant.h
@@ -41,9 +41,10 @@
     /// When the last phase began that an observation can confirm: start answered, stop acknowledged.
     state::MonotonicTime confirmableFrom {};
     bool stopInFlight = false;
-    /// Share of the work that is done, 0 to 100, and when it last rose.
+    /// The run began under this leader and without a checkpoint, so its age tells how fast the worker is.
+    bool wholeRunSeen = false;
+    /// Share of the work that is done, 0 to 100.
     int percent = 0;
-    state::MonotonicTime progressAt {};
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -387,12 +387,10 @@
         Occupant& occupant = found->second;
         if (!running.checkpoint.empty())
             occupant.checkpoint = running.checkpoint;
+        occupant.wholeRunSeen = occupant.wholeRunSeen && !occupant.inherited;
         occupant.inherited = false;
         occupant.startAnswered = true;
-        if (running.percent > occupant.percent || occupant.progressAt == state::MonotonicTime {}) {
-            occupant.percent = running.percent;
-            occupant.progressAt = m_hooks.clock();
-        }
+        occupant.percent = running.percent;
         if (occupant.phase == Phase::Starting || occupant.phase == Phase::Uncertain) {
             occupant.phase = Phase::Running;
             occupant.confirmableFrom = sent;
@@ -412,7 +410,7 @@
         EndedTask reported = ended;
         if (node && reported.checkpoint.empty())
             reported.checkpoint = node.mapped().checkpoint;
-        m_hooks.onEnded(reported, !node.empty());
+        m_hooks.onEnded(reported, node ? &node.mapped() : nullptr);
     }
     m_seenEnd = std::max(m_seenEnd, observation.lastEnd);
     if (!observation.ended.empty())
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -37,8 +37,9 @@
         std::function<bool()> mayRenew;
         /// The worker has seen a later term.
         std::function<void()> onFenced;
-        /// A run ended. The occupant has been removed. The end stays listed until acknowledge().
-        std::function<void(const EndedTask& ended, bool wasOccupant)> onEnded;
+        /// A run ended. The end stays listed until acknowledge().
+        /// @param occupant what took the room, which has been removed; null if nothing did.
+        std::function<void(const EndedTask& ended, const Occupant* occupant)> onEnded;
         /// A run has certainly ended without a listed end, or never began. The occupant has been removed.
         std::function<void(const Occupant& lost, const std::string& reason)> onLost;
         /// A run is listed as running.
--- /dev/null
+++ b/coordination/decisions/batch/WorkerSpeed.cpp
@@ -0,0 +1,74 @@
+#include "coordination/decisions/batch/WorkerSpeed.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilsaddle::coordination::batch {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    // Weight of a sample in a moving mean; estimates are off by up to nine tenths, so that many samples must be
+    // averaged.
+    constexpr double sampleWeight = 0.15;
+    // Samples of a worker from which on its mean is used.
+    constexpr int enoughSamples = 4;
+    // Range of the answer; a single wrong estimate must not close a worker.
+    constexpr double fastest = 0.7;
+    constexpr double slowest = 8;
+    // A running task counts as far behind from this multiple of its queue's usual time on.
+    constexpr double farBehind = 3;
+    // How long a worker is avoided after a task was seen far behind there.
+    constexpr milliseconds suspicionTime { 4'000 };
+    // Progress is reported with a delay; younger tasks tell nothing.
+    constexpr milliseconds youngestTask { 1'500 };
+
+} // namespace
+
+void WorkerSpeed::Mean::add(double sample)
+{
+    ++samples;
+    double weight = std::max(sampleWeight, 1.0 / samples);
+    logarithm += weight * (sample - logarithm);
+}
+
+double WorkerSpeed::queueMean(const std::string& queue) const
+{
+    auto found = m_queues.find(queue);
+    return found == m_queues.end() ? 0 : found->second.logarithm;
+}
+
+void WorkerSpeed::finished(
+    const state::WorkerId& worker, const std::string& queue, milliseconds duration, milliseconds estimate)
+{
+    if (duration.count() <= 0 || estimate.count() <= 0)
+        return;
+    double ratio = std::log(static_cast<double>(duration.count()) / static_cast<double>(estimate.count()));
+    m_queues[queue].add(ratio);
+    m_workers[worker].add(ratio - queueMean(queue));
+}
+
+void WorkerSpeed::running(const state::WorkerId& worker, const std::string& queue, milliseconds elapsed, int percent,
+    milliseconds estimate, state::MonotonicTime now)
+{
+    if (elapsed < youngestTask || estimate.count() <= 0)
+        return;
+    double projected = static_cast<double>(elapsed.count()) * 100 / std::max(percent, 1);
+    double behind = projected / static_cast<double>(estimate.count()) / std::exp(queueMean(queue));
+    if (behind < farBehind)
+        return;
+    m_suspicions[worker] = { .slowness = std::min(behind, slowest), .until = now + suspicionTime };
+}
+
+double WorkerSpeed::slowness(const state::WorkerId& worker, state::MonotonicTime now) const
+{
+    double value = 1;
+    if (auto known = m_workers.find(worker); known != m_workers.end() && known->second.samples >= enoughSamples)
+        value = std::clamp(std::exp(known->second.logarithm), fastest, slowest);
+    if (auto suspected = m_suspicions.find(worker); suspected != m_suspicions.end() && now < suspected->second.until)
+        value = std::max(value, suspected->second.slowness);
+    return value;
+}
+
+} // namespace lentilsaddle::coordination::batch
