Repeat unanswered starts and stop preemption without effect

A unit that earns nothing preempts only under a guarantee. Ruled out: the choice of victims, room of stopping runs (both tested), workers that were not usable.

Both tests failed before the change.

The log names the job that a run was stopped for, and the shape of a job.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -47,6 +47,11 @@
     std::chrono::milliseconds observeWait { 1'000 };
     /// Limit of an order to a worker.
     std::chrono::milliseconds orderTimeout { 700 };
+    /// Limit of one attempt of a start. A start is repeated under its run number, which the worker recognises, so a
+    /// short limit costs a call and lets a gang complete although one of its starts was delayed.
+    std::chrono::milliseconds startTimeout { 300 };
+    /// A start without an answer is repeated for this long, and then stopped. Below gangStartLimit.
+    std::chrono::milliseconds startRetryLimit { 1'500 };
     /// Delay before an unanswered observation or stop is repeated.
     std::chrono::milliseconds orderRetry { 250 };
     /// Added to the computed end of a silent worker's lease.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -475,12 +475,13 @@
 
 void BatchScheduler::carryOut(const PlanInput& input, const BatchPlan& plan)
 {
-    for (std::size_t group : plan.preemptions) {
-        const RunningGroup& victim = input.groups[group];
+    for (const Preemption& preemption : plan.preemptions) {
+        const RunningGroup& victim = input.groups[preemption.group];
+        std::string reason = "preempted for job " + input.units[preemption.unit].job.value();
         m_metrics.increment("lentilsaddle_batch_preemptions_total");
         for (const auto& [task, run] : victim.runs) {
             for (auto& [id, session] : m_sessions)
-                session->stop({ task, run }, "preempted for a job of higher priority");
+                session->stop({ task, run }, reason);
         }
     }
     // Gangs are claimed in one batch, so that a new leader sees all members or none.
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -55,6 +55,21 @@
         return "unknown";
     }
 
+    // Steps as TASKSxACCELERATORS, with g for a gang and r for one that belongs into one rack.
+    std::string describeShape(const state::batch::BatchJob& job)
+    {
+        std::string text;
+        for (const state::batch::BatchStep& step : job.steps) {
+            text += text.empty() ? "" : "+";
+            text += std::to_string(step.taskCount) + 'x' + std::to_string(step.need.accelerators);
+            text += step.gang ? "g" : "";
+            text += step.sameRack ? "r" : "";
+            text += step.preferredRack.empty() ? "" : '@' + step.preferredRack;
+            text += step.requiredLabel.empty() ? "" : '#' + step.requiredLabel;
+        }
+        return text;
+    }
+
     ChangeOutcome toChangeOutcome(AppendResult::Status status)
     {
         switch (status) {
@@ -369,7 +384,8 @@
             "lentilsaddle_batch_submissions_total", { { "outcome", outcomeName(status) } });
         writeLog(LogLevel::Info, "api", "job submitted",
             { { "job", submit.job.id.value() }, { "queue", submit.job.queue.name },
-                { "account", submit.job.account.value() }, { "outcome", outcomeName(status) } });
+                { "account", submit.job.account.value() }, { "shape", describeShape(submit.job) },
+                { "outcome", outcomeName(status) } });
         if (status == AppendResult::Status::Stored) {
             m_table.applyJob(submit.job);
             if (m_scheduler)
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -93,6 +93,14 @@
     }
     occupant.phase = Phase::Starting;
     occupant.since = m_hooks.clock();
+    sendStart(key, payload);
+    if (!m_observing)
+        scheduleObservation(m_options.observeWait / 4);
+}
+
+void WorkerSession::sendStart(const OccupantKey& key, const std::string& payload)
+{
+    const Occupant& occupant = m_occupants.at(key);
     StartOrder order {
         .task = occupant.task,
         .run = occupant.run,
@@ -101,13 +109,27 @@
         .leaseEnd = nextLeaseEnd(),
         .term = m_term,
     };
-    m_worker.start(m_description, order, m_options.orderTimeout,
-        [this, key, alive = std::weak_ptr(m_alive)](const OrderResult& result) {
+    m_worker.start(m_description, order, m_options.startTimeout,
+        [this, key, payload, alive = std::weak_ptr(m_alive)](const OrderResult& result) {
             if (!alive.expired())
-                onStarted(key, result);
+                onStarted(key, payload, result);
         });
-    if (!m_observing)
-        scheduleObservation(m_options.observeWait / 4);
+}
+
+void WorkerSession::onStartUnanswered(const OccupantKey& key, const std::string& payload)
+{
+    Occupant& occupant = m_occupants.at(key);
+    if (occupant.phase != Phase::Starting)
+        return;
+    // The worker recognises a run that it has already, so the start can be repeated there, and only there.
+    bool repeat = m_hooks.clock() - occupant.since < m_options.startRetryLimit && m_hooks.authorised();
+    if (repeat) {
+        sendStart(key, payload);
+        return;
+    }
+    occupant.phase = Phase::Uncertain;
+    pause(m_options.refusalPause);
+    stop(key, "start without an answer");
 }
 
 void WorkerSession::learn(const OrderResult& result)
@@ -118,7 +140,7 @@
         m_clock.learn(*result.clock, m_hooks.clock());
 }
 
-void WorkerSession::onStarted(const OccupantKey& key, const OrderResult& result)
+void WorkerSession::onStarted(const OccupantKey& key, const std::string& payload, const OrderResult& result)
 {
     learn(result);
     auto found = m_occupants.find(key);
@@ -140,11 +162,7 @@
             occupant.phase = Phase::Running;
         return;
     case Status::Unknown:
-        if (occupant.phase == Phase::Starting)
-            occupant.phase = Phase::Uncertain;
-        pause(m_options.refusalPause);
-        if (!stopping)
-            stop(key, "start without an answer");
+        onStartUnanswered(key, payload);
         return;
     case Status::OldRun:
         // A run that is not lower was stopped or ended there: this start did nothing.
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -108,7 +108,9 @@
     void dropMissing(state::MonotonicTime sent, const Observation& observation);
     void noteBirth(std::int64_t birth);
     void learn(const OrderResult& result);
-    void onStarted(const OccupantKey& key, const OrderResult& result);
+    void sendStart(const OccupantKey& key, const std::string& payload);
+    void onStarted(const OccupantKey& key, const std::string& payload, const OrderResult& result);
+    void onStartUnanswered(const OccupantKey& key, const std::string& payload);
     void sendStop(const OccupantKey& key);
     void onStopped(const OccupantKey& key, const OrderResult& result);
     void loseAll(const std::string& reason, bool keepUncertain);
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -110,12 +110,14 @@
             take(index, *choice, part);
             continue;
         }
-        if (unit.priority == 0) {
+        // What is served after others must not stop runs, because the others would take the room.
+        bool mayPreempt = unit.priority == 0 && (unit.guaranteed || stageOf(unit, m_input.now) != Stage::Worthless);
+        if (mayPreempt) {
             if (auto choice = choosePlaces(unit, true, false)) {
                 keepRoom(unit, *choice);
                 continue;
             }
-            if (preempt(unit, false))
+            if (preempt(index, unit, false))
                 continue;
         }
         // A guaranteed unit starts even where it is slow.
@@ -125,7 +127,7 @@
                 continue;
             }
         }
-        if (unit.guaranteed && preempt(unit, true))
+        if (unit.guaranteed && preempt(index, unit, true))
             continue;
         if (m_input.now - unit.readySince >= m_options.reservationDelay)
             reserve(unit);
@@ -350,7 +352,7 @@
     return plan;
 }
 
-bool BatchPlanner::preempt(const BatchUnit& unit, bool far)
+bool BatchPlanner::preempt(std::size_t index, const BatchUnit& unit, bool far)
 {
     std::optional<PreemptionPlan> best;
     auto consider = [&](const std::string* rack) {
@@ -370,7 +372,7 @@
         return false;
     for (std::size_t group : best->groups) {
         m_stopped[group] = true;
-        m_plan.preemptions.push_back(group);
+        m_plan.preemptions.push_back({ .group = group, .unit = index });
         for (WorkerRoom& room : m_input.workers) {
             for (WorkerRoom::Run& run : room.runs) {
                 if (run.group != group || run.leaving)
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -43,10 +43,18 @@
     std::size_t worker = 0;
 };
 
+struct Preemption {
+    /// Group in the input that is to be stopped.
+    std::size_t group = 0;
+    /// Unit in the input that needs the room.
+    std::size_t unit = 0;
+
+    bool operator==(const Preemption&) const = default;
+};
+
 struct BatchPlan {
     std::vector<Placement> placements;
-    /// Groups of the input that are to be stopped to make room.
-    std::vector<std::size_t> preemptions;
+    std::vector<Preemption> preemptions;
 };
 
 /// One round of planning. Units are served by guarantee, priority and urgency; urgent units may preempt.
@@ -69,7 +77,7 @@
     bool eligible(const BatchUnit& unit, const WorkerRoom& room, const std::string* rack, bool avoidFailed) const;
     double fitScore(const BatchUnit& unit, const state::batch::Resources& free, const WorkerRoom& room) const;
     bool farAllowed(const BatchUnit& unit) const;
-    bool preempt(const BatchUnit& unit, bool far);
+    bool preempt(std::size_t index, const BatchUnit& unit, bool far);
     struct Victims;
     struct PreemptionPlan;
     std::optional<Victims> chooseVictims(const BatchUnit& unit, const WorkerRoom& room,
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -43,6 +43,8 @@
         options.observeWait = milliseconds(100);
         options.orderTimeout = milliseconds(80);
         options.orderRetry = milliseconds(20);
+        options.startTimeout = milliseconds(60);
+        options.startRetryLimit = milliseconds(200);
         options.stopGrace = milliseconds(50);
         options.refusalPause = milliseconds(50);
         options.planRefresh = milliseconds(30);
@@ -272,6 +274,22 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against a gang that is stopped as a whole because one of its starts was delayed.
+TEST_F(BatchTaskTest, GangCompletesAlthoughOneStartIsDelayed)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_workers.delayNextStart(milliseconds(400));
+    BatchJob job = makeJob(3);
+    job.steps[0].gang = true;
+    submit(*task, job);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().size() == 3; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    for (int index = 0; index < 3; ++index)
+        EXPECT_EQ(m_workers.starts("00000000000000aa.0.0." + std::to_string(index)), 1);
+    EXPECT_EQ(m_workers.running().size(), 3U);
+}
+
 // Guards against a task that a new leader starts again although it still runs, or never looks at again.
 TEST_F(BatchTaskTest, NewLeaderAdoptsWhatRuns)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -157,6 +157,8 @@
         if (result.status != OrderResult::Status::Done)
             return result;
         worker.term = order.term;
+        if (worker.running.contains(task) && worker.running[task] == order.run)
+            return result;
         worker.leaseEnd = std::max(worker.leaseEnd, order.leaseEnd);
         lapse();
         for (const auto& [other, otherWorker] : m_workers)
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -98,7 +98,7 @@
     input.units = { makeUnit("j", 1, 8, 0) };
     BatchPlan result = plan(input);
     EXPECT_TRUE(result.placements.empty());
-    EXPECT_EQ(result.preemptions, std::vector<std::size_t> { 1 });
+    EXPECT_EQ(result.preemptions, (std::vector<Preemption> { { .group = 1, .unit = 0 } }));
 }
 
 // Guards against a small run that is stopped although a larger one, stopped as well, makes enough room alone.
@@ -109,7 +109,7 @@
     occupy(input, 0, 0, 2);
     occupy(input, 0, 1, 6);
     input.units = { makeUnit("j", 1, 6, 0) };
-    EXPECT_EQ(plan(input).preemptions, std::vector<std::size_t> { 1 });
+    EXPECT_EQ(plan(input).preemptions, (std::vector<Preemption> { { .group = 1, .unit = 0 } }));
 }
 
 // Guards against stopping more runs in each round while the first ones are still stopping.
@@ -139,6 +139,19 @@
     EXPECT_EQ(plan(input).preemptions.size(), 1U);
 }
 
+// Guards against endless preemption for a unit that others with worth left are served before: they would take the room.
+TEST(BatchPlanner, UnitThatEarnsNothingPreemptsNobodyUnlessGuaranteed)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2, .loss = 5 } };
+    occupy(input, 0, 0, 8);
+    input.units = { makeUnit("j", 1, 8, 0) };
+    input.now = input.units[0].worthlessAfter;
+    EXPECT_TRUE(plan(input).preemptions.empty());
+    input.units[0].guaranteed = true;
+    EXPECT_EQ(plan(input).preemptions.size(), 1U);
+}
+
 // Guards against more tasks of a step on one worker than the job allows, counting those that run there already.
 TEST(BatchPlanner, KeepsTheLimitPerWorker)
 {
