Do not take a refused repetition for the answer to an unanswered start

Ruled out: the lease arithmetic, the claim (both stored).

After an unanswered attempt, an undelivered repetition is repeated, and any other refusal leads to a stop that must be acknowledged. The new test failed before.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -37,6 +37,8 @@
     std::chrono::milliseconds directoryPace { 400 };
     /// Limit of a read beyond its wait.
     std::chrono::milliseconds readTimeout { 600 };
+    /// Limit of one page of a listing, which a slow store answers late and which cannot be done in parts.
+    std::chrono::milliseconds listTimeout { 2'000 };
     /// Delay before a failed call to the store is repeated.
     std::chrono::milliseconds storeRetry { 150 };
     /// The instance is not ready if its view of the journal is older than this.
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -130,6 +130,7 @@
             .stream = stream,
             .wait = wait,
             .timeout = m_options.readTimeout,
+            .listTimeout = m_options.listTimeout,
             .retry = m_options.storeRetry,
             .pace = pace,
         },
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -22,7 +22,10 @@
     struct Options {
         Stream stream = Stream::Journal;
         std::chrono::milliseconds wait { 0 };
+        /// Limit of a read beyond its wait.
         std::chrono::milliseconds timeout { 0 };
+        /// Limit of one page of a listing.
+        std::chrono::milliseconds listTimeout { 2'000 };
         std::chrono::milliseconds retry { 0 };
         /// Least time from an answer with records to the next read.
         std::chrono::milliseconds pace { 0 };
--- a/coordination/batch/Occupant.h
+++ b/coordination/batch/Occupant.h
@@ -35,6 +35,8 @@
     bool inherited = false;
     /// No start of this occupant was left without an answer.
     bool startAnswered = false;
+    /// An attempt of the start had no answer, so that definite answers to later attempts do not tell whether it runs.
+    bool attemptUnanswered = false;
     std::string checkpoint;
     /// When the start was sent.
     state::MonotonicTime since {};
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -119,6 +119,7 @@
 void WorkerSession::onStartUnanswered(const OccupantKey& key, const std::string& payload)
 {
     Occupant& occupant = m_occupants.at(key);
+    occupant.attemptUnanswered = true;
     if (occupant.phase != Phase::Starting)
         return;
     // The worker recognises a run that it has already, so the start can be repeated there, and only there.
@@ -127,6 +128,22 @@
         sendStart(key, payload);
         return;
     }
+    giveUpStart(key);
+}
+
+void WorkerSession::repeatStartLater(const OccupantKey& key, const std::string& payload)
+{
+    m_loop.startTimer(m_options.orderRetry, [this, key, payload, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired() && m_occupants.contains(key))
+            onStartUnanswered(key, payload);
+    });
+}
+
+void WorkerSession::giveUpStart(const OccupantKey& key)
+{
+    Occupant& occupant = m_occupants.at(key);
+    if (occupant.phase != Phase::Starting)
+        return;
     occupant.phase = Phase::Uncertain;
     pause(m_options.refusalPause);
     stop(key, "start without an answer");
@@ -153,6 +170,15 @@
             { { "task", key.first.toString() }, { "run", std::to_string(key.second) },
                 { "worker", m_description.id.value() }, { "status", std::to_string(static_cast<int>(result.status)) },
                 { "error", result.error } });
+    bool mayRunDespiteAnswer = occupant.attemptUnanswered && result.status != Status::Done
+        && result.status != Status::Unknown && result.status != Status::Fenced;
+    if (mayRunDespiteAnswer) {
+        if (result.status == Status::NotDelivered)
+            repeatStartLater(key, payload);
+        else
+            giveUpStart(key);
+        return;
+    }
     switch (result.status) {
     case Status::Done:
         occupant.startAnswered = true;
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -111,6 +111,8 @@
     void sendStart(const OccupantKey& key, const std::string& payload);
     void onStarted(const OccupantKey& key, const std::string& payload, const OrderResult& result);
     void onStartUnanswered(const OccupantKey& key, const std::string& payload);
+    void repeatStartLater(const OccupantKey& key, const std::string& payload);
+    void giveUpStart(const OccupantKey& key);
     void sendStop(const OccupantKey& key);
     void onStopped(const OccupantKey& key, const OrderResult& result);
     void loseAll(const std::string& reason, bool keepUncertain);
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -274,6 +274,21 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against taking the definite answer to a repeated start for an answer to the first one: a task that was started
+// without an answer would start elsewhere as well.
+TEST_F(BatchTaskTest, RefusedRepetitionSaysNothingOfAnUnansweredStart)
+{
+    m_store.put(Stream::Directory, "w2", "ready");
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_workers.loseNextStart();
+    submit(*task, makeJob());
+    ASSERT_TRUE(isRunning());
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_FALSE(m_workers.ranTwice());
+    EXPECT_EQ(m_workers.running().size(), 1U);
+}
+
 // Guards against a gang that is stopped as a whole because one of its starts was delayed.
 TEST_F(BatchTaskTest, GangCompletesAlthoughOneStartIsDelayed)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -41,6 +41,13 @@
         m_nextStartDelay = delay;
     }
 
+    /// The next start at any worker is carried out and not answered, and the one after it does not reach its worker.
+    void loseNextStart()
+    {
+        std::lock_guard lock(m_mutex);
+        m_loseNextStart = true;
+    }
+
     /// Cuts a worker off. Its tasks run on until their lease ends.
     void silence(const std::string& worker)
     {
@@ -176,6 +183,16 @@
             loop.startTimer(timeout, [reply] { reply({ .status = OrderResult::Status::Unknown }); });
             return;
         }
+        if (std::exchange(m_refuseNextStart, false)) {
+            answer(loop, reply, OrderResult { .status = OrderResult::Status::NotDelivered });
+            return;
+        }
+        if (std::exchange(m_loseNextStart, false)) {
+            m_refuseNextStart = true;
+            carryOut(worker.id.value(), order);
+            loop.startTimer(timeout, [reply] { reply({ .status = OrderResult::Status::Unknown }); });
+            return;
+        }
         if (m_nextStartDelay.count() == 0) {
             answer(loop, reply, carryOut(worker.id.value(), order));
             return;
@@ -248,6 +265,8 @@
     std::map<std::string, int> m_starts;
     std::chrono::milliseconds m_nextStartDelay { 0 };
     bool m_ranTwice = false;
+    bool m_loseNextStart = false;
+    bool m_refuseNextStart = false;
 };
 
 } // namespace lentilsaddle::coordination::batch
