Follow an identifier through log files with the command-line tool

lentilsaddle explain ID FILE... prints what all processes logged of a request or job, in order of time.

--- a/cli/Commands.cpp
+++ b/cli/Commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/Commands.h"
 
 #include "cli/ApiClient.h"
+#include "cli/LogTimeline.h"
 #include "cli/OutputWriter.h"
 #include "protocol/ProtocolError.h"
 #include "protocol/SettingsCodec.h"
@@ -180,6 +181,24 @@
         return ExitCode::Success;
     }
 
+    ExitCode runExplain(const std::vector<std::string>& arguments)
+    {
+        if (arguments.size() < 3)
+            return usageError("explain needs an identifier and log files");
+        LogTimeline timeline(arguments[1]);
+        for (std::size_t index = 2; index < arguments.size(); ++index) {
+            std::ifstream log(arguments[index]);
+            if (!log) {
+                std::cerr << "lentilsaddle: '" << arguments[index] << "' cannot be read\n";
+                return ExitCode::Failure;
+            }
+            timeline.add(log);
+        }
+        for (const std::string& line : timeline.lines())
+            std::cout << line << '\n';
+        return ExitCode::Success;
+    }
+
     // Command that sends one call whose path ends in the command's only argument.
     std::function<ExitCode(const std::vector<std::string>&)> callWithIdentifier(
         const std::string& method, const std::string& prefix)
@@ -217,6 +236,7 @@
             { "drain", callWithoutArgument("POST", "/v1/drain") },
             { "timeline", runTimeline },
             { "check-config", runCheckConfig },
+            { "explain", runExplain },
         };
         return table;
     }
@@ -251,6 +271,7 @@
   drain                                        stop taking work, without exit
   timeline [ID]                                show the events of a request, job or patch
   check-config FILE                            check a settings file offline
+  explain ID FILE...                           follow a request or job through log files
 
 Exit codes: 0 success, 1 refused or failed, 2 usage, 3 unreachable, 4 outcome unknown.
 
