--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -31,8 +31,11 @@
     /// Long poll of the directory and the configuration. A poll that the store swallows costs this, the read timeout
     /// and the retry delay; the sum stays below the 2 s in which a version or a leaving worker must be known.
     std::chrono::milliseconds directoryWait { 900 };
-    /// Least time between two reads of the journal, so that records that come one by one are read together.
-    std::chrono::milliseconds journalPace { 25 };
+    /// Least time between two reads of the journal by the leader, which delays the start of a job that another instance
+    /// accepted.
+    std::chrono::milliseconds leaderPace { 25 };
+    /// The same for other instances, which only answer queries. Each read is paid for by every instance.
+    std::chrono::milliseconds followerPace { 100 };
     /// Least time between two reads of the directory. Workers write often and seldom change.
     std::chrono::milliseconds directoryPace { 400 };
     /// Limit of a read beyond its wait.
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -122,7 +122,7 @@
 }
 
 std::unique_ptr<KeyedReader> BatchTask::makeReader(Stream stream, std::chrono::milliseconds wait,
-    std::chrono::milliseconds pace, std::function<void(const std::vector<KeyedRecord>&)> onListing,
+    std::function<std::chrono::milliseconds()> pace, std::function<void(const std::vector<KeyedRecord>&)> onListing,
     std::function<void(const std::vector<KeyedRecord>&)> onRecords, std::function<void()> onCurrent)
 {
     return std::make_unique<KeyedReader>(loop(), m_platform.journal,
@@ -132,10 +132,10 @@
             .timeout = m_options.readTimeout,
             .listTimeout = m_options.listTimeout,
             .retry = m_options.storeRetry,
-            .pace = pace,
         },
         KeyedReader::Hooks {
             .clock = m_environment.monotonicClock,
+            .pace = std::move(pace),
             .onListing = std::move(onListing),
             .onRecords = std::move(onRecords),
             .onCurrent = std::move(onCurrent),
@@ -151,7 +151,8 @@
 void BatchTask::createReaders()
 {
     m_journalReader = makeReader(
-        Stream::Journal, m_options.journalWait, m_options.journalPace,
+        Stream::Journal, m_options.journalWait,
+        [this] { return m_leadership->leading() ? m_options.leaderPace : m_options.followerPace; },
         [this](const std::vector<KeyedRecord>& records) { onJournal(records, true); },
         [this](const std::vector<KeyedRecord>& records) { onJournal(records, false); },
         [this] {
@@ -160,7 +161,7 @@
             m_leadership->onCurrent();
         });
     m_configurationReader = makeReader(
-        Stream::Configuration, m_options.directoryWait, std::chrono::milliseconds(0),
+        Stream::Configuration, m_options.directoryWait, [] { return std::chrono::milliseconds(0); },
         [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); },
         [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); }, [] {});
 }
@@ -168,7 +169,7 @@
 void BatchTask::startDirectory(std::uint64_t term)
 {
     m_directoryReader = makeReader(
-        Stream::Directory, m_options.directoryWait, m_options.directoryPace,
+        Stream::Directory, m_options.directoryWait, [this] { return m_options.directoryPace; },
         [this, term](const std::vector<KeyedRecord>& records) {
             applyDirectory(records, true);
             startScheduler(term);
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -46,7 +46,7 @@
     using TaskStates = std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>>;
 
     std::unique_ptr<KeyedReader> makeReader(Stream stream, std::chrono::milliseconds wait,
-        std::chrono::milliseconds pace, std::function<void(const std::vector<KeyedRecord>&)> onListing,
+        std::function<std::chrono::milliseconds()> pace, std::function<void(const std::vector<KeyedRecord>&)> onListing,
         std::function<void(const std::vector<KeyedRecord>&)> onRecords, std::function<void()> onCurrent);
     void createReaders();
     /// Only the leader needs the directory.
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -83,10 +83,11 @@
     if (m_position >= result.end)
         m_currentAsOf = m_hooks.clock();
     m_hooks.onCurrent();
-    if (result.records.empty() || m_options.pace.count() == 0)
+    std::chrono::milliseconds pace = m_hooks.pace();
+    if (result.records.empty() || pace.count() == 0)
         read();
     else
-        callLater(m_options.pace, [this] { read(); });
+        callLater(pace, [this] { read(); });
 }
 
 void KeyedReader::noteReachable()
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -27,12 +27,12 @@
         /// Limit of one page of a listing.
         std::chrono::milliseconds listTimeout { 2'000 };
         std::chrono::milliseconds retry { 0 };
-        /// Least time from an answer with records to the next read.
-        std::chrono::milliseconds pace { 0 };
     };
 
     struct Hooks {
         state::MonotonicClock clock;
+        /// Least time from an answer with records to the next read.
+        std::function<std::chrono::milliseconds()> pace;
         /// All keys of the stream, after the first listing and after each gap. Keys that are absent do not exist.
         std::function<void(const std::vector<KeyedRecord>&)> onListing;
         /// Records in order.
