--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -7,7 +7,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
+#include <set>
 #include <thread>
 
 namespace lentilsaddle::coordination::batch {
@@ -85,6 +87,7 @@
         {
             TaskEnvironment environment = makeTestEnvironment(name, m_metrics);
             environment.incarnation = ++m_incarnation;
+            environment.monotonicClock = [this] { return std::chrono::steady_clock::now() + m_clockOffset.load(); };
             auto task = std::make_unique<BatchTask>(environment, shortOptions(),
                 BatchTask::Hooks {
                     .connect = [this](transport::EventLoop& loop) { return platformFor(loop); },
@@ -152,6 +155,8 @@
         FakeWorkers m_workers;
         std::atomic<bool> m_ready = false;
         std::uint64_t m_incarnation = 10;
+        /// Moves the clocks of all instances ahead, as a suspension of the machine does.
+        std::atomic<milliseconds> m_clockOffset { milliseconds(0) };
     };
 
 } // namespace
@@ -305,6 +310,54 @@
     EXPECT_EQ(m_workers.running().size(), 3U);
 }
 
+// Guards against tasks that are waited for although their worker was started again, and against a second run beside
+// them.
+TEST_F(BatchTaskTest, TaskOfARestartedWorkerStartsAgain)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(isRunning());
+    m_workers.restart("w1");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    EXPECT_FALSE(m_workers.ranTwice());
+    m_workers.finish("w1", taskName, EndedTask::How::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+}
+
+// Guards against orders of a leader whose machine was suspended for longer than its authority lasts.
+TEST_F(BatchTaskTest, SuspendedLeaderGivesNoOrderBeforeTheStoreConfirmsItsTerm)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(isRunning());
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_clockOffset = milliseconds(10'000);
+    std::this_thread::sleep_for(milliseconds(150));
+    m_workers.forgetObservations();
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(m_workers.observations(), 0);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.observations() > 0; }));
+}
+
+// Guards against two leaders when several instances start together.
+TEST_F(BatchTaskTest, OneOfSeveralInstancesThatStartTogetherLeads)
+{
+    std::vector<std::unique_ptr<BatchTask>> tasks;
+    for (const char* name : { "e-1", "e-2", "e-3", "e-4" })
+        tasks.push_back(startInstance(name));
+    submit(*tasks.front(), makeJob());
+    ASSERT_TRUE(isRunning());
+    std::this_thread::sleep_for(milliseconds(600));
+    std::set<std::string> leaders;
+    for (const KeyedRecord& record : m_store.records(Stream::Journal)) {
+        if (record.key == leaderKey)
+            leaders.insert(*record.value);
+    }
+    EXPECT_EQ(leaders.size(), 1U);
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
 // Guards against a task that a new leader starts again although it still runs, or never looks at again.
 TEST_F(BatchTaskTest, NewLeaderAdoptsWhatRuns)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -29,6 +29,7 @@
             .observe =
                 [this, &loop](const state::batch::BatchWorker& worker, const ObserveOrder& order,
                     std::chrono::milliseconds timeout, const std::function<void(Observation)>& reply) {
+                    countObservation();
                     observe(loop, worker, order, order.wait, timeout, reply);
                 },
         };
@@ -48,6 +49,15 @@
         m_loseNextStart = true;
     }
 
+    /// Starts a worker again under its identity: it runs nothing, knows nothing, and counts anew.
+    void restart(const std::string& worker)
+    {
+        std::lock_guard lock(m_mutex);
+        std::int64_t birth = m_workers[worker].birth;
+        m_workers[worker] = {};
+        m_workers[worker].birth = birth + 1;
+    }
+
     /// Cuts a worker off. Its tasks run on until their lease ends.
     void silence(const std::string& worker)
     {
@@ -67,6 +77,20 @@
         target.running.erase(found);
     }
 
+    /// Counts observations anew.
+    void forgetObservations()
+    {
+        std::lock_guard lock(m_mutex);
+        m_observations = 0;
+    }
+
+    /// @return observations that arrived since the last forgetObservations().
+    int observations()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_observations;
+    }
+
     /// @return tasks that run, as `WORKER TASK RUN`.
     std::vector<std::string> running()
     {
@@ -116,6 +140,7 @@
         std::int64_t lastEnd = 0;
         std::int64_t acknowledged = 0;
         WorkerTime leaseEnd { 0 };
+        std::int64_t birth = 1;
         bool silent = false;
     };
 
@@ -141,6 +166,12 @@
         });
     }
 
+    void countObservation()
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_observations;
+    }
+
     // Ends what runs beyond its lease on workers that nobody reaches.
     void lapse()
     {
@@ -153,7 +184,7 @@
     OrderResult carryOut(const std::string& id, const StartOrder& order)
     {
         Worker& worker = m_workers[id];
-        OrderResult result { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = 1 };
+        OrderResult result { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = worker.birth };
         std::string task = order.task.toString();
         if (order.term < worker.term)
             result.status = OrderResult::Status::Fenced;
@@ -214,7 +245,7 @@
             return;
         }
         std::string task = order.task.toString();
-        OrderResult result { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = 1 };
+        OrderResult result { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = target.birth };
         if (order.term < target.term) {
             result.status = OrderResult::Status::Fenced;
         } else if (target.running.contains(task) && target.running[task] == order.run) {
@@ -239,7 +270,7 @@
         if (order.leaseEnd)
             target.leaseEnd = std::max(target.leaseEnd, *order.leaseEnd);
         Observation observation;
-        observation.result = { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = 1 };
+        observation.result = { .status = OrderResult::Status::Done, .clock = clockNow(), .birth = target.birth };
         if (order.term < target.term) {
             observation.result.status = OrderResult::Status::Fenced;
             answer(loop, reply, observation);
@@ -265,6 +296,7 @@
     std::map<std::string, int> m_starts;
     std::chrono::milliseconds m_nextStartDelay { 0 };
     bool m_ranTwice = false;
+    int m_observations = 0;
     bool m_loseNextStart = false;
     bool m_refuseNextStart = false;
 };
