Bound the share of time that planning takes

The runs of each step are collected once a plan, and a plan waits for four times what the last one took.

--- a/cli/LogTimeline.cpp
+++ b/cli/LogTimeline.cpp
@@ -71,6 +71,7 @@
     std::vector<Entry> sorted = m_entries;
     std::stable_sort(sorted.begin(), sorted.end(), [](const Entry& a, const Entry& b) { return a.time < b.time; });
     std::vector<std::string> result;
+    result.reserve(sorted.size());
     for (Entry& entry : sorted)
         result.push_back(std::move(entry.text));
     return result;
--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -71,6 +71,9 @@
     std::chrono::milliseconds refusalPause { 1'500 };
     /// Shortest time between two planning rounds.
     std::chrono::milliseconds planInterval { 20 };
+    /// Time between two rounds, at least, as a multiple of what the last one took, so that the leader's other work goes
+    /// on where it has few processors for many workers.
+    int planRest = 4;
     /// A plan is also made when nothing happens, because waiting times change it.
     std::chrono::milliseconds planRefresh { 400 };
     /// How early an occurrence may start before its due time.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -427,10 +427,10 @@
     if (m_planRequested)
         return;
     m_planRequested = true;
-    auto since = m_hooks.clock() - m_lastPlan;
-    auto delay = since >= m_options.planInterval
-        ? std::chrono::microseconds(0)
-        : std::chrono::duration_cast<std::chrono::microseconds>(m_options.planInterval - since);
+    auto since = std::chrono::duration_cast<std::chrono::microseconds>(m_hooks.clock() - m_lastPlan);
+    std::chrono::microseconds interval
+        = std::max<std::chrono::microseconds>(m_options.planInterval, m_planDuration * m_options.planRest);
+    auto delay = std::max(std::chrono::microseconds(0), interval - since);
     m_loop.startTimer(delay, [this, alive = std::weak_ptr(m_alive)] {
         if (alive.expired())
             return;
@@ -452,7 +452,15 @@
 
 void BatchScheduler::plan()
 {
+    state::MonotonicTime begin = m_hooks.clock();
+    planRound();
     m_lastPlan = m_hooks.clock();
+    m_planDuration = std::chrono::duration_cast<std::chrono::microseconds>(m_lastPlan - begin);
+    m_metrics.observe("lentilsaddle_batch_plan_seconds", m_lastPlan - begin);
+}
+
+void BatchScheduler::planRound()
+{
     if (!m_hooks.authorised())
         return;
     stopUnwanted();
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -87,16 +87,22 @@
     void judgeWorker(const state::WorkerId& worker, const EndedTask& ended);
     GroupKey groupOf(const state::batch::BatchTaskId& task, std::int64_t run) const;
 
+    /// Index and worker of the runs of each step that take room.
+    using StepKey = std::tuple<state::JobId, int, int>;
+    using RoomTakers = std::map<StepKey, std::vector<std::pair<int, state::WorkerId>>>;
+
     void requestPlan();
     void refresh();
     void plan();
+    void planRound();
     void stopUnwanted();
     void stopIncompleteGangs();
     void probeWorkers();
     PlanInput makeInput();
     void addUnits(PlanInput& input);
-    void addStep(PlanInput& input, const state::batch::BatchJobEntry& entry, int occurrence, int step,
-        std::chrono::milliseconds tail);
+    RoomTakers roomTakers() const;
+    void addStep(PlanInput& input, const RoomTakers& takers, const state::batch::BatchJobEntry& entry, int occurrence,
+        int step, std::chrono::milliseconds tail);
     void addWorkers(PlanInput& input);
     void markGuaranteed(PlanInput& input) const;
     double lossOf(const Occupant& occupant, const state::batch::BatchStep& step) const;
@@ -117,12 +123,14 @@
     std::set<state::batch::BatchTaskId> m_claiming;
     /// Gang runs that ended as done; the ends of the other members follow.
     std::set<GroupKey> m_doneRuns;
-    std::map<std::tuple<state::JobId, int, int>, state::MonotonicTime> m_readySince;
-    std::map<std::tuple<state::JobId, int, int>, std::set<state::WorkerId>> m_failedOn;
+    std::map<StepKey, state::MonotonicTime> m_readySince;
+    std::map<StepKey, std::set<state::WorkerId>> m_failedOn;
     WorkerQuarantine m_quarantine;
     WorkerSpeed m_speed;
     bool m_planRequested = false;
+    /// When the last plan ended, and how long it took.
     state::MonotonicTime m_lastPlan {};
+    std::chrono::microseconds m_planDuration { 0 };
     /// Calls in flight hold a weak reference, so that an answer after the destruction is dropped.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -59,6 +59,7 @@
 void BatchScheduler::addUnits(PlanInput& input)
 {
     state::WallTime wallNow = m_hooks.wallClock();
+    RoomTakers takers = roomTakers();
     for (const state::JobId& job : m_table.activeJobs()) {
         const BatchJobEntry& entry = *m_table.find(job);
         std::vector<milliseconds> chains = chainsFrom(entry.job());
@@ -67,13 +68,24 @@
                 break;
             for (int step = 0; step < static_cast<int>(entry.job().steps.size()); ++step) {
                 if (entry.predecessorsDone(occurrence, step))
-                    addStep(input, entry, occurrence, step, chains[static_cast<std::size_t>(step)]);
+                    addStep(input, takers, entry, occurrence, step, chains[static_cast<std::size_t>(step)]);
             }
         }
     }
 }
 
-void BatchScheduler::addStep(PlanInput& input, const BatchJobEntry& entry, int occurrence, int step, milliseconds tail)
+BatchScheduler::RoomTakers BatchScheduler::roomTakers() const
+{
+    RoomTakers takers;
+    for (const auto& [worker, session] : m_sessions) {
+        for (const auto& [key, occupant] : session->occupants())
+            takers[{ key.first.job, key.first.occurrence, key.first.step }].emplace_back(key.first.index, worker);
+    }
+    return takers;
+}
+
+void BatchScheduler::addStep(
+    PlanInput& input, const RoomTakers& takers, const BatchJobEntry& entry, int occurrence, int step, milliseconds tail)
 {
     const BatchJob& job = entry.job();
     const BatchStep& description = job.steps[static_cast<std::size_t>(step)];
@@ -102,19 +114,17 @@
     if (unit.gang && static_cast<int>(unit.indices.size()) != description.taskCount)
         return;
     // A task whose earlier run may still take room somewhere cannot start again.
-    for (const auto& [worker, session] : m_sessions) {
-        for (const auto& [key, occupant] : session->occupants()) {
-            if (key.first.job != job.id || key.first.occurrence != occurrence || key.first.step != step)
-                continue;
-            if (unit.gang)
-                return;
-            std::erase(unit.indices, key.first.index);
+    StepKey key(job.id, occurrence, step);
+    if (auto taking = takers.find(key); taking != takers.end()) {
+        if (unit.gang)
+            return;
+        for (const auto& [index, worker] : taking->second) {
+            std::erase(unit.indices, index);
             ++unit.onWorker[worker];
         }
     }
     if (unit.indices.empty())
         return;
-    std::tuple key(job.id, occurrence, step);
     unit.readySince = m_readySince.try_emplace(key, input.now).first->second;
     if (auto failed = m_failedOn.find(key); failed != m_failedOn.end())
         unit.avoid = failed->second;
