--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -78,8 +78,6 @@
     std::chrono::milliseconds planRefresh { 400 };
     /// How early an occurrence may start before its due time.
     std::chrono::milliseconds earlyStart { 0 };
-    /// Factor on the run time of tasks away from their data or of gangs on more than one rack.
-    double farFactor = 3;
     /// Time for which an unknown job is looked for in the tail before a query is answered.
     std::chrono::milliseconds lookupDelay { 300 };
 };
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -469,7 +469,7 @@
     if (input.units.empty())
         return;
     probeWorkers();
-    BatchPlan result = BatchPlanner({ .farFactor = m_options.farFactor }, input).plan();
+    BatchPlan result = BatchPlanner({}, input).plan();
     carryOut(input, result);
 }
 
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -406,7 +406,7 @@
     loop().startTimer(m_options.lookupDelay, callback);
 }
 
-void BatchTask::handle(BatchMessage::Cancel cancel)
+void BatchTask::handle(const BatchMessage::Cancel& cancel)
 {
     whenLookedUp(cancel.job, [this, cancel] {
         if (m_table.find(cancel.job))
@@ -431,7 +431,7 @@
         });
 }
 
-void BatchTask::handle(BatchMessage::Query query)
+void BatchTask::handle(const BatchMessage::Query& query)
 {
     whenLookedUp(query.job, [this, query] {
         const state::batch::BatchJobEntry* entry = m_table.find(query.job);
@@ -442,12 +442,12 @@
     });
 }
 
-void BatchTask::handle(BatchMessage::CountPending count)
+void BatchTask::handle(const BatchMessage::CountPending& count)
 {
     count.reply(m_table.pendingCount(count.queue));
 }
 
-void BatchTask::handle(BatchMessage::Drain)
+void BatchTask::handle(const BatchMessage::Drain&)
 {
     m_draining = true;
     updateReadiness();
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -59,10 +59,10 @@
     void applyConfiguration(const std::vector<KeyedRecord>& records);
 
     void handle(BatchMessage::Submit submit);
-    void handle(BatchMessage::Cancel cancel);
-    void handle(BatchMessage::Query query);
-    void handle(BatchMessage::CountPending count);
-    void handle(BatchMessage::Drain drain);
+    void handle(const BatchMessage::Cancel& cancel);
+    void handle(const BatchMessage::Query& query);
+    void handle(const BatchMessage::CountPending& count);
+    void handle(const BatchMessage::Drain& drain);
 
     /// Appends a record that any instance may write.
     void appendShared(KeyedRecord record, std::function<void(AppendResult::Status)> reply);
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -57,13 +57,13 @@
 void KeyedReader::read()
 {
     m_journal.read(m_options.stream, m_position, m_options.wait, m_options.wait + m_options.timeout,
-        [this, alive = std::weak_ptr(m_alive)](ReadResult result) {
+        [this, alive = std::weak_ptr(m_alive)](const ReadResult& result) {
             if (!alive.expired())
-                onRead(std::move(result));
+                onRead(result);
         });
 }
 
-void KeyedReader::onRead(ReadResult result)
+void KeyedReader::onRead(const ReadResult& result)
 {
     switch (result.status) {
     case ReadResult::Status::Failed:
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -58,7 +58,7 @@
     void list(const std::string& afterKey);
     void onNewest(NewestResult result);
     void read();
-    void onRead(ReadResult result);
+    void onRead(const ReadResult& result);
     void callLater(std::chrono::milliseconds delay, const std::function<void()>& call);
     void retryLater(const std::function<void()>& call, const std::string& error);
     void noteReachable();
--- a/coordination/batch/LeaderAppender.cpp
+++ b/coordination/batch/LeaderAppender.cpp
@@ -68,13 +68,13 @@
         .expectedEnd = std::nullopt,
         .timeout = m_options.appendTimeout,
     };
-    m_journal.append(request, [this, term = m_term, alive = std::weak_ptr(m_alive)](AppendResult result) {
+    m_journal.append(request, [this, term = m_term, alive = std::weak_ptr(m_alive)](const AppendResult& result) {
         if (!alive.expired())
-            onResult(term, std::move(result));
+            onResult(term, result);
     });
 }
 
-void LeaderAppender::onResult(std::uint64_t term, AppendResult result)
+void LeaderAppender::onResult(std::uint64_t term, const AppendResult& result)
 {
     if (term != m_term)
         return;
--- a/coordination/batch/LeaderAppender.h
+++ b/coordination/batch/LeaderAppender.h
@@ -63,7 +63,7 @@
 
     void sendNext();
     void send();
-    void onResult(std::uint64_t term, AppendResult result);
+    void onResult(std::uint64_t term, const AppendResult& result);
 
     transport::EventLoop& m_loop;
     const JournalHooks& m_journal;
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -340,13 +340,13 @@
     };
     m_observing = true;
     m_worker.observe(m_description, order, m_options.orderTimeout,
-        [this, sent = m_hooks.clock(), alive = std::weak_ptr(m_alive)](Observation observation) {
+        [this, sent = m_hooks.clock(), alive = std::weak_ptr(m_alive)](const Observation& observation) {
             if (!alive.expired())
-                onObserved(sent, std::move(observation));
+                onObserved(sent, observation);
         });
 }
 
-void WorkerSession::onObserved(state::MonotonicTime sent, Observation observation)
+void WorkerSession::onObserved(state::MonotonicTime sent, const Observation& observation)
 {
     m_observing = false;
     switch (observation.result.status) {
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -101,7 +101,7 @@
     bool answeredLately() const;
     void scheduleObservation(std::chrono::milliseconds delay);
     void observe();
-    void onObserved(state::MonotonicTime sent, Observation observation);
+    void onObserved(state::MonotonicTime sent, const Observation& observation);
     void onSilent(const std::string& error);
     void applyLists(state::MonotonicTime sent, const Observation& observation);
     void applyEnds(const Observation& observation);
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -55,7 +55,6 @@
 BatchPlanner::BatchPlanner(const PlannerOptions& options, PlanInput input)
     : m_options(options)
     , m_input(std::move(input))
-    , m_stopped(m_input.groups.size(), false)
 {
     std::int64_t total = 0;
     std::int64_t free = 0;
@@ -272,6 +271,7 @@
             roomOfGroup[run.group] += run.need;
     }
     std::vector<std::size_t> candidates;
+    candidates.reserve(roomOfGroup.size());
     for (const auto& [group, resources] : roomOfGroup)
         candidates.push_back(group);
     auto lossOf = [this](std::size_t group) { return m_input.groups[group].loss; };
@@ -307,6 +307,7 @@
 {
     PreemptionPlan plan;
     std::vector<Resources> free;
+    free.reserve(m_input.workers.size());
     for (const WorkerRoom& room : m_input.workers)
         free.push_back(room.freeSoon);
     std::map<std::size_t, int> placed;
@@ -371,7 +372,6 @@
     if (!best)
         return false;
     for (std::size_t group : best->groups) {
-        m_stopped[group] = true;
         m_plan.preemptions.push_back({ .group = group, .unit = index });
         for (WorkerRoom& room : m_input.workers) {
             for (WorkerRoom::Run& run : room.runs) {
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -16,8 +16,6 @@
 namespace lentilsaddle::coordination::batch {
 
 struct PlannerOptions {
-    /// Factor on the run time away from the data or over several racks.
-    double farFactor = 3;
     /// A unit takes a far place when it has waited this share of its estimate for a near one.
     double farPatience = 2;
     /// Or this long, while less than half of the accelerators are in use.
@@ -93,7 +91,6 @@
     BatchPlan m_plan;
     double m_useShare = 0;
     std::size_t m_reservations = 0;
-    std::vector<bool> m_stopped;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/daemon/BatchDaemon.cpp
+++ b/daemon/BatchDaemon.cpp
@@ -107,7 +107,6 @@
     options.stopGrace = settings.stopGrace + milliseconds(100);
     // The stops of a gang that cannot be completed must arrive before the workers give it up.
     options.gangStartLimit = std::min(options.gangStartLimit, settings.gangTimeout * 3 / 4);
-    options.farFactor = settings.farFactor;
     return options;
 }
 
--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -124,8 +124,6 @@
                 [](Settings& s, long v) { s.batch.stopGrace = milliseconds(v); }),
             integerKey("batch.gang_timeout_ms", 500, 600'000, "milliseconds",
                 [](Settings& s, long v) { s.batch.gangTimeout = milliseconds(v); }),
-            integerKey("batch.far_factor", 1, 100, "factor",
-                [](Settings& s, long v) { s.batch.farFactor = static_cast<double>(v); }),
         };
     }
 
--- a/state/batch/BatchSettings.h
+++ b/state/batch/BatchSettings.h
@@ -20,8 +20,6 @@
     std::chrono::milliseconds stopGrace { 900 };
     /// Time after which a worker gives a gang up whose members have not all started.
     std::chrono::milliseconds gangTimeout { 3'000 };
-    /// Factor on the run time of tasks away from their data.
-    double farFactor = 3;
 
     bool enabled() const { return !frontAddress.empty(); }
 };
