Keep the random source in one place and compute a job's chains once a plan

Found in the read-through: both daemons had the same random source, and a plan computed the chains of a job again for each step.

--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -102,7 +102,7 @@
     void addUnits(PlanInput& input);
     RoomTakers roomTakers() const;
     void addStep(PlanInput& input, const RoomTakers& takers, const state::batch::BatchJobEntry& entry, int occurrence,
-        int step, std::chrono::milliseconds tail);
+        int step, const std::vector<std::chrono::milliseconds>& chains);
     void addWorkers(PlanInput& input);
     void markGuaranteed(PlanInput& input) const;
     double lossOf(const Occupant& occupant, const state::batch::BatchStep& step) const;
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -68,7 +68,7 @@
                 break;
             for (int step = 0; step < static_cast<int>(entry.job().steps.size()); ++step) {
                 if (entry.predecessorsDone(occurrence, step))
-                    addStep(input, takers, entry, occurrence, step, chains[static_cast<std::size_t>(step)]);
+                    addStep(input, takers, entry, occurrence, step, chains);
             }
         }
     }
@@ -84,8 +84,8 @@
     return takers;
 }
 
-void BatchScheduler::addStep(
-    PlanInput& input, const RoomTakers& takers, const BatchJobEntry& entry, int occurrence, int step, milliseconds tail)
+void BatchScheduler::addStep(PlanInput& input, const RoomTakers& takers, const BatchJobEntry& entry, int occurrence,
+    int step, const std::vector<milliseconds>& chains)
 {
     const BatchJob& job = entry.job();
     const BatchStep& description = job.steps[static_cast<std::size_t>(step)];
@@ -102,7 +102,7 @@
         .maximumPerWorker = description.maximumPerWorker,
         .service = job.queue.service,
         .priority = job.queue.priority,
-        .estimate = tail,
+        .estimate = chains[static_cast<std::size_t>(step)],
     };
     for (int index = 0; index < description.taskCount; ++index) {
         BatchTaskId id { .job = job.id, .occurrence = occurrence, .step = step, .index = index };
@@ -131,7 +131,6 @@
 
     state::WallTime begin = job.timed() ? job.due(occurrence) : job.submitted;
     auto age = std::chrono::duration_cast<milliseconds>(m_hooks.wallClock() - begin);
-    std::vector<milliseconds> chains = chainsFrom(job);
     milliseconds longest = *std::max_element(chains.begin(), chains.end());
     auto objective = std::chrono::duration_cast<milliseconds>(longest * job.queue.stretch) + job.queue.targetRuntime;
     unit.deadline = input.now - age + objective;
--- a/daemon/BatchDaemon.cpp
+++ b/daemon/BatchDaemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/BatchDaemon.h"
 
 #include "coordination/batch/BatchTask.h"
+#include "daemon/RandomSource.h"
 #include "platform/FrontTask.h"
 #include "platform/PlatformConnection.h"
 #include "transport/Logger.h"
@@ -10,8 +11,6 @@
 #include <algorithm>
 #include <future>
 #include <memory>
-#include <mutex>
-#include <random>
 #include <utility>
 
 namespace lentilsaddle::daemon {
@@ -41,19 +40,6 @@
         };
     }
 
-    std::function<std::uint64_t()> makeRandomSource()
-    {
-        struct Source {
-            std::mutex mutex;
-            std::mt19937_64 engine { std::random_device {}() };
-        };
-        auto source = std::make_shared<Source>();
-        return [source] {
-            std::lock_guard lock(source->mutex);
-            return source->engine();
-        };
-    }
-
 } // namespace
 
 BatchDaemon::BatchDaemon(state::Settings settings)
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -16,12 +16,11 @@
 #include "coordination/TimelineTask.h"
 #include "coordination/decisions/CellPlacement.h"
 #include "coordination/decisions/FirstFitPlacement.h"
+#include "daemon/RandomSource.h"
 #include "transport/Logger.h"
 
 #include <atomic>
 #include <future>
-#include <mutex>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -29,20 +28,6 @@
 
 namespace {
 
-    // Random numbers for identifiers and for spreading load; safe from any thread.
-    std::function<std::uint64_t()> makeRandomSource()
-    {
-        struct Source {
-            std::mutex mutex;
-            std::mt19937_64 engine { std::random_device {}() };
-        };
-        auto source = std::make_shared<Source>();
-        return [source] {
-            std::lock_guard lock(source->mutex);
-            return source->engine();
-        };
-    }
-
     state::WallTime readWallClock()
     {
         return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
