--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -114,19 +114,12 @@
     m_platform = {};
 }
 
-std::unique_ptr<KeyedReader> BatchTask::makeReader(Stream stream, std::chrono::milliseconds wait,
+std::unique_ptr<KeyedReader> BatchTask::makeReader(Stream stream,
     std::function<std::chrono::milliseconds()> readInterval,
     std::function<void(const std::vector<KeyedRecord>&)> onListing,
     std::function<void(const std::vector<KeyedRecord>&)> onRecords, std::function<void()> afterRead)
 {
-    return std::make_unique<KeyedReader>(loop(), m_platform.journal,
-        KeyedReader::Options {
-            .stream = stream,
-            .wait = wait,
-            .timeout = m_options.readTimeout,
-            .listTimeout = m_options.listTimeout,
-            .retryDelay = m_options.storeRetryDelay,
-        },
+    return std::make_unique<KeyedReader>(loop(), m_platform.journal, KeyedReader::optionsFor(stream, m_options),
         KeyedReader::Hooks {
             .clock = m_environment.monotonicClock,
             .readInterval = std::move(readInterval),
@@ -134,10 +127,11 @@
             .onRecords = std::move(onRecords),
             .afterRead = std::move(afterRead),
             .onReachability =
-                [stream](bool reachable, const std::string& error) {
-                    writeLog(reachable ? LogLevel::Info : LogLevel::Warning, "store",
-                        reachable ? "stream reachable" : "stream lost",
-                        { { "stream", streamName(stream) }, { "error", error } });
+                [stream](const KeyedReader::Reachability& state) {
+                    writeLog(state.reachable ? LogLevel::Info : LogLevel::Warning, "store",
+                        state.reachable ? "stream reachable" : "stream lost",
+                        { { "stream", streamName(stream) }, { "failed_calls", std::to_string(state.failedCalls) },
+                            { "outage_ms", std::to_string(state.outage.count()) }, { "error", state.error } });
                 },
         });
 }
@@ -145,7 +139,7 @@
 void BatchTask::createReaders()
 {
     m_journalReader = makeReader(
-        Stream::Journal, m_options.journalWait,
+        Stream::Journal,
         [this] { return m_leadership->leading() ? m_options.leaderReadInterval : m_options.followerReadInterval; },
         [this](const std::vector<KeyedRecord>& records) { applyJournal(records, true); },
         [this](const std::vector<KeyedRecord>& records) { applyJournal(records, false); },
@@ -156,7 +150,7 @@
             requestLeadership();
         });
     m_configurationReader = makeReader(
-        Stream::Configuration, m_options.directoryWait, [] { return std::chrono::milliseconds(0); },
+        Stream::Configuration, [] { return std::chrono::milliseconds(0); },
         [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); },
         [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); }, [] {});
 }
@@ -164,7 +158,7 @@
 void BatchTask::startDirectory(std::uint64_t term)
 {
     m_directoryReader = makeReader(
-        Stream::Directory, m_options.directoryWait, [this] { return m_options.directoryReadInterval; },
+        Stream::Directory, [this] { return m_options.directoryReadInterval; },
         [this, term](const std::vector<KeyedRecord>& records) {
             applyDirectory(records, true);
             startScheduler(term);
@@ -411,7 +405,19 @@
 void BatchTask::watchReadiness()
 {
     updateReadiness();
+    recordStreamAges();
     loop().startTimer(readinessInterval, [this] { watchReadiness(); });
 }
 
+void BatchTask::recordStreamAges()
+{
+    for (const auto& [stream, reader] : { std::pair(Stream::Journal, m_journalReader.get()),
+             std::pair(Stream::Configuration, m_configurationReader.get()) }) {
+        if (std::optional<state::MonotonicTime> current = reader->currentAsOf())
+            m_environment.metrics->setGauge("lentilsaddle_batch_stream_age_seconds",
+                std::chrono::duration<double>(m_environment.monotonicClock() - *current).count(),
+                { { "stream", streamName(stream) } });
+    }
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -48,8 +48,7 @@
 private:
     using TaskStates = std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>>;
 
-    std::unique_ptr<KeyedReader> makeReader(Stream stream, std::chrono::milliseconds wait,
-        std::function<std::chrono::milliseconds()> readInterval,
+    std::unique_ptr<KeyedReader> makeReader(Stream stream, std::function<std::chrono::milliseconds()> readInterval,
         std::function<void(const std::vector<KeyedRecord>&)> onListing,
         std::function<void(const std::vector<KeyedRecord>&)> onRecords, std::function<void()> afterRead);
     void createReaders();
@@ -91,6 +90,7 @@
     bool journalCurrent() const;
     void updateReadiness();
     void watchReadiness();
+    void recordStreamAges();
 
     TaskEnvironment m_environment;
     BatchOptions m_options;
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -1,5 +1,6 @@
 #include "coordination/batch/KeyedReader.h"
 
+#include "coordination/batch/BatchOptions.h"
 #include "transport/EventLoop.h"
 
 #include <algorithm>
@@ -8,6 +9,17 @@
 
 namespace lentilsaddle::coordination::batch {
 
+KeyedReader::Options KeyedReader::optionsFor(Stream stream, const BatchOptions& options)
+{
+    return {
+        .stream = stream,
+        .wait = stream == Stream::Journal ? options.journalWait : options.directoryWait,
+        .timeout = options.readTimeout,
+        .listTimeout = options.listTimeout,
+        .retryDelay = options.storeRetryDelay,
+    };
+}
+
 KeyedReader::KeyedReader(transport::EventLoop& loop, const JournalHooks& journal, const Options& options, Hooks hooks)
     : m_loop(loop)
     , m_journal(journal)
@@ -148,14 +160,32 @@
     if (m_reachable == true)
         return;
     m_reachable = true;
-    m_hooks.onReachability(true, "");
+    reportReachability();
+    m_failedCalls = 0;
+    m_lastError.clear();
+}
+
+void KeyedReader::reportReachability()
+{
+    state::MonotonicTime begin = m_failedCalls == 0 ? m_hooks.clock() : m_firstFailure;
+    m_hooks.onReachability({
+        .reachable = m_reachable == true,
+        .failedCalls = m_failedCalls,
+        .outage = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - begin),
+        .error = m_lastError,
+    });
 }
 
 void KeyedReader::retryLater(const std::function<void()>& call, const std::string& error)
 {
-    if (m_reachable != false) {
+    state::MonotonicTime now = m_hooks.clock();
+    m_lastError = error;
+    if (m_failedCalls++ == 0)
+        m_firstFailure = now;
+    if (m_reachable != false || now - m_lastReport >= m_options.outageReportInterval) {
         m_reachable = false;
-        m_hooks.onReachability(false, error);
+        m_lastReport = now;
+        reportReachability();
     }
     callLater(m_options.retryDelay, call);
 }
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -16,6 +16,8 @@
 
 namespace lentilsaddle::coordination::batch {
 
+struct BatchOptions;
+
 /// Reads the newest record of each key, then tails the stream; starts over when the records at its position have
 /// expired.
 class KeyedReader {
@@ -30,6 +32,18 @@
         std::chrono::milliseconds listTimeout { 2'000 };
         /// Delay before a failed call is retried.
         std::chrono::milliseconds retryDelay { 0 };
+        /// Minimum time between two reports of one outage.
+        std::chrono::milliseconds outageReportInterval { 5'000 };
+    };
+
+    struct Reachability {
+        bool reachable = false;
+        /// Failed calls since the last successful one.
+        int failedCalls = 0;
+        /// Time since the first of these failures.
+        std::chrono::milliseconds outage { 0 };
+        /// Error of the last failed call; empty before the first.
+        std::string error;
     };
 
     struct Hooks {
@@ -42,10 +56,13 @@
         std::function<void(const std::vector<KeyedRecord>&)> onRecords;
         /// Called after each successful read.
         std::function<void()> afterRead;
-        /// Called when the stream becomes unreachable or reachable.
-        std::function<void(bool reachable, const std::string& error)> onReachability;
+        /// Called when the stream becomes reachable or unreachable, and repeatedly while it is unreachable.
+        std::function<void(const Reachability&)> onReachability;
     };
 
+    /// @return the options of the reader of a stream.
+    static Options optionsFor(Stream stream, const BatchOptions& options);
+
     KeyedReader(transport::EventLoop& loop, const JournalHooks& journal, const Options& options, Hooks hooks);
     ~KeyedReader();
 
@@ -82,6 +99,7 @@
     void callLater(std::chrono::milliseconds delay, const std::function<void()>& call);
     void retryLater(const std::function<void()>& call, const std::string& error);
     void markReachable();
+    void reportReachability();
 
     transport::EventLoop& m_loop;
     const JournalHooks& m_journal;
@@ -92,6 +110,10 @@
     std::optional<std::uint64_t> m_listingEnd;
     std::optional<state::MonotonicTime> m_currentAsOf;
     std::optional<bool> m_reachable;
+    int m_failedCalls = 0;
+    state::MonotonicTime m_firstFailure {};
+    state::MonotonicTime m_lastReport {};
+    std::string m_lastError;
     std::vector<Waiter> m_waiters;
     std::uint64_t m_lastWaiter = 0;
     /// Timer of a delayed read; 0 if there is none.
--- a/tests/coordination/batch/KeyedReaderTest.cpp
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -33,7 +33,7 @@
                         },
                     .onRecords = [this](const std::vector<KeyedRecord>& records) { apply(records); },
                     .afterRead = [] {},
-                    .onReachability = [](bool, const std::string&) {},
+                    .onReachability = [this](const KeyedReader::Reachability& state) { m_reports.push_back(state); },
                 });
             m_reader->start();
         }
@@ -62,6 +62,7 @@
         std::set<std::string> m_keys;
         milliseconds m_readInterval { 0 };
         std::chrono::steady_clock::time_point m_lastSeen;
+        std::vector<KeyedReader::Reachability> m_reports;
     };
 
     KeyedReader::Options shortOptions()
@@ -123,13 +124,7 @@
 // Guards against a configuration version that comes into force too late because a poll had no response.
 TEST_F(KeyedReaderTest, LostPollDelaysAVersionByLessThanTwoSeconds)
 {
-    BatchOptions options;
-    startReader({
-        .stream = Stream::Directory,
-        .wait = options.directoryWait,
-        .timeout = options.readTimeout,
-        .retryDelay = options.storeRetryDelay,
-    });
+    startReader(KeyedReader::optionsFor(Stream::Directory, {}));
     auto written = std::make_shared<std::chrono::steady_clock::time_point>();
     m_store.setUnresponsive(true);
     m_loop.startTimer(milliseconds(10), [this, written] {
@@ -142,4 +137,23 @@
     EXPECT_LT(m_lastSeen - *written, milliseconds(1'900));
 }
 
+// Guards against an outage of a stream that leaves a single log line, whether it lasts a moment or an hour.
+TEST_F(KeyedReaderTest, ReportsAnOutageRepeatedlyAndItsLengthAtTheEnd)
+{
+    KeyedReader::Options options = shortOptions();
+    options.outageReportInterval = milliseconds(100);
+    startReader(options);
+    m_loop.startTimer(milliseconds(20), [this] { m_store.setUnresponsive(true); });
+    m_loop.startTimer(milliseconds(600), [this] { m_store.setUnresponsive(false); });
+    runFor(milliseconds(900));
+    ASSERT_GE(m_reports.size(), 4U);
+    EXPECT_TRUE(m_reports.front().reachable);
+    EXPECT_FALSE(m_reports[1].reachable);
+    EXPECT_FALSE(m_reports[2].reachable);
+    EXPECT_GT(m_reports[2].failedCalls, m_reports[1].failedCalls);
+    EXPECT_TRUE(m_reports.back().reachable);
+    EXPECT_GE(m_reports.back().outage, milliseconds(300));
+    EXPECT_LE(m_reports.size(), 8U);
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -70,6 +70,7 @@
     HttpResult toResult(Call& call, CURLcode code)
     {
         HttpResult result;
+        result.receivedBytes = call.response.body.size();
         if (code == CURLE_OK) {
             long status = 0;
             curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
--- a/transport/HttpClient.h
+++ b/transport/HttpClient.h
@@ -43,6 +43,8 @@
     /// Human-readable error message if failure is not None.
     std::string error;
     bool timedOut = false;
+    /// Bytes of the response body that had arrived, also of a response that was not received completely.
+    std::size_t receivedBytes = 0;
 };
 
 struct HttpClientOptions {
