--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <system_error>
 #include <utility>
@@ -16,6 +17,7 @@
 
     constexpr std::size_t maxReadBytes = 65'536;
     constexpr int backlog = 256;
+    constexpr std::chrono::milliseconds throttleInterval { 10 };
 
     sockaddr_in loopback(std::uint16_t port)
     {
@@ -71,6 +73,9 @@
 void FaultProxy::onMessage(FaultProxyMode mode)
 {
     m_mode = mode;
+    loop().cancelTimer(std::exchange(m_throttleTimer, 0));
+    if (mode.kind == FaultProxyMode::Kind::Throttle)
+        forwardThrottled();
     std::map<int, std::shared_ptr<Connection>> connections = m_connections;
     for (const auto& [descriptor, connection] : connections) {
         if (mode.kind == FaultProxyMode::Kind::Reset)
@@ -82,8 +87,28 @@
 
 bool FaultProxy::isStalled(bool fromClient) const
 {
-    return m_mode.kind == FaultProxyMode::Kind::Stall
-        || (m_mode.kind == FaultProxyMode::Kind::StallResponses && !fromClient);
+    bool holdsResponses
+        = m_mode.kind == FaultProxyMode::Kind::StallResponses || m_mode.kind == FaultProxyMode::Kind::Throttle;
+    return m_mode.kind == FaultProxyMode::Kind::Stall || (holdsResponses && !fromClient);
+}
+
+void FaultProxy::forwardThrottled()
+{
+    std::size_t share = m_mode.bytesPerSecond * static_cast<std::size_t>(throttleInterval.count()) / 1'000;
+    std::map<int, std::shared_ptr<Connection>> connections = m_connections;
+    for (const auto& [descriptor, connection] : connections) {
+        std::size_t size = std::min(share, connection->toClient.size());
+        if (descriptor != connection->client || size == 0 || !connection->open)
+            continue;
+        ssize_t sent = ::send(connection->client, connection->toClient.data(), size, MSG_NOSIGNAL);
+        if (sent <= 0) {
+            closeConnection(connection, true);
+            continue;
+        }
+        connection->toClient.erase(0, static_cast<std::size_t>(sent));
+        share -= static_cast<std::size_t>(sent);
+    }
+    m_throttleTimer = loop().startTimer(throttleInterval, [this] { forwardThrottled(); });
 }
 
 void FaultProxy::acceptConnection()
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -5,6 +5,7 @@
 #include "transport/Task.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -24,9 +25,12 @@
         StallResponses,
         /// Open connections and new ones are reset.
         Reset,
+        /// All connections together forward at most FaultProxyMode::bytesPerSecond to their clients.
+        Throttle,
     };
     Kind kind = Kind::Pass;
     std::chrono::milliseconds delay { 0 };
+    std::size_t bytesPerSecond = 0;
 };
 
 /// Forwards TCP connections from one loopback port to another and applies the fault mode that was posted last. Bytes
@@ -50,11 +54,14 @@
     void flush(const std::shared_ptr<Connection>& connection);
     void closeConnection(const std::shared_ptr<Connection>& connection, bool reset);
     bool isStalled(bool fromClient) const;
+    /// Forwards the share of bytes of one throttle interval to the clients, as long as the mode is Throttle.
+    void forwardThrottled();
 
     std::uint16_t m_listenPort = 0;
     std::uint16_t m_targetPort = 0;
     int m_listener = -1;
     FaultProxyMode m_mode;
+    transport::EventLoop::TimerId m_throttleTimer = 0;
     /// Each connection is listed under both its client and its server descriptor.
     std::map<int, std::shared_ptr<Connection>> m_connections;
 };
--- a/tests/standin/KeyedLog.cpp
+++ b/tests/standin/KeyedLog.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
+    // Limits of a listing's page.
     constexpr std::size_t pageSize = 500;
+    constexpr std::size_t pageBytes = 1'048'576;
     constexpr std::size_t lengthBytes = 4;
     constexpr std::size_t offsetBytes = 8;
 
@@ -81,13 +83,15 @@
     m_records.push_back(std::move(record));
 }
 
-std::string KeyedLog::read(std::uint64_t from) const
+std::string KeyedLog::read(std::uint64_t from, std::size_t maximumBytes) const
 {
     std::string output;
     writeNumber(output, endOffset(), offsetBytes);
     writeNumber(output, m_firstOffset, offsetBytes);
     for (std::uint64_t offset = from; offset < endOffset(); ++offset) {
         const Record& record = m_records[offset];
+        if (offset > from && output.size() + record.key.size() + record.value.size() > maximumBytes)
+            break;
         writeNumber(output, 1 + record.key.size() + record.value.size(), lengthBytes);
         output.push_back(static_cast<char>(record.key.size()));
         output += record.key + record.value;
@@ -99,9 +103,12 @@
 {
     json items = json::array();
     auto next = afterKey.empty() ? m_newest.begin() : m_newest.upper_bound(afterKey);
-    for (; next != m_newest.end() && items.size() < pageSize; ++next)
+    std::size_t bytes = 0;
+    for (; next != m_newest.end() && items.size() < pageSize && bytes < pageBytes; ++next) {
         items.push_back({ { "key", next->first }, { "value", absl::Base64Escape(m_records[next->second].value) },
             { "offset", next->second } });
+        bytes += m_records[next->second].value.size();
+    }
     return { { "items", std::move(items) }, { "has_more", next != m_newest.end() }, { "end_offset", endOffset() } };
 }
 
--- a/tests/standin/KeyedLog.h
+++ b/tests/standin/KeyedLog.h
@@ -46,8 +46,9 @@
     /// Discards all records for read(); newestByKey() still returns the newest record of each key.
     void discardRecords() { m_firstOffset = endOffset(); }
 
-    /// @return the records from an offset on, in the store's binary encoding.
-    std::string read(std::uint64_t from) const;
+    /// @return the records from an offset on, in the store's binary encoding; the first one and as many more as fit
+    /// into the size limit.
+    std::string read(std::uint64_t from, std::size_t maximumBytes) const;
 
     /// @return a page of the newest record of each key, in the order of the keys.
     /// @param afterKey last key of the previous page; empty for the first page.
--- a/tests/standin/KeyedStoreTask.cpp
+++ b/tests/standin/KeyedStoreTask.cpp
@@ -15,6 +15,7 @@
 
     // Delay after which a late append takes effect.
     constexpr milliseconds lateAppendDelay { 2'500 };
+    constexpr std::uint64_t defaultReadKilobytes = 1'024;
     // Longer than any caller's timeout.
     constexpr milliseconds closeDelay { 4'000 };
 
@@ -147,14 +148,15 @@
         return;
     }
     milliseconds wait(queryNumber(request, "wait_ms", 0));
+    std::size_t maximumBytes = queryNumber(request, "max_kb", defaultReadKilobytes) * 1'024;
     if (from < log.endOffset() || wait.count() == 0) {
-        responder({ .status = 200, .body = log.read(from) });
+        responder({ .status = 200, .body = log.read(from, maximumBytes) });
         return;
     }
-    m_longPolls.push_back({ .topic = topic, .from = from, .responder = responder });
+    m_longPolls.push_back({ .topic = topic, .from = from, .maximumBytes = maximumBytes, .responder = responder });
     auto poll = std::prev(m_longPolls.end());
     poll->timer = loop().startTimer(wait, [this, poll] {
-        poll->responder({ .status = 200, .body = m_topics[poll->topic].read(poll->from) });
+        poll->responder({ .status = 200, .body = m_topics[poll->topic].read(poll->from, poll->maximumBytes) });
         m_longPolls.erase(poll);
     });
 }
@@ -168,7 +170,7 @@
             continue;
         }
         loop().cancelTimer(poll->timer);
-        poll->responder({ .status = 200, .body = log.read(poll->from) });
+        poll->responder({ .status = 200, .body = log.read(poll->from, poll->maximumBytes) });
         poll = m_longPolls.erase(poll);
     }
 }
--- a/tests/standin/KeyedStoreTask.h
+++ b/tests/standin/KeyedStoreTask.h
@@ -29,6 +29,7 @@
     struct LongPoll {
         std::string topic;
         std::uint64_t from = 0;
+        std::size_t maximumBytes = 0;
         transport::HttpResponder responder;
         transport::EventLoop::TimerId timer = 0;
     };
