Limit pauses of a response instead of its whole transfer

What callers saw: some instances kept an outdated configuration for good.

Cause: a read of a stream had one time limit from the request to the last byte (900 ms of long poll and 600 ms), whatever the size of the response. A version of 0.93 MB takes 0.75 s over a link of 10 Mbit/s, so a read in whose long poll it came late was cut off. The retry, without a long poll, had 600 ms for the same record, which is always too short, and nothing of the cut response is kept. Class: a retry that repeats the same unit of work under a limit that the unit exceeds.

Ruled out: processor time (0 to 3%), an overloaded store (instances with other links had the version in 0.3 s), an unreadable version (no such log line).

Change: with HttpCall::stallTimeout, the timeout limits the time until the response begins, and after that only a pause of this length fails the call. A store that does not answer, or goes silent within a response, is noticed as soon as before.

Three new tests of HttpClient: a steady slow response, a stalled one, one that does not begin.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -50,9 +50,10 @@
     std::chrono::milliseconds queryRefreshTimeout { 40 };
     /// Minimum time between two directory reads. Workers write often, but their entries seldom change.
     std::chrono::milliseconds directoryReadInterval { 400 };
-    /// Timeout of a read, beyond its long-poll wait.
+    /// Timeout of a read, beyond its long-poll wait, until its response begins; also the longest pause within a
+    /// response.
     std::chrono::milliseconds readTimeout { 600 };
-    /// Timeout of one page of a listing, to which a slow store responds late and which cannot be split.
+    /// The same for one page of a listing, to which a slow store responds late and which cannot be split.
     std::chrono::milliseconds listTimeout { 2'000 };
     /// Delay before a failed call to the store is retried.
     std::chrono::milliseconds storeRetryDelay { 150 };
--- a/coordination/batch/JournalHooks.h
+++ b/coordination/batch/JournalHooks.h
@@ -90,11 +90,12 @@
 /// Calls of one process to the store. Callbacks run later on the calling task's thread.
 struct JournalHooks {
     std::function<void(const AppendRequest& request, std::function<void(AppendResult)> reply)> append;
-    /// Waits up to `wait` for a record at `from`.
+    /// Waits up to `wait` for a record at `from`. The timeout limits the time from there to the first byte of the
+    /// response, and each pause within the response; a response may take any time while its bytes arrive.
     std::function<void(Stream stream, std::uint64_t from, std::chrono::milliseconds wait,
         std::chrono::milliseconds timeout, std::function<void(ReadResult)> reply)>
         read;
-    /// Lists the newest record of each key after the given key.
+    /// Lists the newest record of each key after the given key. The timeout applies as for a read.
     std::function<void(Stream stream, const std::string& afterKey, std::chrono::milliseconds timeout,
         std::function<void(NewestResult)> reply)>
         newest;
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -77,7 +77,7 @@
     // A waiter, or the check whether the store is reachable again, needs a response now rather than at the next record.
     bool immediate = !m_waiters.empty() || m_reachable == false;
     std::chrono::milliseconds wait = immediate ? std::chrono::milliseconds(0) : m_options.wait;
-    m_journal.read(m_options.stream, m_position, wait, wait + m_options.timeout,
+    m_journal.read(m_options.stream, m_position, wait, m_options.timeout,
         [this, sent = m_hooks.clock(), alive = std::weak_ptr(m_alive)](const ReadResult& result) {
             if (!alive.expired())
                 onRead(sent, result);
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -26,9 +26,9 @@
         Stream stream = Stream::Journal;
         /// Long-poll wait of a read.
         std::chrono::milliseconds wait { 0 };
-        /// Timeout of a read, beyond its wait.
+        /// Timeout of a read, beyond its wait; see JournalHooks.
         std::chrono::milliseconds timeout { 0 };
-        /// Timeout of one page of a listing.
+        /// Timeout of one page of a listing; see JournalHooks.
         std::chrono::milliseconds listTimeout { 2'000 };
         /// Delay before a failed call is retried.
         std::chrono::milliseconds retryDelay { 0 };
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -1,6 +1,7 @@
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 
+#include "tests/transport/DrippingServer.h"
 #include "transport/EventLoop.h"
 #include "transport/TransportError.h"
 
@@ -206,4 +207,52 @@
         close(descriptor);
 }
 
+// Guards against a large response that fails because its transfer takes longer than the timeout, although bytes keep
+// arriving.
+TEST_F(HttpTest, SteadyResponseMayTakeLongerThanTheTimeout)
+{
+    using std::chrono::milliseconds;
+    testing_support::DrippingServer server({ .body = "0123456789", .interval = milliseconds(40) });
+    HttpCall call { .url = server.url() };
+    call.timeout = milliseconds(200);
+    call.stallTimeout = milliseconds(200);
+    send(call);
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::None);
+    EXPECT_EQ(m_results[0].response.body, "0123456789");
+}
+
+// Guards against a call that never ends because its connection went silent within the response.
+TEST_F(HttpTest, StalledResponseFails)
+{
+    using std::chrono::milliseconds;
+    testing_support::DrippingServer server({ .body = "0123456789", .bytesSent = 3, .interval = milliseconds(10) });
+    HttpCall call { .url = server.url() };
+    call.timeout = milliseconds(5'000);
+    call.stallTimeout = milliseconds(150);
+    send(call);
+    auto begin = std::chrono::steady_clock::now();
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::ResponseLost);
+    EXPECT_TRUE(m_results[0].timedOut);
+    EXPECT_EQ(m_results[0].receivedBytes, 3U);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(2'000));
+}
+
+// Guards against a call without a response that lasts longer than its timeout, because only pauses are limited.
+TEST_F(HttpTest, ResponseThatDoesNotBeginFailsAtTheTimeout)
+{
+    using std::chrono::milliseconds;
+    testing_support::DrippingServer server({ .body = "0123456789", .bytesSent = 0 });
+    HttpCall call { .url = server.url() };
+    call.timeout = milliseconds(150);
+    call.stallTimeout = milliseconds(5'000);
+    send(call);
+    auto begin = std::chrono::steady_clock::now();
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::ResponseLost);
+    EXPECT_TRUE(m_results[0].timedOut);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(2'000));
+}
+
 } // namespace lentilsaddle::transport
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cctype>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace lentilsaddle::transport {
@@ -21,6 +22,13 @@
         std::string body;
         HttpResponse response;
         HttpClient::Callback callback;
+        std::chrono::milliseconds stallTimeout { 0 };
+        /// When the response must have begun; valid with a stall timeout.
+        std::chrono::steady_clock::time_point responseDeadline;
+        /// Timer of the next check of the response's progress; 0 without a stall timeout.
+        EventLoop::TimerId progressTimer = 0;
+        /// When the last byte of the response arrived; empty before the first.
+        std::optional<std::chrono::steady_clock::time_point> lastProgress;
 
         Call() = default;
         Call(const Call&) = delete;
@@ -34,12 +42,15 @@
 
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* context)
     {
-        static_cast<Call*>(context)->response.body.append(data, size * count);
+        auto* call = static_cast<Call*>(context);
+        call->response.body.append(data, size * count);
+        call->lastProgress = std::chrono::steady_clock::now();
         return size * count;
     }
 
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* context)
     {
+        static_cast<Call*>(context)->lastProgress = std::chrono::steady_clock::now();
         std::string line(data, size * count);
         auto colon = line.find(':');
         if (colon == std::string::npos)
@@ -104,6 +115,10 @@
     static int onTimer(CURLM*, long milliseconds, void* context);
     void performSocketAction(curl_socket_t descriptor, int events);
     void finishCalls();
+    /// Fails the call if its response has not begun or has stalled.
+    void checkProgress(CallId id);
+    /// Removes a call and passes its result to its callback.
+    void finish(CallId id, CURLcode code);
 };
 
 int HttpClient::Implementation::onSocket(CURL*, curl_socket_t descriptor, int action, void* context, void*)
@@ -149,14 +164,36 @@
         CURLcode code = message->data.result;
         void* context = nullptr;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &context);
-        curl_multi_remove_handle(multi, easy);
-        auto node = calls.extract(static_cast<Call*>(context)->id);
-        std::unique_ptr<Call> call = std::move(node.mapped());
-        HttpResult result = toResult(*call, code);
-        call->callback(std::move(result));
+        finish(static_cast<Call*>(context)->id, code);
     }
 }
 
+void HttpClient::Implementation::finish(CallId id, CURLcode code)
+{
+    auto node = calls.extract(id);
+    std::unique_ptr<Call> call = std::move(node.mapped());
+    curl_multi_remove_handle(multi, call->easy);
+    loop.cancelTimer(call->progressTimer);
+    HttpResult result = toResult(*call, code);
+    call->callback(std::move(result));
+}
+
+void HttpClient::Implementation::checkProgress(CallId id)
+{
+    Call& call = *calls.at(id);
+    call.progressTimer = 0;
+    auto now = std::chrono::steady_clock::now();
+    auto deadline = call.lastProgress ? *call.lastProgress + call.stallTimeout : call.responseDeadline;
+    if (now >= deadline) {
+        finish(id, CURLE_OPERATION_TIMEDOUT);
+        return;
+    }
+    // A response that begins in the meantime may stall from then on.
+    auto delay = std::min<std::chrono::steady_clock::duration>(deadline - now, call.stallTimeout);
+    call.progressTimer
+        = loop.startTimer(std::chrono::ceil<std::chrono::microseconds>(delay), [this, id] { checkProgress(id); });
+}
+
 HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
     : m_implementation(std::make_unique<Implementation>(loop))
 {
@@ -178,8 +215,10 @@
 HttpClient::~HttpClient()
 {
     Implementation& self = *m_implementation;
-    for (auto& [id, call] : self.calls)
+    for (auto& [id, call] : self.calls) {
         curl_multi_remove_handle(self.multi, call->easy);
+        self.loop.cancelTimer(call->progressTimer);
+    }
     self.calls.clear();
     curl_multi_cleanup(self.multi);
     self.loop.cancelTimer(self.timer);
@@ -200,7 +239,13 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, entry.get());
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, entry.get());
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, call.timeout.count())));
+    entry->stallTimeout = call.stallTimeout;
+    entry->responseDeadline = std::chrono::steady_clock::now() + call.timeout;
+    if (call.stallTimeout.count() > 0)
+        entry->progressTimer = self.loop.startTimer(
+            std::min(call.timeout, call.stallTimeout), [&self, id = entry->id] { self.checkProgress(id); });
+    else
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, call.timeout.count())));
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -231,6 +276,7 @@
     if (found == m_implementation->calls.end())
         return;
     curl_multi_remove_handle(m_implementation->multi, found->second->easy);
+    m_implementation->loop.cancelTimer(found->second->progressTimer);
     m_implementation->calls.erase(found);
 }
 
--- a/transport/HttpClient.h
+++ b/transport/HttpClient.h
@@ -21,8 +21,12 @@
     std::string url;
     HttpHeaders headers;
     std::string body;
-    /// Time limit of the whole call, from connecting to the last byte of the response.
+    /// Time limit of the whole call, from connecting to the last byte of the response; with a stall timeout, of the
+    /// time to the first byte of the response.
     std::chrono::milliseconds timeout { 10'000 };
+    /// If positive, a response that has begun may take any time, and fails when no byte of it arrives for this long.
+    /// For responses of unbounded size, whose transfer time no fixed limit of the call covers.
+    std::chrono::milliseconds stallTimeout { 0 };
     /// Opens a new connection for the call. libcurl retries a request without notice when a reused connection turns out
     /// to be closed, which would execute a non-repeatable request twice.
     bool freshConnection = false;
