Continue a listing after a failed page

What callers would see: an instance that starts, or whose history has expired, is not ready as long as one of the pages of a long listing fails now and then, because each failure starts the listing over.

Change: the failed page is asked for again. The records that change meanwhile follow from the end that the first page reported, as before.

KeyedReaderTest.ListingContinuesAfterAFailedPage failed before (the listing took six calls instead of four) and passes.

--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -53,7 +53,7 @@
 void KeyedReader::onNewest(NewestResult result)
 {
     if (!result.ok) {
-        retryLater([this] { start(); }, result.error);
+        retryLater([this] { list(m_listing.empty() ? "" : m_listing.back().key); }, result.error);
         return;
     }
     // The pages are not one snapshot: changes in the meantime follow the end that the first page reported.
--- a/tests/coordination/batch/KeyedReaderTest.cpp
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -155,6 +155,19 @@
     EXPECT_LE(m_delivered, 4U);
 }
 
+// Guards against a long listing that never completes because each failed page starts it over.
+TEST_F(KeyedReaderTest, ListingContinuesAfterAFailedPage)
+{
+    for (const char* key : { "a", "b", "c", "d", "e", "f" })
+        m_store.put(Stream::Directory, key, "1");
+    m_store.setPageSize(2);
+    m_store.failListingCall(3);
+    startReader(shortOptions());
+    runFor(milliseconds(100));
+    EXPECT_EQ(m_keys, (std::set<std::string> { "a", "b", "c", "d", "e", "f" }));
+    EXPECT_EQ(m_store.listingCalls(), 4);
+}
+
 // Guards against an outage of a stream that leaves a single log line, whether it lasts a moment or an hour.
 TEST_F(KeyedReaderTest, ReportsAnOutageRepeatedlyAndItsLengthAtTheEnd)
 {
