Let lists and log batches of the product take as long as they arrive

What callers would see: a log that is not followed, or lists of instances or workers that go stale, once a response takes longer than 2 s over the link of an instance; each poll then fails the same way. Their responses grow with the number of records, instances (120 bytes each) and workers.

Change: their timeouts limit the time to the first byte and the pauses, as for the store.

--- a/protocol/InstanceListClient.cpp
+++ b/protocol/InstanceListClient.cpp
@@ -84,6 +84,7 @@
         .headers = {},
         .body = {},
         .timeout = timeout,
+        .stallTimeout = timeout,
     };
     m_implementation->http.send(call,
         [callback = std::move(callback)](const transport::HttpResult& result) { callback(decodeResponse(result)); });
--- a/protocol/InstanceListClient.h
+++ b/protocol/InstanceListClient.h
@@ -29,7 +29,7 @@
     /// Cancels all calls in flight; their callbacks do not run.
     ~InstanceListClient();
 
-    /// @param timeout time limit of the whole call.
+    /// @param timeout limit of the time until the response begins, and of each pause within it.
     void read(std::chrono::milliseconds timeout, Callback callback);
 
 private:
--- a/protocol/LogClient.cpp
+++ b/protocol/LogClient.cpp
@@ -136,6 +136,7 @@
         .headers = {},
         .body = {},
         .timeout = wait + timeout,
+        .stallTimeout = timeout,
     };
     m_implementation->http.send(call, [callback = std::move(callback)](const transport::HttpResult& httpResult) {
         callback(toReadResult(httpResult));
--- a/protocol/LogClient.h
+++ b/protocol/LogClient.h
@@ -75,7 +75,7 @@
     /// Reads records, starting at an offset.
     /// @param maximumRecords maximum number of records in the response.
     /// @param wait time that the service may delay the response until there is a record; 0 means no delay.
-    /// @param timeout time limit of the call in addition to wait.
+    /// @param timeout limit of the time until the response begins, in addition to wait, and of each pause within it.
     void read(const std::string& stream, state::LogOffset offset, std::size_t maximumRecords,
         std::chrono::milliseconds wait, std::chrono::milliseconds timeout, ReadCallback callback);
 
--- a/protocol/WorkerDirectory.cpp
+++ b/protocol/WorkerDirectory.cpp
@@ -39,8 +39,11 @@
 
 void WorkerDirectory::read(const state::DataCentreId& dataCentre, Callback callback)
 {
-    transport::HttpCall call { .url = m_platformUrl + "/workers?data_centre=" + dataCentre.value(),
-        .timeout = m_timeout };
+    transport::HttpCall call {
+        .url = m_platformUrl + "/workers?data_centre=" + dataCentre.value(),
+        .timeout = m_timeout,
+        .stallTimeout = m_timeout,
+    };
     m_http.send(call, [callback = std::move(callback)](const transport::HttpResult& result) {
         if (result.failure != transport::HttpFailure::None || result.response.status != 200) {
             callback(std::nullopt);
