Skip odd entries of the workers' list

What callers would see: an entry that another writer left among the workers', with a port out of range, numbers up to the limit of their type or an odd key, was taken for a worker. The leader opened sessions to it and planned work on it, sums of capacities and times could overflow, and the key was sent in a header.

The list did not end the process here, also with deep nesting.

The random bytes of PlatformCodec.ArbitraryBytesCauseOnlyProtocolErrors rarely form a document, so they did not reach these checks.

--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/SettingsCodec.h"
 
+#include "protocol/Endpoint.h"
 #include "protocol/ProtocolError.h"
 #include "state/Settings.h"
 
@@ -99,13 +100,10 @@
         return parts == 4 && text.back() != '.';
     }
 
-    bool isEndpoint(const std::string& text)
+    // Port 0 lets the system choose.
+    bool isListenAddress(const std::string& text)
     {
-        std::size_t colon = text.rfind(':');
-        if (colon == std::string::npos || !isIpv4Address(text.substr(0, colon)))
-            return false;
-        auto port = parseInteger(text.substr(colon + 1));
-        return port && *port >= 0 && *port <= std::numeric_limits<std::uint16_t>::max();
+        return isEndpoint(text, 0);
     }
 
     std::optional<double> parseProcessors(const std::string& text)
@@ -123,11 +121,11 @@
         using std::chrono::milliseconds;
         const std::string endpointRule = "an IPv4 address and a port such as 10.0.0.1:8100";
         return {
-            textKey("batch.front", false, endpointRule, isEndpoint,
+            textKey("batch.front", false, endpointRule, isListenAddress,
                 [](Settings& s, const std::string& v) { s.batch.apiAddress = v; }),
-            textKey("batch.ready", false, endpointRule, isEndpoint,
+            textKey("batch.ready", false, endpointRule, isListenAddress,
                 [](Settings& s, const std::string& v) { s.batch.readyAddress = v; }),
-            textKey("batch.metrics", false, endpointRule, isEndpoint,
+            textKey("batch.metrics", false, endpointRule, isListenAddress,
                 [](Settings& s, const std::string& v) { s.batch.metricsAddress = v; }),
             integerKey("batch.worker_lease_limit_ms", 2'000, 600'000, "milliseconds",
                 [](Settings& s, long v) { s.batch.workerLeaseLimit = milliseconds(v); }),
--- /dev/null
+++ b/tests/platform/OddEntryTest.cpp
@@ -0,0 +1,78 @@
+#include "platform/BatchConfigurationCodec.h"
+#include "platform/DirectoryCodec.h"
+#include "platform/JobCodec.h"
+#include "platform/StoreCodec.h"
+#include "platform/WorkerCodec.h"
+#include "protocol/Endpoint.h"
+#include "protocol/ProtocolError.h"
+#include "tests/protocol/OddDocuments.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::platform {
+
+using coordination::batch::Observation;
+using coordination::batch::WorkerCallResult;
+using nlohmann::json;
+using state::batch::BatchWorker;
+using testing_support::documentsWithOneOddValue;
+
+namespace {
+
+    // Sums over all workers, and times since 1970 in microseconds, stay far from the limits of their types.
+    constexpr std::int64_t plausibleAmount = 1'000'000'000'000;
+    constexpr std::int64_t plausibleMilliseconds = 100'000'000'000'000;
+
+    const json workerEntry = json::parse(
+        R"({"service":"s","addr":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","seq":4,
+            "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1-3"],"born":1785000000000,
+            "drain_remaining_ms":1500})");
+
+    void expectPlausible(const BatchWorker& worker, const std::string& text)
+    {
+        std::string context = text.substr(0, 400);
+        EXPECT_TRUE(protocol::isEndpoint(worker.address)) << context;
+        EXPECT_FALSE(worker.service.empty()) << context;
+        for (std::int64_t amount :
+            { worker.capacity.milliCores, worker.capacity.memoryMegabytes, worker.capacity.accelerators }) {
+            EXPECT_GE(amount, 0) << context;
+            EXPECT_LE(amount, plausibleAmount) << context;
+        }
+        EXPECT_GE(worker.drainRemaining.count(), 0) << context;
+        EXPECT_LE(worker.drainRemaining.count(), plausibleMilliseconds) << context;
+        EXPECT_GE(worker.incarnation, 0) << context;
+        EXPECT_LE(worker.incarnation, plausibleMilliseconds) << context;
+    }
+
+} // namespace
+
+// Guards against an entry of another writer in the list of workers that ends the process or is used as a worker.
+TEST(OddEntry, DirectoryEntryIsSkippedOrPlausible)
+{
+    ASSERT_TRUE(decodeWorkerEntry("i-1", workerEntry.dump()));
+    for (const std::string& text : documentsWithOneOddValue(workerEntry)) {
+        if (auto worker = decodeWorkerEntry("i-1", text))
+            expectPlausible(*worker, text);
+    }
+}
+
+// Guards against using a worker at an address that cannot be connected to.
+TEST(OddEntry, DirectoryEntryWithAPortOutOfRangeIsSkipped)
+{
+    for (const char* address : { "10.128.0.9:65536", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9",
+             "10.128.0.9:", "10.128.0.9:80/x", "host:80", "" }) {
+        json entry = workerEntry;
+        entry["addr"] = address;
+        EXPECT_FALSE(decodeWorkerEntry("i-1", entry.dump())) << address;
+    }
+}
+
+// Guards against a key of the list that is not a worker's identifier and would be sent in a header.
+TEST(OddEntry, DirectoryEntryWithAnOddKeyIsSkipped)
+{
+    for (const std::string& key :
+        { std::string(), std::string("a\r\nX: y"), std::string("\xff\xfe"), std::string("a b") })
+        EXPECT_FALSE(decodeWorkerEntry(key, workerEntry.dump()));
+}
+
+} // namespace lentilsaddle::platform
