--- a/protocol/JsonReader.cpp
+++ b/protocol/JsonReader.cpp
@@ -8,6 +8,31 @@
 
 using nlohmann::json;
 
+namespace {
+
+    // The JSON library copies and serialises a document recursively, one call for each level.
+    constexpr int maximumNestingDepth = 64;
+
+    bool isNestedTooDeeply(const std::string& text)
+    {
+        int depth = 0;
+        bool inString = false;
+        for (std::size_t position = 0; position < text.size(); ++position) {
+            char c = text[position];
+            if (inString && c == '\\')
+                ++position;
+            else if (c == '"')
+                inString = !inString;
+            else if (!inString && (c == '[' || c == '{') && ++depth > maximumNestingDepth)
+                return true;
+            else if (!inString && (c == ']' || c == '}'))
+                --depth;
+        }
+        return false;
+    }
+
+} // namespace
+
 JsonReader::JsonReader(const json& object, std::string path)
     : m_object(object)
     , m_path(std::move(path))
@@ -18,6 +43,8 @@
 
 json JsonReader::parse(const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        throw ProtocolError("body", "must have at most " + std::to_string(maximumNestingDepth) + " levels of nesting");
     try {
         return json::parse(text);
     } catch (const json::exception& error) {
--- a/protocol/JsonReader.h
+++ b/protocol/JsonReader.h
@@ -17,7 +17,8 @@
     JsonReader(const nlohmann::json& object, std::string path);
 
     /// Parses a document.
-    /// @throws ProtocolError with field `body` if the text is not valid JSON.
+    /// @throws ProtocolError with field `body` if the text is not valid JSON or is nested too deeply to be copied or
+    /// serialised.
     static nlohmann::json parse(const std::string& text);
 
     /// @return whether the field is present and not null.
--- a/protocol/batch/BatchRecordCodec.cpp
+++ b/protocol/batch/BatchRecordCodec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/batch/BatchRecordCodec.h"
 
+#include "protocol/JsonReader.h"
 #include "protocol/ProtocolError.h"
 
 #include <nlohmann/json.hpp>
@@ -23,7 +24,7 @@
     template <typename Function> auto decode(const std::string& text, std::size_t size, Function function)
     {
         try {
-            json record = json::parse(text);
+            json record = JsonReader::parse(text);
             if (!record.is_array() || record.size() != size || record[0] != layoutVersion)
                 throw ProtocolError("record", "has an unknown layout");
             return function(record);
--- a/tests/platform/OddEntryTest.cpp
+++ b/tests/platform/OddEntryTest.cpp
@@ -75,4 +75,30 @@
         EXPECT_FALSE(decodeWorkerEntry(key, workerEntry.dump()));
 }
 
+// Guards against a response of a worker that ends the process.
+TEST(OddEntry, WorkerResponseIsReadableOrUnknown)
+{
+    const json response = json::parse(
+        R"({"clock_ms":482113,"born":5,"running":[["00000000000000aa.0.1.17",2,"00000bb8",41,3]],
+            "ended":[[58,"00000000000000aa.0.1.9",1,"failed",""]]})");
+    for (const std::string& text : documentsWithOneOddValue(response)) {
+        Observation observation = decodeResponse(200, text);
+        std::string context = text.substr(0, 400);
+        if (observation.result.clock) {
+            EXPECT_LE(std::abs(observation.result.clock->count()), plausibleMilliseconds) << context;
+        }
+        for (const auto& running : observation.running) {
+            EXPECT_GE(running.run, 0) << context;
+            EXPECT_GE(running.percent, 0) << context;
+            EXPECT_LE(running.percent, 100) << context;
+        }
+        for (const auto& ended : observation.ended) {
+            EXPECT_GE(ended.number, 0) << context;
+            EXPECT_GE(ended.run, 0) << context;
+        }
+    }
+    EXPECT_EQ(
+        decodeResponse(200, testing_support::deeplyNestedArray()).result.status, WorkerCallResult::Status::Unknown);
+}
+
 } // namespace lentilsaddle::platform
