--- a/tests/platform/OddEntryTest.cpp
+++ b/tests/platform/OddEntryTest.cpp
@@ -101,4 +101,17 @@
         decodeResponse(200, testing_support::deeplyNestedArray()).result.status, WorkerCallResult::Status::Unknown);
 }
 
+// Guards against a record with a malformed key that makes its stream unreadable from there on.
+TEST(OddEntry, RecordWithAMalformedKeyDoesNotHideOthers)
+{
+    std::string body = encodeRecords({ { .key = "a", .value = "x" }, { .key = "b", .value = "y" } });
+    // The key length follows the four bytes of the record length.
+    body[4] = '\xff';
+    auto result = decodeReadResponse(std::string(7, '\0') + '\x02' + std::string(8, '\0') + body, 0);
+    ASSERT_EQ(result.records.size(), 2U);
+    EXPECT_TRUE(result.records[0].key.empty());
+    EXPECT_EQ(result.records[1].key, "b");
+    EXPECT_EQ(result.next, 2U);
+}
+
 } // namespace lentilsaddle::platform
