--- a/tests/platform/OddEntryTest.cpp
+++ b/tests/platform/OddEntryTest.cpp
@@ -101,6 +101,44 @@
         decodeResponse(200, testing_support::deeplyNestedArray()).result.status, WorkerCallResult::Status::Unknown);
 }
 
+// Guards against a configuration record of another writer that ends the process or takes the place of a valid one.
+TEST(OddEntry, ConfigurationIsSkippedOrPlausible)
+{
+    const json document = json::parse(
+        R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","target_runtime_ms":250.0,"priority":0,
+            "service":"s","max_attempts":3,"stretch":1.5,"public":false,"advice":{}}],
+            "tenants":[{"name":"t","api_keys":["k"],"guaranteed":{"gpu":72}}]})");
+    for (const std::string& text : documentsWithOneOddValue(document)) {
+        auto configuration = decodeConfigurationRecord("config", text);
+        if (!configuration)
+            continue;
+        for (const auto& account : configuration->accounts)
+            EXPECT_LE(account.guaranteedAccelerators, plausibleAmount) << text.substr(0, 400);
+    }
+}
+
+// Guards against a submission that ends the process, or whose due times exceed the range of the clock.
+TEST(OddEntry, SubmissionIsRefusedOrPlausible)
+{
+    const json document = json::parse(
+        R"({"spec":"t","steps":[{"count":3,"cpu":700,"mem_mb":1,"gpu":1,"estimate_ms":800,"preferred_rack":"r",
+            "required_label":"a","max_per_server":2,"gang":true,"same_rack":true,"saves_progress":true,
+            "speculative":false},{"count":7,"after":[0]}],"repeats":9000,"first_ms":1000,"interval_ms":5})");
+    for (const std::string& text : documentsWithOneOddValue(document)) {
+        try {
+            state::batch::BatchJob job = decodeJob(text).job;
+            auto last = job.dueTime(job.occurrences - 1).time_since_epoch();
+            EXPECT_GE(last.count(), 0) << text.substr(0, 400);
+            EXPECT_LE(std::chrono::duration_cast<std::chrono::milliseconds>(last).count(), plausibleMilliseconds)
+                << text.substr(0, 400);
+        } catch (const protocol::ProtocolError&) {
+        }
+    }
+    json distant = document;
+    distant["interval_ms"] = 99'000'000'000'000;
+    EXPECT_THROW(decodeJob(distant.dump()), protocol::ProtocolError);
+}
+
 // Guards against a record with a malformed key that makes its stream unreadable from there on.
 TEST(OddEntry, RecordWithAMalformedKeyDoesNotHideOthers)
 {
