--- a/protocol/InstanceListClient.cpp
+++ b/protocol/InstanceListClient.cpp
@@ -1,5 +1,6 @@
 #include "protocol/InstanceListClient.h"
 
+#include "protocol/Endpoint.h"
 #include "protocol/JsonReader.h"
 #include "protocol/ProtocolError.h"
 #include "transport/HttpClient.h"
@@ -22,6 +23,8 @@
         instance.name = state::InstanceId(reader.string("name"));
         instance.dataCentre = state::DataCentreId(reader.string("data_centre"));
         instance.address = reader.string("address");
+        if (!isEndpoint(instance.address))
+            throw ProtocolError(reader.path("address"), "must be an IPv4 address and a port from 1 to 65535");
         instance.service = state::ServiceId(reader.stringOr("service", ""));
         std::string kind = reader.string("kind");
         if (kind != "entry" && kind != "backend_server")
--- a/protocol/WorkerDirectory.cpp
+++ b/protocol/WorkerDirectory.cpp
@@ -1,5 +1,6 @@
 #include "protocol/WorkerDirectory.h"
 
+#include "protocol/Endpoint.h"
 #include "protocol/JsonReader.h"
 #include "protocol/ProtocolError.h"
 #include "state/GangShape.h"
@@ -11,20 +12,37 @@
 
 namespace lentilsaddle::protocol {
 
-std::vector<state::Worker> decodeWorkers(const std::string& body)
-{
-    nlohmann::json document = JsonReader::parse(body);
-    JsonReader reader(document, "");
-    std::vector<state::Worker> workers;
-    for (const nlohmann::json& value : reader.array("workers")) {
+namespace {
+
+    state::Worker decodeWorker(const nlohmann::json& value)
+    {
         JsonReader entry(value, "workers");
-        workers.push_back({
+        state::Worker worker {
             .id = state::WorkerId(entry.string("id")),
             .rack = state::RackId(entry.string("rack")),
             .position = static_cast<int>(entry.integerOr("position", 0, std::numeric_limits<int>::max(), 0)),
             .accelerators = static_cast<int>(entry.integer("accelerators", 0, state::maximumAcceleratorsPerTask)),
             .address = entry.string("address"),
-        });
+        };
+        if (!isEndpoint(worker.address))
+            throw ProtocolError("workers.address", "must be an IPv4 address and a port from 1 to 65535");
+        return worker;
+    }
+
+} // namespace
+
+std::vector<state::Worker> decodeWorkers(const std::string& body)
+{
+    nlohmann::json document = JsonReader::parse(body);
+    JsonReader reader(document, "");
+    std::vector<state::Worker> workers;
+    for (const nlohmann::json& value : reader.array("workers")) {
+        try {
+            workers.push_back(decodeWorker(value));
+        } catch (const ProtocolError& error) {
+            transport::writeLog(transport::LogLevel::Warning, "workers", "skipped a worker that cannot be decoded",
+                { { "error", error.what() } });
+        }
     }
     return workers;
 }
--- a/protocol/WorkerDirectory.h
+++ b/protocol/WorkerDirectory.h
@@ -35,6 +35,7 @@
     std::chrono::milliseconds m_timeout;
 };
 
+/// @return the workers of the list; entries that cannot be decoded are skipped.
 /// @throws ProtocolError if the body is not a list of workers.
 std::vector<state::Worker> decodeWorkers(const std::string& body);
 
