Cut long values in log lines

A parse error repeats the document that caused it, so one odd entry of another system could fill the queue of the log writer, which then drops other lines. Values are cut at 1,024 bytes. Logger.LongValuesAreCut failed before and passes.

--- a/transport/Logger.cpp
+++ b/transport/Logger.cpp
@@ -28,6 +28,8 @@
     };
 
     constexpr const char* callbackName = "lentilsaddle";
+    constexpr std::size_t maximumValueBytes = 1'024;
+    constexpr std::string_view cutMark = "...";
 
     void appendQuoted(std::string& line, std::string_view value)
     {
@@ -62,19 +64,28 @@
     el::Helpers::installLogDispatchCallback<WriterCallback>(callbackName);
 }
 
-void writeLog(
-    LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
+std::string formatLogLine(std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
 {
-    if (level < minimumLogLevel)
-        return;
     std::string line = "component=" + std::string(component) + " message=";
     appendQuoted(line, message);
     for (const LogField& field : fields) {
         line.push_back(' ');
         line.append(field.key);
         line.push_back('=');
-        appendQuoted(line, field.value);
+        if (field.value.size() <= maximumValueBytes)
+            appendQuoted(line, field.value);
+        else
+            appendQuoted(line, field.value.substr(0, maximumValueBytes).append(cutMark));
     }
+    return line;
+}
+
+void writeLog(
+    LogLevel level, std::string_view component, std::string_view message, std::initializer_list<LogField> fields)
+{
+    if (level < minimumLogLevel)
+        return;
+    std::string line = formatLogLine(component, message, fields);
     switch (level) {
     case LogLevel::Debug:
         LOG(DEBUG) << line;
