Check in the soak that a large configuration is in force in time

The soak wrote small configurations only, over unlimited links, and did not look whether they came into force, so it could not find the fault of the incident.

--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -166,7 +166,7 @@
     putRecord("keyed.servers", "w-" + std::to_string(worker), "");
 }
 
-void SoakCluster::writeConfiguration(int version) const
+void SoakCluster::writeConfiguration(int version, int unusedQueues) const
 {
     auto queue = [](const std::string& name, int priority) {
         return json { { "name", name }, { "host", "soak.example" }, { "path_prefix", "/" + name + "/" },
@@ -177,6 +177,8 @@
         { "routes", json::array({ queue("q0", 0), queue("q1", 1), queue("v" + std::to_string(version), 2) }) },
         { "services", json::array({ { { "name", "s" } } }) },
         { "tenants", json::array({ { { "name", "t" }, { "api_keys", json::array({ "key" }) } } }) } };
+    for (int index = 0; index < unusedQueues; ++index)
+        document["routes"].push_back(queue("unused" + std::to_string(index), 2));
     putRecord("keyed.op", "config", document.dump());
 }
 
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -50,7 +50,8 @@
 
     /// Writes a configuration version with the queues `q0` and `q1` and a queue `v<version>` that only this version
     /// has.
-    void writeConfiguration(int version) const;
+    /// @param unusedQueues number of further queues, which make the version large.
+    void writeConfiguration(int version, int unusedQueues = 0) const;
 
     /// Ends all faults: proxies forward without a fault, the store responds normally, all workers are listed as ready,
     /// and all daemons run.
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -25,6 +25,13 @@
     constexpr milliseconds queryTimeout { 2'000 };
     // Time for cancellations and run-end reports that are in flight when the last job is reported as ended.
     constexpr milliseconds drainDelay { 1'500 };
+    // Time in which a confirmed configuration must be in force everywhere.
+    constexpr milliseconds configurationLimit { 3'000 };
+    // Above all versions that SoakFaults writes.
+    constexpr int largeConfigurationVersion = 1'000'000;
+    // The version takes about a second over the slow link.
+    constexpr int largeConfigurationQueues = 6'000;
+    constexpr FaultProxyMode slowLink { .kind = FaultProxyMode::Kind::Throttle, .bytesPerSecond = 1'250'000 };
 
     HttpReply queryJob(HttpSession& session, std::uint16_t port, const SoakJob& job)
     {
@@ -60,6 +67,37 @@
         }
     }
 
+    // Writes a large configuration while the daemons reach the store over slow links.
+    void checkLargeConfiguration(SoakCluster& cluster, SoakResult& result)
+    {
+        HttpSession session;
+        for (int daemon = 0; daemon < cluster.options().daemons; ++daemon)
+            cluster.setStoreProxy(daemon, slowLink);
+        cluster.writeConfiguration(largeConfigurationVersion, largeConfigurationQueues);
+        auto deadline = steady_clock::now() + configurationLimit;
+        for (int daemon = 0; daemon < cluster.options().daemons; ++daemon) {
+            auto inForce = [&] {
+                return session
+                           .call({ .port = cluster.frontPort(daemon),
+                               .path = "/v" + std::to_string(largeConfigurationVersion) + "/",
+                               .headers = { { "Host", "soak.example" }, { "Credential", "key" } },
+                               .timeout = queryTimeout })
+                           .status
+                    == 200;
+            };
+            bool served = inForce();
+            while (!served && steady_clock::now() < deadline) {
+                std::this_thread::sleep_for(milliseconds(20));
+                served = inForce();
+            }
+            if (!served)
+                result.violations.push_back("daemon " + std::to_string(daemon)
+                    + " does not serve a large configuration " + std::to_string(configurationLimit.count())
+                    + " ms after it was written");
+            cluster.setStoreProxy(daemon, {});
+        }
+    }
+
 } // namespace
 
 SoakResult runSoak(const SoakOptions& options)
@@ -98,6 +136,7 @@
     }
     waitUntilEnded(jobs, cluster, result);
     std::this_thread::sleep_for(drainDelay);
+    checkLargeConfiguration(cluster, result);
     std::vector<std::string> violations
         = checkGuarantees(jobs, cluster.workerJournal(), cluster.recordHistory("leader"));
     result.violations.insert(result.violations.end(), violations.begin(), violations.end());
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 // Guards against overlapping faults that make real processes violate a guarantee to clients: lost jobs, tasks that run
-// twice at the same time, worker capacity exceeded, two leaders in a term.
+// twice at the same time, worker capacity exceeded, two leaders in a term, and a large configuration that is not in
+// force in time.
 TEST_P(SoakTest, GuaranteesHoldUnderRandomFaults)
 {
     std::signal(SIGPIPE, SIG_IGN);
