--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -239,6 +239,20 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(2'000));
 }
 
+// Guards against a call that fails although its response arrived while the loop was busy for longer than the timeout.
+TEST_F(HttpTest, ResponseThatArrivedWhileTheLoopWasBusyIsRead)
+{
+    using std::chrono::milliseconds;
+    testing_support::DrippingServer server({ .body = "0123456789", .interval = milliseconds(10) });
+    HttpCall call { .url = server.url() };
+    call.timeout = milliseconds(100);
+    call.stallTimeout = milliseconds(100);
+    send(call);
+    m_loop.startTimer(milliseconds(40), [] { std::this_thread::sleep_for(milliseconds(400)); });
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::None) << m_results[0].error;
+}
+
 // Guards against a call without a response that lasts longer than its timeout, because only pauses are limited.
 TEST_F(HttpTest, ResponseThatDoesNotBeginFailsAtTheTimeout)
 {
