Read what arrived while the loop was busy before a response counts as stalled

What callers would see: on an instance with few processors, a read of the store fails although its response has arrived, because the loop was busy for longer than the stall timeout and the timer of the check ran before the socket was read. The stream is then reported as lost and read again.

Cause: timers and sockets that are due in the same iteration of the loop run in no fixed order. Introduced with the stall timeout; libcurl's own timer, which was used before, has the same order.

Change: an overdue response fails at the second check, one iteration later, when the socket has been read.

The set-up of listening sockets in the tests stood twice; LoopbackListener has it now.

--- a/tests/transport/DrippingServer.cpp
+++ b/tests/transport/DrippingServer.cpp
@@ -1,7 +1,5 @@
 #include "tests/transport/DrippingServer.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,34 +10,24 @@
 
 DrippingServer::DrippingServer(Options options)
     : m_options(std::move(options))
-    , m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , m_thread([this] { serve(); })
 {
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    listen(m_socket, 1);
-    socklen_t length = sizeof address;
-    getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &length);
-    m_port = ntohs(address.sin_port);
-    m_thread = std::thread([this] { serve(); });
 }
 
 DrippingServer::~DrippingServer()
 {
-    shutdown(m_socket, SHUT_RDWR);
+    m_listener.shutDown();
     // Ends the wait for a client that keeps the connection open.
     if (m_connection >= 0)
         shutdown(m_connection, SHUT_RDWR);
     m_thread.join();
     if (m_connection >= 0)
         close(m_connection);
-    close(m_socket);
 }
 
 void DrippingServer::serve()
 {
-    int connection = accept(m_socket, nullptr, nullptr);
+    int connection = m_listener.accept();
     if (connection < 0)
         return;
     m_connection = connection;
--- a/tests/transport/DrippingServer.h
+++ b/tests/transport/DrippingServer.h
@@ -2,10 +2,11 @@
 /// HTTP server that sends a response slowly.
 #pragma once
 
+#include "tests/transport/LoopbackListener.h"
+
 #include <atomic>
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <limits>
 #include <string>
 #include <thread>
@@ -30,14 +31,13 @@
     DrippingServer& operator=(const DrippingServer&) = delete;
 
     /// @return base URL, without a trailing slash.
-    std::string url() const { return "http://127.0.0.1:" + std::to_string(m_port); }
+    std::string url() const { return "http://127.0.0.1:" + std::to_string(m_listener.port()); }
 
 private:
     void serve();
 
     Options m_options;
-    int m_socket = -1;
-    std::uint16_t m_port = 0;
+    LoopbackListener m_listener;
     /// Connection of the client; -1 before it is accepted.
     std::atomic<int> m_connection = -1;
     std::thread m_thread;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -2,10 +2,10 @@
 #include "transport/HttpServer.h"
 
 #include "tests/transport/DrippingServer.h"
+#include "tests/transport/LoopbackListener.h"
 #include "transport/EventLoop.h"
 #include "transport/TransportError.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -55,38 +55,29 @@
     class ClosingServer {
     public:
         ClosingServer()
-            : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+            : m_thread([this] { serve(); })
         {
-            sockaddr_in address {};
-            address.sin_family = AF_INET;
-            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            (void)bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-            listen(m_socket, 8);
-            socklen_t length = sizeof address;
-            getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &length);
-            m_port = ntohs(address.sin_port);
-            m_thread = std::thread([this] {
-                for (int connection = accept(m_socket, nullptr, nullptr); connection >= 0;
-                     connection = accept(m_socket, nullptr, nullptr)) {
-                    char buffer[4096];
-                    if (recv(connection, buffer, sizeof buffer, 0) > 0)
-                        ++m_requests;
-                    close(connection);
-                }
-            });
         }
         ~ClosingServer()
         {
-            shutdown(m_socket, SHUT_RDWR);
+            m_listener.shutDown();
             m_thread.join();
-            close(m_socket);
         }
-        std::uint16_t port() const { return m_port; }
+        std::uint16_t port() const { return m_listener.port(); }
         int requests() const { return m_requests; }
 
     private:
-        int m_socket;
-        std::uint16_t m_port = 0;
+        void serve()
+        {
+            for (int connection = m_listener.accept(); connection >= 0; connection = m_listener.accept()) {
+                char buffer[4096];
+                if (recv(connection, buffer, sizeof buffer, 0) > 0)
+                    ++m_requests;
+                close(connection);
+            }
+        }
+
+        testing_support::LoopbackListener m_listener;
         std::atomic<int> m_requests = 0;
         std::thread m_thread;
     };
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -27,6 +27,8 @@
         std::chrono::steady_clock::time_point responseDeadline;
         /// Timer of the next check of the response's progress; 0 without a stall timeout.
         EventLoop::TimerId progressTimer = 0;
+        /// The response was overdue at the last check.
+        bool overdue = false;
         /// When the last byte of the response arrived; empty before the first.
         std::optional<std::chrono::steady_clock::time_point> lastProgress;
 
@@ -184,12 +186,16 @@
     call.progressTimer = 0;
     auto now = std::chrono::steady_clock::now();
     auto deadline = call.lastProgress ? *call.lastProgress + call.stallTimeout : call.responseDeadline;
-    if (now >= deadline) {
+    bool overdue = now >= deadline;
+    if (overdue && call.overdue) {
         finish(id, CURLE_OPERATION_TIMEDOUT);
         return;
     }
-    // A response that begins in the meantime may stall from then on.
-    auto delay = std::min<std::chrono::steady_clock::duration>(deadline - now, call.stallTimeout);
+    call.overdue = overdue;
+    // Bytes that arrived while the loop was busy are read before the second check of an overdue response. A response
+    // that begins in the meantime may stall from then on.
+    auto delay = std::clamp<std::chrono::steady_clock::duration>(
+        deadline - now, std::chrono::steady_clock::duration(0), call.stallTimeout);
     call.progressTimer
         = loop.startTimer(std::chrono::ceil<std::chrono::microseconds>(delay), [this, id] { checkProgress(id); });
 }
