Check the accelerator indices of workers' responses; try the readers left out

What callers would see: a response of one of the product's workers with an accelerator index below 0, or too large for its type and wrapped, was accepted, and the index taken for an allocated accelerator.

Cause: the index was converted without a check of its range.

The indices of the platform's workers are not part of their responses.

WorkerClientTest.OddResponseIsUnknownOrPlausible failed before and passes. The new cases of OddResponse and OddEntry.StoreResponsesCauseOnlyProtocolErrors found nothing.

The soak asks all daemons in turns for the large configuration, and an answer counts only within the limit; before, a slow answer of one daemon could let the next pass late.

--- a/protocol/WorkerClient.cpp
+++ b/protocol/WorkerClient.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/JsonReader.h"
 #include "protocol/ProtocolError.h"
+#include "state/GangShape.h"
 #include "transport/HttpClient.h"
 
 #include <limits>
@@ -70,8 +71,9 @@
         };
         if (reader.has("accelerators")) {
             for (const json& index : reader.array("accelerators")) {
-                if (!index.is_number_integer())
-                    throw ProtocolError(reader.path("accelerators"), "must hold integers");
+                if (!index.is_number_unsigned() || index.get<std::uint64_t>() >= state::maximumAcceleratorsPerTask)
+                    throw ProtocolError(reader.path("accelerators"),
+                        "must hold integers from 0 to " + std::to_string(state::maximumAcceleratorsPerTask - 1));
                 task.accelerators.push_back(index.get<int>());
             }
         }
--- a/tests/platform/OddEntryTest.cpp
+++ b/tests/platform/OddEntryTest.cpp
@@ -139,6 +139,23 @@
     EXPECT_THROW(decodeJob(distant.dump()), protocol::ProtocolError);
 }
 
+// Guards against responses of the store that end the process.
+TEST(OddEntry, StoreResponsesCauseOnlyProtocolErrors)
+{
+    const json listing
+        = json::parse(R"({"items":[{"key":"config","value":"YWI=","offset":4}],"has_more":true,"end_offset":6})");
+    for (const std::string& text : documentsWithOneOddValue(listing)) {
+        try {
+            decodeNewestResponse(text);
+        } catch (const protocol::ProtocolError&) {
+        }
+    }
+    for (const std::string& text : documentsWithOneOddValue(json::parse(R"({"offset":840,"end_offset":842})")))
+        decodeAppendResponse(200, text);
+    for (const std::string& text : documentsWithOneOddValue(json::parse(R"({"reason":"seq","seq":3})")))
+        decodeAppendResponse(409, text);
+}
+
 // Guards against a record with a malformed key that makes its stream unreadable from there on.
 TEST(OddEntry, RecordWithAMalformedKeyDoesNotHideOthers)
 {
--- a/tests/protocol/WorkerClientTest.cpp
+++ b/tests/protocol/WorkerClientTest.cpp
@@ -1,5 +1,7 @@
 #include "protocol/WorkerClient.h"
 
+#include "state/GangShape.h"
+#include "tests/protocol/OddDocuments.h"
 #include "transport/EventLoop.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
@@ -68,4 +70,22 @@
     EXPECT_EQ(response.tasks.front().reason, "exit 1");
 }
 
+// Guards against a response of a worker that ends the process, or whose accelerators do not exist.
+TEST_F(WorkerClientTest, OddResponseIsUnknownOrPlausible)
+{
+    auto document = nlohmann::json::parse(R"({"epoch":9,"renewed":["a"],"lost":["b"],"tasks":[{"job":"j","attempt":2,
+        "epoch":3,"sequence":4,"state":"failed","accelerators":[0,1],"reason":"exit 1"}]})");
+    for (const std::string& text : testing_support::documentsWithOneOddValue(document)) {
+        WorkerResponse response = renewWith(200, text);
+        if (response.status != Status::Ok)
+            continue;
+        for (const state::WorkerTask& task : response.tasks) {
+            for (int accelerator : task.accelerators) {
+                EXPECT_GE(accelerator, 0) << text.substr(0, 300);
+                EXPECT_LT(accelerator, state::maximumAcceleratorsPerTask) << text.substr(0, 300);
+            }
+        }
+    }
+}
+
 } // namespace lentilsaddle::protocol
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -6,6 +6,7 @@
 #include "tests/soak/SoakFaults.h"
 
 #include <memory>
+#include <numeric>
 #include <thread>
 #include <utility>
 
@@ -74,28 +75,26 @@
         for (int daemon = 0; daemon < cluster.options().daemons; ++daemon)
             cluster.setStoreProxy(daemon, slowLink);
         cluster.writeConfiguration(largeConfigurationVersion, largeConfigurationQueues);
-        auto deadline = steady_clock::now() + configurationLimit;
-        for (int daemon = 0; daemon < cluster.options().daemons; ++daemon) {
-            auto inForce = [&] {
-                return session
-                           .call({ .port = cluster.frontPort(daemon),
-                               .path = "/v" + std::to_string(largeConfigurationVersion) + "/",
-                               .headers = { { "Host", "soak.example" }, { "Credential", "key" } },
-                               .timeout = queryTimeout })
-                           .status
-                    == 200;
-            };
-            bool served = inForce();
-            while (!served && steady_clock::now() < deadline) {
-                std::this_thread::sleep_for(milliseconds(20));
-                served = inForce();
-            }
-            if (!served)
-                result.violations.push_back("daemon " + std::to_string(daemon)
-                    + " does not serve a large configuration " + std::to_string(configurationLimit.count())
-                    + " ms after it was written");
-            cluster.setStoreProxy(daemon, {});
+        auto written = steady_clock::now();
+        auto isServed = [&](int daemon) {
+            HttpReply reply = session.call({ .port = cluster.frontPort(daemon),
+                .path = "/v" + std::to_string(largeConfigurationVersion) + "/",
+                .headers = { { "Host", "soak.example" }, { "Credential", "key" } },
+                .timeout = queryTimeout });
+            return reply.status == 200 && steady_clock::now() - written < configurationLimit;
+        };
+        // In turns, so that one daemon's response does not delay the check of another.
+        std::vector<int> missing(static_cast<std::size_t>(cluster.options().daemons));
+        std::iota(missing.begin(), missing.end(), 0);
+        while (!missing.empty() && steady_clock::now() - written < configurationLimit) {
+            std::erase_if(missing, isServed);
+            std::this_thread::sleep_for(milliseconds(20));
         }
+        for (int daemon : missing)
+            result.violations.push_back("daemon " + std::to_string(daemon) + " does not serve a large configuration "
+                + std::to_string(configurationLimit.count()) + " ms after it was written");
+        for (int daemon = 0; daemon < cluster.options().daemons; ++daemon)
+            cluster.setStoreProxy(daemon, {});
     }
 
 } // namespace
