Name the causes of lost runs, and log incarnation and phase with them

Callers saw nothing. The cause is now a type; lost runs are logged with the incarnation, the phase before and whether the start was confirmed, restarts with both incarnations. No decision changes.

--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -50,4 +50,24 @@
     int percent = 0;
 };
 
+/// @return the phase as a log value.
+constexpr const char* allocationPhaseName(Allocation::Phase phase)
+{
+    switch (phase) {
+    case Allocation::Phase::Claiming:
+        return "claiming";
+    case Allocation::Phase::Starting:
+        return "starting";
+    case Allocation::Phase::Uncertain:
+        return "uncertain";
+    case Allocation::Phase::Running:
+        return "running";
+    case Allocation::Phase::Stopping:
+        return "stopping";
+    case Allocation::Phase::StopAcknowledged:
+        return "stop_acknowledged";
+    }
+    return "unknown";
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -62,7 +62,7 @@
         .onFenced = m_hooks.onFenced,
         .onEnded
         = [this, worker](const EndedTask& ended, const Allocation* allocation) { onEnded(worker, ended, allocation); },
-        .onLost = [this, worker](const Allocation& lost, const std::string& reason) { onLost(worker, lost, reason); },
+        .onLost = [this, worker](const Allocation& lost, RunLoss loss) { onLost(worker, lost, loss); },
         .onRunning = [this, worker](const Allocation& allocation) { onRunning(worker, allocation); },
         .onUnknownRun = [this, worker](const RunningTask& running) { onUnknownRun(worker, running); },
         .onChanged = [this] { requestPlan(); },
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -82,7 +82,7 @@
 
     void onEnded(const state::WorkerId& worker, const EndedTask& ended, const Allocation* allocation);
     void recordSpeed(const state::WorkerId& worker, const Allocation& allocation);
-    void onLost(const state::WorkerId& worker, const Allocation& lost, const std::string& reason);
+    void onLost(const state::WorkerId& worker, const Allocation& lost, RunLoss loss);
     void onRunning(const state::WorkerId& worker, const Allocation& allocation);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     TaskStates statesAfterEnd(const state::WorkerId& worker, const EndedTask& ended) const;
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -152,7 +152,7 @@
         });
 }
 
-void BatchScheduler::onLost(const state::WorkerId& worker, const Allocation& lost, const std::string& reason)
+void BatchScheduler::onLost(const state::WorkerId& worker, const Allocation& lost, RunLoss loss)
 {
     m_quarantine.probeAbandoned(worker, lost.task.job);
     m_metrics.increment("lentilsaddle_batch_runs_lost_total");
@@ -168,7 +168,7 @@
         current.checkpoint = lost.checkpoint;
     writeLog(LogLevel::Info, "scheduler", "task requeued",
         { { "job", lost.task.job.value() }, { "task", lost.task.toString() }, { "run", std::to_string(lost.run) },
-            { "worker", worker.value() }, { "reason", reason } });
+            { "worker", worker.value() }, { "cause", runLossName(loss) } });
     m_hooks.storeTasks({ { lost.task, current } }, [this, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             requestPlan();
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -57,7 +57,7 @@
 void WorkerSession::inherit(const Allocation& allocation, std::int64_t incarnation)
 {
     if (m_incarnation != 0 && incarnation != 0 && incarnation < m_incarnation) {
-        m_hooks.onLost(allocation, "the worker was restarted");
+        m_hooks.onLost(allocation, RunLoss::WorkerRestarted);
         return;
     }
     m_allocations[{ allocation.task, allocation.run }] = allocation;
@@ -87,7 +87,7 @@
         return;
     Allocation& allocation = found->second;
     if (!m_hooks.authorised() || !m_clock.known()) {
-        declareLost(key, "the leader's lease had expired or the worker's clock was unknown at the start");
+        declareLost(key, RunLoss::NotSent);
         return;
     }
     allocation.phase = Phase::Starting;
@@ -192,7 +192,7 @@
     case Status::StaleRun:
         // This run or a later one was stopped or has ended on the worker, so the start had no effect.
         allocation.startResolved = true;
-        declareLost(key, "this run or a later one was already stopped or ended on the worker");
+        declareLost(key, RunLoss::StaleRun);
         return;
     case Status::Fenced:
         m_hooks.onFenced();
@@ -206,7 +206,7 @@
     case Status::OtherIncarnation:
         if (stopping && allocation.phase == Phase::Stopping)
             return;
-        declareLost(key, "the worker did not execute the start");
+        declareLost(key, RunLoss::Refused);
         return;
     }
 }
@@ -286,7 +286,7 @@
         return;
     case Status::OtherIncarnation:
         // The incarnation that the request was for has ended.
-        declareLost(key, "another incarnation of the worker responded");
+        declareLost(key, RunLoss::WorkerReplaced);
         return;
     default:
         m_loop.startTimer(m_options.requestRetryDelay, [this, key, alive = std::weak_ptr(m_alive)] {
@@ -302,21 +302,22 @@
     if (incarnation <= m_incarnation) {
         return;
     }
-    bool first = m_incarnation == 0;
-    m_incarnation = incarnation;
-    if (first)
+    std::int64_t previous = std::exchange(m_incarnation, incarnation);
+    if (previous == 0)
         return;
-    writeLog(LogLevel::Warning, "worker", "worker restarted", { { "worker", m_description.id.value() } });
+    writeLog(LogLevel::Warning, "worker", "worker restarted",
+        { { "worker", m_description.id.value() }, { "incarnation", std::to_string(incarnation) },
+            { "previous", std::to_string(previous) }, { "allocations", std::to_string(m_allocations.size()) } });
     m_clock.reset();
     m_latestLeaseEnd = milliseconds(0);
     m_seenEnd = 0;
     m_acknowledgedEnd = 0;
     m_observed = false;
-    declareAllLost("the worker was restarted", true);
+    declareAllLost(RunLoss::WorkerRestarted, true);
     observeNow();
 }
 
-void WorkerSession::declareAllLost(const std::string& reason, bool keepUncertain)
+void WorkerSession::declareAllLost(RunLoss loss, bool keepUncertain)
 {
     std::vector<AllocationKey> keys;
     for (auto& [key, allocation] : m_allocations) {
@@ -330,7 +331,7 @@
             keys.push_back(key);
     }
     for (const AllocationKey& key : keys)
-        declareLost(key, reason);
+        declareLost(key, loss);
     if (!keepUncertain)
         return;
     std::vector<AllocationKey> uncertain;
@@ -342,15 +343,17 @@
         stop(key, "start request without a response before the worker was restarted");
 }
 
-void WorkerSession::declareLost(const AllocationKey& key, const std::string& reason)
+void WorkerSession::declareLost(const AllocationKey& key, RunLoss loss)
 {
     auto node = m_allocations.extract(key);
     if (!node)
         return;
     writeLog(LogLevel::Info, "worker", "run lost",
         { { "task", key.first.toString() }, { "run", std::to_string(key.second) },
-            { "worker", m_description.id.value() }, { "reason", reason } });
-    m_hooks.onLost(node.mapped(), reason);
+            { "worker", m_description.id.value() }, { "cause", runLossName(loss) },
+            { "incarnation", std::to_string(m_incarnation) }, { "phase", allocationPhaseName(node.mapped().phase) },
+            { "confirmed", node.mapped().startResolved ? "true" : "false" } });
+    m_hooks.onLost(node.mapped(), loss);
 }
 
 bool WorkerSession::usable() const
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -4,6 +4,7 @@
 
 #include "coordination/batch/Allocation.h"
 #include "coordination/batch/BatchOptions.h"
+#include "coordination/batch/RunLoss.h"
 #include "coordination/batch/WorkerHooks.h"
 #include "coordination/decisions/batch/WorkerClock.h"
 #include "state/Time.h"
@@ -41,7 +42,7 @@
         /// @param allocation allocation of the run, which has been removed; null if there was none.
         std::function<void(const EndedTask& ended, const Allocation* allocation)> onEnded;
         /// A run has certainly ended without a listed end, or never started. The allocation has been removed.
-        std::function<void(const Allocation& lost, const std::string& reason)> onLost;
+        std::function<void(const Allocation& lost, RunLoss loss)> onLost;
         /// A run is listed as running.
         std::function<void(const Allocation& allocation)> onRunning;
         /// The worker lists a run for which there is no allocation.
@@ -116,8 +117,8 @@
     void abandonStart(const AllocationKey& key);
     void sendStop(const AllocationKey& key);
     void onStopped(const AllocationKey& key, const WorkerCallResult& result);
-    void declareAllLost(const std::string& reason, bool keepUncertain);
-    void declareLost(const AllocationKey& key, const std::string& reason);
+    void declareAllLost(RunLoss loss, bool keepUncertain);
+    void declareLost(const AllocationKey& key, RunLoss loss);
     std::chrono::milliseconds nextLeaseEnd();
 
     transport::EventLoop& m_loop;
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -74,7 +74,7 @@
     case Status::Done:
         break;
     case Status::OtherIncarnation:
-        declareAllLost("another incarnation of the worker responded", false);
+        declareAllLost(RunLoss::WorkerReplaced, false);
         m_reachable = false;
         if (m_listed)
             scheduleObservation(m_options.refusalBackoff);
@@ -141,7 +141,7 @@
     if (m_clock.known() && m_latestLeaseEnd.count() > 0)
         end = std::max(end, m_clock.latestTimeOf(m_latestLeaseEnd));
     if (now >= end + m_options.leaseMargin)
-        declareAllLost("the lease of an unresponsive worker has expired", false);
+        declareAllLost(RunLoss::LeaseExpired, false);
 }
 
 void WorkerSession::applyLists(state::MonotonicTime sent, const Observation& observation)
@@ -201,7 +201,7 @@
             missing.push_back(key);
     }
     for (const AllocationKey& key : missing)
-        declareLost(key, "the worker does not list the run");
+        declareLost(key, RunLoss::NotListed);
 }
 
 } // namespace lentilsaddle::coordination::batch
