Keep a run until a list of the worker's new incarnation does not show it

Callers saw a task that ran twice at the same time. Only the directory and the lists of runs name the incarnation of a worker; the response to a start does not. A start that the next incarnation of a crashed worker executed was booked under the last one. When the leader learnt of the new incarnation, it declared the run lost although it was live, and started the task elsewhere. The tests could not show this, because the fake workers and the stand-in named the incarnation in each response; now both do as the platform does, start their clocks anew with each incarnation and shorten leases.

An allocation now keeps the incarnation under which its start was sent or which listed it. A restart declares nothing lost: the first list of the new incarnation does, for runs that the earlier one had listed and for runs whose start was confirmed before the list was requested. A run that it lists goes on. A start is not retried on a later incarnation, and stops are sent again. Such losses have the cause "worker restarted", also when the list shows the new incarnation first.

--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -31,6 +31,12 @@
     std::int64_t run = 0;
     state::batch::Resources resources;
     Phase phase = Phase::Claiming;
+    /// Incarnation of the worker that was known when the start was sent, or that a claim of an earlier leader names,
+    /// and then the one that listed the run; 0 if unknown.
+    std::int64_t incarnation = 0;
+    /// The incarnation has listed the run. Until then a later one may have executed the start, because responses to
+    /// start requests name no incarnation.
+    bool listed = false;
     /// Claimed by an earlier leader; the first observation in this term shows whether it runs.
     bool inherited = false;
     /// It is known whether the worker executed the start.
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -91,6 +91,7 @@
         return;
     }
     allocation.phase = Phase::Starting;
+    allocation.incarnation = m_incarnation;
     allocation.since = m_hooks.clock();
     sendStart(key, payload);
     if (!m_observing)
@@ -121,8 +122,9 @@
     allocation.attemptTimedOut = true;
     if (allocation.phase != Phase::Starting)
         return;
-    // The worker recognises a run that it already has, so the start can be retried there, and only there.
-    bool retry = m_hooks.clock() - allocation.since < m_options.startRetryLimit && m_hooks.authorised();
+    // The incarnation recognises a run that it already has, so the start can be retried there, and only there.
+    bool retry = m_hooks.clock() - allocation.since < m_options.startRetryLimit && m_hooks.authorised()
+        && !startedOnEarlierIncarnation(allocation);
     if (retry) {
         sendStart(key, payload);
         return;
@@ -237,6 +239,8 @@
         .run = running.run,
         .resources = resources,
         .phase = Phase::Running,
+        .incarnation = m_incarnation,
+        .listed = true,
         .startResolved = true,
         .checkpoint = running.checkpoint,
         .since = m_hooks.clock(),
@@ -313,34 +317,43 @@
     m_seenEnd = 0;
     m_acknowledgedEnd = 0;
     m_observed = false;
-    declareAllLost(RunLoss::WorkerRestarted, true);
+    repeatStops();
+    // The new incarnation may have executed starts, so only its list shows which runs have ended.
     observeNow();
 }
 
-void WorkerSession::declareAllLost(RunLoss loss, bool keepUncertain)
+void WorkerSession::repeatStops()
 {
     std::vector<AllocationKey> keys;
     for (auto& [key, allocation] : m_allocations) {
-        // A start without a response may still be executed by the next incarnation.
-        bool uncertain = !allocation.startResolved && !allocation.inherited && allocation.phase != Phase::Claiming;
-        if (keepUncertain && uncertain) {
-            allocation.phase = Phase::Uncertain;
+        if (allocation.phase != Phase::StopAcknowledged)
             continue;
-        }
+        allocation.phase = Phase::Stopping;
+        keys.push_back(key);
+    }
+    for (const AllocationKey& key : keys)
+        sendStop(key);
+}
+
+bool WorkerSession::startedOnEarlierIncarnation(const Allocation& allocation) const
+{
+    return allocation.incarnation != 0 && allocation.incarnation < m_incarnation;
+}
+
+bool WorkerSession::endedWithIncarnation(const Allocation& allocation) const
+{
+    return allocation.listed && startedOnEarlierIncarnation(allocation);
+}
+
+void WorkerSession::declareAllLost(RunLoss loss)
+{
+    std::vector<AllocationKey> keys;
+    for (const auto& [key, allocation] : m_allocations) {
         if (allocation.phase != Phase::Claiming)
             keys.push_back(key);
     }
     for (const AllocationKey& key : keys)
         declareLost(key, loss);
-    if (!keepUncertain)
-        return;
-    std::vector<AllocationKey> uncertain;
-    for (const auto& [key, allocation] : m_allocations) {
-        if (allocation.phase == Phase::Uncertain)
-            uncertain.push_back(key);
-    }
-    for (const AllocationKey& key : uncertain)
-        stop(key, "start request without a response before the worker was restarted");
 }
 
 void WorkerSession::declareLost(const AllocationKey& key, RunLoss loss)
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -109,6 +109,14 @@
     void applyEnds(const Observation& observation);
     void dropMissing(state::MonotonicTime sent, const Observation& observation);
     void updateIncarnation(std::int64_t incarnation);
+    /// Sends the stops again that an earlier incarnation may have acknowledged.
+    void repeatStops();
+    bool startedOnEarlierIncarnation(const Allocation& allocation) const;
+    /// @return whether the run ended with an earlier incarnation of the worker, which had listed it.
+    bool endedWithIncarnation(const Allocation& allocation) const;
+    /// @return whether a run that an observation does not list has ended and cannot start any more.
+    /// @param sent when the observation was sent.
+    bool endedUnlessListed(const Allocation& allocation, state::MonotonicTime sent) const;
     void updateFromResponse(const WorkerCallResult& result);
     void sendStart(const AllocationKey& key, const std::string& payload);
     void onStarted(const AllocationKey& key, const std::string& payload, const WorkerCallResult& result);
@@ -117,7 +125,7 @@
     void abandonStart(const AllocationKey& key);
     void sendStop(const AllocationKey& key);
     void onStopped(const AllocationKey& key, const WorkerCallResult& result);
-    void declareAllLost(RunLoss loss, bool keepUncertain);
+    void declareAllLost(RunLoss loss);
     void declareLost(const AllocationKey& key, RunLoss loss);
     std::chrono::milliseconds nextLeaseEnd();
 
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -74,7 +74,7 @@
     case Status::Done:
         break;
     case Status::OtherIncarnation:
-        declareAllLost(RunLoss::WorkerReplaced, false);
+        declareAllLost(RunLoss::WorkerReplaced);
         m_reachable = false;
         if (m_listed)
             scheduleObservation(m_options.refusalBackoff);
@@ -141,7 +141,7 @@
     if (m_clock.known() && m_latestLeaseEnd.count() > 0)
         end = std::max(end, m_clock.latestTimeOf(m_latestLeaseEnd));
     if (now >= end + m_options.leaseMargin)
-        declareAllLost(RunLoss::LeaseExpired, false);
+        declareAllLost(RunLoss::LeaseExpired);
 }
 
 void WorkerSession::applyLists(state::MonotonicTime sent, const Observation& observation)
@@ -157,6 +157,8 @@
             allocation.checkpoint = running.checkpoint;
         allocation.observedFromStart = allocation.observedFromStart && !allocation.inherited;
         allocation.inherited = false;
+        allocation.incarnation = m_incarnation;
+        allocation.listed = true;
         allocation.startResolved = true;
         allocation.percent = running.percent;
         if (allocation.phase == Phase::Starting || allocation.phase == Phase::Uncertain) {
@@ -192,16 +194,25 @@
         listed.insert({ running.task, running.run });
     std::vector<AllocationKey> missing;
     for (const auto& [key, allocation] : m_allocations) {
-        if (listed.contains(key))
-            continue;
-        // The worker no longer executes requests of earlier terms, because it has seen this term.
-        bool certain = allocation.inherited || (allocation.phase == Phase::Running && allocation.confirmableFrom < sent)
-            || (allocation.phase == Phase::StopAcknowledged && allocation.confirmableFrom + m_options.stopGrace < sent);
-        if (certain)
+        if (!listed.contains(key) && endedUnlessListed(allocation, sent))
             missing.push_back(key);
     }
-    for (const AllocationKey& key : missing)
-        declareLost(key, RunLoss::NotListed);
+    for (const AllocationKey& key : missing) {
+        bool restarted = startedOnEarlierIncarnation(m_allocations.at(key));
+        declareLost(key, restarted ? RunLoss::WorkerRestarted : RunLoss::NotListed);
+    }
+}
+
+bool WorkerSession::endedUnlessListed(const Allocation& allocation, state::MonotonicTime sent) const
+{
+    if (endedWithIncarnation(allocation))
+        return true;
+    // The worker no longer executes requests of earlier terms, because it has seen this term.
+    if (allocation.inherited)
+        return true;
+    if (allocation.phase == Phase::Running)
+        return allocation.confirmableFrom < sent;
+    return allocation.phase == Phase::StopAcknowledged && allocation.confirmableFrom + m_options.stopGrace < sent;
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -7,9 +7,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <set>
+#include <sstream>
 #include <thread>
 
 namespace lentilsaddle::coordination::batch {
@@ -38,6 +40,7 @@
         options.submitTimeout = milliseconds(100);
         options.journalWait = milliseconds(50);
         options.directoryWait = milliseconds(50);
+        options.directoryReadInterval = milliseconds(40);
         options.readTimeout = milliseconds(100);
         options.storeRetryDelay = milliseconds(10);
         options.staleAfter = milliseconds(250);
@@ -108,14 +111,19 @@
             return {
                 .journal = m_store.hooksFor(loop),
                 .worker = m_workers.hooksFor(loop),
+                // An entry is `STATE`, or `STATE INCARNATION` after a restart of the worker.
                 .decodeWorker =
                     [](const std::string& key, const std::string& value) {
+                        std::istringstream entry(value);
+                        std::string lifecycle;
+                        std::int64_t incarnation = 0;
+                        entry >> lifecycle >> incarnation;
                         return std::optional(BatchWorker {
                             .id = state::WorkerId(key),
                             .service = state::ServiceId("s"),
                             .capacity = { .milliCores = 8, .memoryMegabytes = 8, .accelerators = 8 },
-                            .draining = value == "draining",
-                            .incarnation = 1,
+                            .draining = lifecycle == "draining",
+                            .incarnation = std::max<std::int64_t>(incarnation, 1),
                         });
                     },
                 .decodeConfiguration =
@@ -156,6 +164,17 @@
             return waitUntil([this] { return m_workers.running().size() == 1; });
         }
 
+        // Runs another job on w1 to its end, so that the worker has responded a moment ago and has no runs.
+        void runFirstJob(BatchTask& task)
+        {
+            BatchJob job = makeJob();
+            job.id = state::JobId("00000000000000ee");
+            submit(task, job);
+            ASSERT_TRUE(waitUntilRunning());
+            m_workers.finish("w1", "00000000000000ee.0.0.0", EndedTask::Reason::Done);
+            ASSERT_TRUE(waitUntil([this] { return m_workers.acknowledged("w1") == 1; }));
+        }
+
         transport::Metrics m_metrics;
         FakeStore m_store;
         FakeWorkers m_workers;
@@ -360,6 +379,58 @@
     EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
 }
 
+// Guards against a second run of a task whose start was executed by the next incarnation of its worker, before that was
+// known: only lists of runs state the incarnation, so the response to the start does not show it.
+TEST_F(BatchTaskTest, StartExecutedByTheNextIncarnationIsNotDeclaredLost)
+{
+    auto task = startInstance("e-1");
+    runFirstJob(*task);
+    m_workers.restart("w1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+    EXPECT_FALSE(m_workers.ranTwice());
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+}
+
+// Guards against the same, and against a second run at the same time elsewhere, if the directory shows the new
+// incarnation before a list of runs does.
+TEST_F(BatchTaskTest, DirectoryEntryOfTheNextIncarnationDoesNotEndARunThere)
+{
+    auto task = startInstance("e-1");
+    runFirstJob(*task);
+    m_workers.restart("w1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    // The first observation after the start is in flight then.
+    std::this_thread::sleep_for(shortOptions().observeWait / 4 + milliseconds(15));
+    m_store.put(Stream::Directory, "w2", "ready");
+    m_store.put(Stream::Directory, "w1", "ready 2");
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against a second run of a task beside a late start that the next incarnation of its worker executes.
+TEST_F(BatchTaskTest, LateStartInTheNextIncarnationDoesNotRunATaskTwice)
+{
+    m_store.put(Stream::Directory, "w2", "draining");
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_workers.delayNextStart(milliseconds(400));
+    submit(*task, makeJob());
+    std::this_thread::sleep_for(milliseconds(30));
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    m_store.put(Stream::Directory, "w1", "ready 2");
+    ASSERT_TRUE(waitUntilRunning());
+    std::this_thread::sleep_for(milliseconds(600));
+    EXPECT_FALSE(m_workers.ranTwice());
+    EXPECT_EQ(m_workers.running().size(), 1U);
+}
+
 // Guards against acknowledging, and so losing, the ends of a new incarnation by the numbers of the earlier one.
 TEST_F(BatchTaskTest, EndsOfANewIncarnationAreAcknowledgedByTheirOwnNumbers)
 {
@@ -376,7 +447,6 @@
     };
     runAll(jobId, 4);
     m_workers.restart("w1");
-    // The response to this start shows the new incarnation, so the task may be started once more.
     BatchJob first = makeJob();
     first.id = state::JobId("00000000000000bb");
     submit(*task, first);
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -1,5 +1,6 @@
 /// @file
-/// In-memory workers with fault injection, which detect tasks that run twice at the same time.
+/// In-memory workers with fault injection, which detect tasks that run twice at the same time. As on the platform, only
+/// lists of runs state the incarnation, and the clock of a worker starts at zero with each incarnation.
 #pragma once
 
 #include "coordination/batch/WorkerHooks.h"
@@ -17,6 +18,9 @@
 /// Shared by the tasks of one test. Tasks run until finish() is called.
 class FakeWorkers {
 public:
+    /// A longer lease is shortened to this.
+    static constexpr std::chrono::milliseconds longestLease { 2'000 };
+
     WorkerHooks hooksFor(transport::EventLoop& loop)
     {
         return {
@@ -57,6 +61,7 @@
         std::int64_t incarnation = m_workers[worker].incarnation;
         m_workers[worker] = {};
         m_workers[worker].incarnation = incarnation + 1;
+        m_workers[worker].begin = steadyNow();
     }
 
     /// Makes a worker unreachable. Its tasks keep running until their lease expires.
@@ -125,7 +130,7 @@
     std::chrono::milliseconds remainingLease(const std::string& worker)
     {
         std::lock_guard lock(m_mutex);
-        return m_workers[worker].leaseEnd - clockNow();
+        return m_workers[worker].leaseEnd - clockOf(m_workers[worker]);
     }
 
     /// @return the highest acknowledged end of a worker.
@@ -145,14 +150,18 @@
         std::int64_t acknowledged = 0;
         WorkerTime leaseEnd { 0 };
         std::int64_t incarnation = 1;
+        /// Start of the incarnation, on the clock of the test.
+        WorkerTime begin { 0 };
         bool unreachable = false;
     };
 
-    static WorkerTime clockNow()
+    static WorkerTime steadyNow()
     {
         return std::chrono::duration_cast<WorkerTime>(std::chrono::steady_clock::now().time_since_epoch());
     }
 
+    static WorkerTime clockOf(const Worker& worker) { return steadyNow() - worker.begin; }
+
     template <typename Result>
     static void respond(transport::EventLoop& loop, const std::function<void(Result)>& reply, const Result& result)
     {
@@ -176,11 +185,16 @@
         ++m_observations;
     }
 
+    static void extendLease(Worker& worker, WorkerTime end)
+    {
+        worker.leaseEnd = std::max(worker.leaseEnd, std::min(end, clockOf(worker) + longestLease));
+    }
+
     // Ends the runs on unreachable workers whose lease has expired.
     void expireLeases()
     {
         for (auto& [id, worker] : m_workers) {
-            if (worker.unreachable && clockNow() > worker.leaseEnd)
+            if (worker.unreachable && clockOf(worker) > worker.leaseEnd)
                 worker.running.clear();
         }
     }
@@ -188,22 +202,20 @@
     WorkerCallResult executeStart(const std::string& id, const StartRequest& request)
     {
         Worker& worker = m_workers[id];
-        WorkerCallResult result {
-            .status = WorkerCallResult::Status::Done, .clock = clockNow(), .incarnation = worker.incarnation
-        };
+        WorkerCallResult result { .status = WorkerCallResult::Status::Done, .clock = clockOf(worker) };
         std::string task = request.task.toString();
         if (request.term < worker.term)
             result.status = WorkerCallResult::Status::Fenced;
         else if (worker.highestEnded.contains(task) && request.run <= worker.highestEnded[task])
             result.status = WorkerCallResult::Status::StaleRun;
-        else if (request.leaseEnd <= clockNow())
+        else if (request.leaseEnd <= clockOf(worker))
             result.status = WorkerCallResult::Status::LeaseExpired;
         if (result.status != WorkerCallResult::Status::Done)
             return result;
         worker.term = request.term;
         if (worker.running.contains(task) && worker.running[task] == request.run)
             return result;
-        worker.leaseEnd = std::max(worker.leaseEnd, request.leaseEnd);
+        extendLease(worker, request.leaseEnd);
         expireLeases();
         for (const auto& [other, otherWorker] : m_workers)
             m_ranTwice = m_ranTwice || otherWorker.running.contains(task);
@@ -251,9 +263,7 @@
             return;
         }
         std::string task = request.task.toString();
-        WorkerCallResult result {
-            .status = WorkerCallResult::Status::Done, .clock = clockNow(), .incarnation = target.incarnation
-        };
+        WorkerCallResult result { .status = WorkerCallResult::Status::Done, .clock = clockOf(target) };
         if (request.term < target.term) {
             result.status = WorkerCallResult::Status::Fenced;
         } else if (target.running.contains(task) && target.running[task] == request.run) {
@@ -276,10 +286,10 @@
             return;
         }
         if (request.leaseEnd)
-            target.leaseEnd = std::max(target.leaseEnd, *request.leaseEnd);
+            extendLease(target, *request.leaseEnd);
         Observation observation;
         observation.result
-            = { .status = WorkerCallResult::Status::Done, .clock = clockNow(), .incarnation = target.incarnation };
+            = { .status = WorkerCallResult::Status::Done, .clock = clockOf(target), .incarnation = target.incarnation };
         if (request.term < target.term) {
             observation.result.status = WorkerCallResult::Status::Fenced;
             respond(loop, reply, observation);
--- a/tests/standin/BatchRunner.cpp
+++ b/tests/standin/BatchRunner.cpp
@@ -53,7 +53,7 @@
 
 BatchRunner::Response BatchRunner::makeResponse(int status, Time now, const std::string& reason) const
 {
-    Response response { .status = status, .body = { { "clock_ms", clockMs(now) }, { "born", m_incarnation } } };
+    Response response { .status = status, .body = { { "clock_ms", clockMs(now) } } };
     if (!reason.empty())
         response.body["reason"] = reason;
     return response;
@@ -68,10 +68,11 @@
     return true;
 }
 
-void BatchRunner::extendLease(const json& command)
+void BatchRunner::extendLease(const json& command, Time now)
 {
     if (command.contains("deadline_ms"))
-        m_leaseEnd = std::max(m_leaseEnd, command.at("deadline_ms").get<std::int64_t>());
+        m_leaseEnd = std::max(
+            m_leaseEnd, std::min(command.at("deadline_ms").get<std::int64_t>(), clockMs(now) + maximumLeaseMs));
 }
 
 BatchRunner::Response BatchRunner::start(const json& command, Time now)
@@ -83,7 +84,7 @@
     auto number = command.at("run").get<std::int64_t>();
     if (command.at("deadline_ms").get<std::int64_t>() <= clockMs(now))
         return makeResponse(409, now, "late");
-    extendLease(command);
+    extendLease(command, now);
     if (auto known = m_runs.find(task); known != m_runs.end() && m_spans[known->second.span].run == number)
         return makeResponse(200, now);
     if (auto closed = m_highestClosedRuns.find(task); closed != m_highestClosedRuns.end() && number <= closed->second)
@@ -129,9 +130,7 @@
     advance(now);
     if (!acceptFence(command))
         return makeResponse(409, now, "fence");
-    if (command.contains("deadline_ms"))
-        extendLease({ { "deadline_ms",
-            std::min(command.at("deadline_ms").get<std::int64_t>(), clockMs(now) + maximumLeaseMs) } });
+    extendLease(command, now);
     auto acknowledged = command.value("acked_upto", std::int64_t { 0 });
     for (const End& ended : m_unacknowledgedEnds) {
         if (ended.number <= acknowledged && !ended.leaseExpired)
@@ -145,6 +144,8 @@
 {
     m_listedEndCount = m_unacknowledgedEnds.size();
     Response listed = makeResponse(200, now);
+    // Only lists of runs state the incarnation.
+    listed.body["born"] = m_incarnation;
     listed.body["running"] = json::array();
     for (const auto& [task, run] : m_runs)
         listed.body["running"].push_back(json::array({ task, m_spans[run.span].run, "", 0 }));
--- a/tests/standin/BatchRunner.h
+++ b/tests/standin/BatchRunner.h
@@ -98,7 +98,8 @@
     /// Stores the fencing token of a command.
     /// @return false if the token is older than the newest one seen.
     bool acceptFence(const nlohmann::json& command);
-    void extendLease(const nlohmann::json& command);
+    /// Extends the lease to the end that a command names, at most by the longest lease.
+    void extendLease(const nlohmann::json& command, Time now);
     void endRun(std::map<std::string, Run>::iterator run, const std::string& outcome, Time now);
 
     std::string m_id;
