Stop a run in the new incarnation if one of its start requests had no response

Callers saw a task that ran twice at the same time. A start request without a response was retried and confirmed; after a crash of the worker the run was declared lost although the first request could still be executed, then by the next incarnation, which refuses no run of the last one.

The allocation now keeps whether a start request is in flight or had no response. Such a run is lost only when the incarnation that does not list it has acknowledged a stop, after which it refuses the late start. Whether the platform executes requests that late in a later incarnation is not known (open question in docs/platform.md).

--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -41,6 +41,8 @@
     bool inherited = false;
     /// It is known whether the worker executed the start.
     bool startResolved = false;
+    /// A start request has no response yet.
+    bool startInFlight = false;
     /// A start request had no response, so definite responses to its retries do not show whether it runs.
     bool attemptTimedOut = false;
     std::string checkpoint;
@@ -54,6 +56,9 @@
     bool observedFromStart = false;
     /// Share of the work that is done, 0 to 100.
     int percent = 0;
+
+    /// @return whether a start request may still be executed, by this incarnation of the worker or by a later one.
+    bool startOutstanding() const { return startInFlight || attemptTimedOut; }
 };
 
 /// @return the phase as a log value.
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -100,7 +100,8 @@
 
 void WorkerSession::sendStart(const AllocationKey& key, const std::string& payload)
 {
-    const Allocation& allocation = m_allocations.at(key);
+    Allocation& allocation = m_allocations.at(key);
+    allocation.startInFlight = true;
     StartRequest request {
         .task = allocation.task,
         .run = allocation.run,
@@ -165,6 +166,7 @@
     if (found == m_allocations.end())
         return;
     Allocation& allocation = found->second;
+    allocation.startInFlight = false;
     bool stopping = allocation.phase == Phase::Stopping || allocation.phase == Phase::StopAcknowledged;
     if (result.status != Status::Done)
         writeLog(LogLevel::Info, "worker", "start not confirmed",
@@ -342,7 +344,7 @@
 
 bool WorkerSession::endedWithIncarnation(const Allocation& allocation) const
 {
-    return allocation.listed && startedOnEarlierIncarnation(allocation);
+    return allocation.listed && startedOnEarlierIncarnation(allocation) && !allocation.startOutstanding();
 }
 
 void WorkerSession::declareAllLost(RunLoss loss)
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -108,11 +108,14 @@
     void applyLists(state::MonotonicTime sent, const Observation& observation);
     void applyEnds(const Observation& observation);
     void dropMissing(state::MonotonicTime sent, const Observation& observation);
+    /// Stops a run that an observation does not list, if a start request without a response may still be executed.
+    void stopOutstandingStart(const AllocationKey& key, state::MonotonicTime sent);
     void updateIncarnation(std::int64_t incarnation);
     /// Sends the stops again that an earlier incarnation may have acknowledged.
     void repeatStops();
     bool startedOnEarlierIncarnation(const Allocation& allocation) const;
-    /// @return whether the run ended with an earlier incarnation of the worker, which had listed it.
+    /// @return whether the run ended with an earlier incarnation of the worker, which had listed it, and cannot start
+    /// again.
     bool endedWithIncarnation(const Allocation& allocation) const;
     /// @return whether a run that an observation does not list has ended and cannot start any more.
     /// @param sent when the observation was sent.
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -194,15 +194,26 @@
         listed.insert({ running.task, running.run });
     std::vector<AllocationKey> missing;
     for (const auto& [key, allocation] : m_allocations) {
-        if (!listed.contains(key) && endedUnlessListed(allocation, sent))
+        if (!listed.contains(key))
             missing.push_back(key);
     }
     for (const AllocationKey& key : missing) {
+        if (!endedUnlessListed(m_allocations.at(key), sent)) {
+            stopOutstandingStart(key, sent);
+            continue;
+        }
         bool restarted = startedOnEarlierIncarnation(m_allocations.at(key));
         declareLost(key, restarted ? RunLoss::WorkerRestarted : RunLoss::NotListed);
     }
 }
 
+void WorkerSession::stopOutstandingStart(const AllocationKey& key, state::MonotonicTime sent)
+{
+    const Allocation& allocation = m_allocations.at(key);
+    if (allocation.phase == Phase::Running && allocation.confirmableFrom < sent && !allocation.startInFlight)
+        stop(key, "start request without a response");
+}
+
 bool WorkerSession::endedUnlessListed(const Allocation& allocation, state::MonotonicTime sent) const
 {
     if (endedWithIncarnation(allocation))
@@ -210,8 +221,11 @@
     // The worker no longer executes requests of earlier terms, because it has seen this term.
     if (allocation.inherited)
         return true;
-    if (allocation.phase == Phase::Running)
-        return allocation.confirmableFrom < sent;
+    if (allocation.phase == Phase::Running) {
+        // An incarnation that has run it executes no other start request of the run.
+        bool listedHere = allocation.listed && !startedOnEarlierIncarnation(allocation);
+        return allocation.confirmableFrom < sent && (listedHere || !allocation.startOutstanding());
+    }
     return allocation.phase == Phase::StopAcknowledged && allocation.confirmableFrom + m_options.stopGrace < sent;
 }
 
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -431,6 +431,25 @@
     EXPECT_EQ(m_workers.running().size(), 1U);
 }
 
+// Guards against a second run beside a late start whose retry had been confirmed before the worker was restarted.
+TEST_F(BatchTaskTest, LateStartWithAConfirmedRetryDoesNotRunATaskTwice)
+{
+    m_store.put(Stream::Directory, "w2", "draining");
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_workers.delayNextStart(milliseconds(600));
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    // Longer than an observation, so that a list has shown the run.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    std::this_thread::sleep_for(milliseconds(600));
+    EXPECT_FALSE(m_workers.ranTwice());
+    EXPECT_EQ(m_workers.running().size(), 1U);
+}
+
 // Guards against acknowledging, and so losing, the ends of a new incarnation by the numbers of the earlier one.
 TEST_F(BatchTaskTest, EndsOfANewIncarnationAreAcknowledgedByTheirOwnNumbers)
 {
