Do not count a stop that an earlier incarnation of the worker acknowledged

Callers saw a task that ran twice at the same time. A stop that was in flight when the leader learnt of a restart was taken for acknowledged by the new incarnation, which had not received it and still executed a late start of the run.

Each stop request keeps the incarnation that was known when it was sent. If a later one is known when the response arrives, the stop is sent again; the repetition does no harm to a run that has stopped already.

--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -265,13 +265,13 @@
     found->second.stopInFlight = true;
     StopRequest request { .task = key.first, .run = key.second, .term = m_term };
     m_worker.stop(m_description, request, m_options.requestTimeout,
-        [this, key, alive = std::weak_ptr(m_alive)](const WorkerCallResult& result) {
+        [this, key, incarnation = m_incarnation, alive = std::weak_ptr(m_alive)](const WorkerCallResult& result) {
             if (!alive.expired())
-                onStopped(key, result);
+                onStopped(key, incarnation, result);
         });
 }
 
-void WorkerSession::onStopped(const AllocationKey& key, const WorkerCallResult& result)
+void WorkerSession::onStopped(const AllocationKey& key, std::int64_t incarnation, const WorkerCallResult& result)
 {
     updateFromResponse(result);
     auto found = m_allocations.find(key);
@@ -279,6 +279,11 @@
         return;
     Allocation& allocation = found->second;
     allocation.stopInFlight = false;
+    if (incarnation != m_incarnation && result.status != Status::Fenced) {
+        // An earlier incarnation may have responded.
+        sendStop(key);
+        return;
+    }
     switch (result.status) {
     case Status::Fenced:
         m_hooks.onFenced();
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -127,7 +127,8 @@
     void retryStartLater(const AllocationKey& key, const std::string& payload);
     void abandonStart(const AllocationKey& key);
     void sendStop(const AllocationKey& key);
-    void onStopped(const AllocationKey& key, const WorkerCallResult& result);
+    /// @param incarnation incarnation of the worker that was known when the request was sent.
+    void onStopped(const AllocationKey& key, std::int64_t incarnation, const WorkerCallResult& result);
     void declareAllLost(RunLoss loss);
     void declareLost(const AllocationKey& key, RunLoss loss);
     std::chrono::milliseconds nextLeaseEnd();
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -450,6 +450,30 @@
     EXPECT_EQ(m_workers.running().size(), 1U);
 }
 
+// Guards against a second run beside a late start that only an earlier incarnation of the worker was told to refuse.
+TEST_F(BatchTaskTest, StopAcknowledgedByAnEarlierIncarnationIsSentAgain)
+{
+    m_store.put(Stream::Directory, "w2", "draining");
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_workers.delayNextStart(milliseconds(1'000));
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    // Longer than an observation, so that a list has shown the run.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.delayNextStopResponse(milliseconds(300));
+    m_workers.restart("w1");
+    // Longer than an observation, so that the run is being stopped on the second incarnation.
+    std::this_thread::sleep_for(milliseconds(150));
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    m_store.put(Stream::Directory, "w1", "ready 3");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    std::this_thread::sleep_for(milliseconds(800));
+    EXPECT_FALSE(m_workers.ranTwice());
+    EXPECT_EQ(m_workers.running().size(), 1U);
+}
+
 // Guards against acknowledging, and so losing, the ends of a new incarnation by the numbers of the earlier one.
 TEST_F(BatchTaskTest, EndsOfANewIncarnationAreAcknowledgedByTheirOwnNumbers)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -54,6 +54,13 @@
         m_loseNextStart = true;
     }
 
+    /// The next stop request to any worker is executed, and its response arrives after the delay.
+    void delayNextStopResponse(std::chrono::milliseconds delay)
+    {
+        std::lock_guard lock(m_mutex);
+        m_nextStopResponseDelay = delay;
+    }
+
     /// Restarts a worker under its identity: it has no runs and no state, and numbers its ends from 1.
     void restart(const std::string& worker)
     {
@@ -272,7 +279,7 @@
         } else {
             target.highestEnded[task] = std::max(target.highestEnded[task], request.run);
         }
-        respond(loop, reply, result);
+        loop.startTimer(std::exchange(m_nextStopResponseDelay, {}), [reply, result] { reply(result); });
     }
 
     void observe(transport::EventLoop& loop, const state::batch::BatchWorker& worker, const ObserveRequest& request,
@@ -314,6 +321,7 @@
     std::map<std::string, Worker> m_workers;
     std::map<std::string, int> m_starts;
     std::chrono::milliseconds m_nextStartDelay { 0 };
+    std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     bool m_ranTwice = false;
     int m_observations = 0;
     bool m_loseNextStart = false;
