Read the clock of a new incarnation only from responses to requests that were sent to it

Callers could see a task that ran twice at the same time. The clock of a worker starts anew with each incarnation, but responses to starts and stops do not name the incarnation. A late one of the earlier incarnation set the clock of the new one far ahead, and lower readings are ignored. Each lease that the leader requested then was longer than the one it waited for before it declared the runs of an unresponsive worker lost.

Evidence: in BatchTaskTest.LateResponseOfAnEarlierIncarnationDoesNotExtendLeases the fake worker granted its longest lease, 2,000 ms instead of 900 ms, in 3 of 3 runs before; it passes now (3 of 3).

Each request keeps the incarnation that was known when it was sent. A response that names none is a reading of the clock only if that incarnation is still the known one.

--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -111,9 +111,10 @@
         .term = m_term,
     };
     m_worker.start(m_description, request, m_options.startTimeout,
-        [this, key, payload, alive = std::weak_ptr(m_alive)](const WorkerCallResult& result) {
+        [this, key, incarnation = m_incarnation, payload, alive = std::weak_ptr(m_alive)](
+            const WorkerCallResult& result) {
             if (!alive.expired())
-                onStarted(key, payload, result);
+                onStarted(key, incarnation, payload, result);
         });
 }
 
@@ -151,17 +152,20 @@
     stop(key, "start request without a response");
 }
 
-void WorkerSession::updateFromResponse(const WorkerCallResult& result)
+void WorkerSession::updateFromResponse(std::int64_t incarnation, const WorkerCallResult& result)
 {
     if (result.incarnation != 0)
         updateIncarnation(result.incarnation);
-    if (result.clock && (result.incarnation == 0 || result.incarnation == m_incarnation))
+    // A late response without an incarnation may carry the clock of an earlier one, which bounds no lease.
+    std::int64_t responder = result.incarnation != 0 ? result.incarnation : incarnation;
+    if (result.clock && responder == m_incarnation)
         m_clock.addReading(*result.clock, m_hooks.clock());
 }
 
-void WorkerSession::onStarted(const AllocationKey& key, const std::string& payload, const WorkerCallResult& result)
+void WorkerSession::onStarted(
+    const AllocationKey& key, std::int64_t incarnation, const std::string& payload, const WorkerCallResult& result)
 {
-    updateFromResponse(result);
+    updateFromResponse(incarnation, result);
     auto found = m_allocations.find(key);
     if (found == m_allocations.end())
         return;
@@ -273,7 +277,7 @@
 
 void WorkerSession::onStopped(const AllocationKey& key, std::int64_t incarnation, const WorkerCallResult& result)
 {
-    updateFromResponse(result);
+    updateFromResponse(incarnation, result);
     auto found = m_allocations.find(key);
     if (found == m_allocations.end())
         return;
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -103,7 +103,8 @@
     bool respondedRecently() const;
     void scheduleObservation(std::chrono::milliseconds delay);
     void observe();
-    void onObserved(state::MonotonicTime sent, const Observation& observation);
+    /// @param incarnation incarnation of the worker that was known when the request was sent.
+    void onObserved(state::MonotonicTime sent, std::int64_t incarnation, const Observation& observation);
     void onUnresponsive(const std::string& error);
     void applyLists(state::MonotonicTime sent, const Observation& observation);
     void applyEnds(const Observation& observation);
@@ -120,9 +121,12 @@
     /// @return whether a run that an observation does not list has ended and cannot start any more.
     /// @param sent when the observation was sent.
     bool endedUnlessListed(const Allocation& allocation, state::MonotonicTime sent) const;
-    void updateFromResponse(const WorkerCallResult& result);
+    /// @param incarnation incarnation of the worker that was known when the request was sent.
+    void updateFromResponse(std::int64_t incarnation, const WorkerCallResult& result);
     void sendStart(const AllocationKey& key, const std::string& payload);
-    void onStarted(const AllocationKey& key, const std::string& payload, const WorkerCallResult& result);
+    /// @param incarnation incarnation of the worker that was known when the request was sent.
+    void onStarted(
+        const AllocationKey& key, std::int64_t incarnation, const std::string& payload, const WorkerCallResult& result);
     void onStartTimedOut(const AllocationKey& key, const std::string& payload);
     void retryStartLater(const AllocationKey& key, const std::string& payload);
     void abandonStart(const AllocationKey& key);
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -58,13 +58,14 @@
     };
     m_observing = true;
     m_worker.observe(m_description, request, m_options.requestTimeout,
-        [this, sent = m_hooks.clock(), alive = std::weak_ptr(m_alive)](const Observation& observation) {
+        [this, sent = m_hooks.clock(), incarnation = m_incarnation, alive = std::weak_ptr(m_alive)](
+            const Observation& observation) {
             if (!alive.expired())
-                onObserved(sent, observation);
+                onObserved(sent, incarnation, observation);
         });
 }
 
-void WorkerSession::onObserved(state::MonotonicTime sent, const Observation& observation)
+void WorkerSession::onObserved(state::MonotonicTime sent, std::int64_t incarnation, const Observation& observation)
 {
     m_observing = false;
     switch (observation.result.status) {
@@ -89,7 +90,7 @@
         return;
     }
     bool clockWasKnown = m_clock.known();
-    updateFromResponse(observation.result);
+    updateFromResponse(incarnation, observation.result);
     bool wasUsable = usable();
     if (m_unresponsiveSince)
         writeLog(LogLevel::Info, "worker", "responds again", { { "worker", m_description.id.value() } });
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -474,6 +474,25 @@
     EXPECT_EQ(m_workers.running().size(), 1U);
 }
 
+// Guards against leases of a new incarnation that end on the clock of an earlier one, far too late.
+TEST_F(BatchTaskTest, LateResponseOfAnEarlierIncarnationDoesNotExtendLeases)
+{
+    auto task = startInstance("e-1");
+    BatchJob cancelled = makeJob();
+    cancelled.id = state::JobId("00000000000000bb");
+    submit(*task, cancelled);
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.delayNextStopResponse(milliseconds(300));
+    cancel(*task, cancelled.id);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().empty(); }));
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready 2");
+    std::this_thread::sleep_for(milliseconds(400));
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    EXPECT_LE(m_workers.remainingLease("w1"), shortOptions().workerLease);
+}
+
 // Guards against acknowledging, and so losing, the ends of a new incarnation by the numbers of the earlier one.
 TEST_F(BatchTaskTest, EndsOfANewIncarnationAreAcknowledgedByTheirOwnNumbers)
 {
