Store crashes of workers in the records of tasks

The record of a task gets the number of workers that crashed under it, how many of these crashes are attributed to its job, and whether the task was given up, which makes the job fail. The elements are omitted while there was no crash, so records without a crash are unchanged and earlier records are read. Nothing writes the values yet.

--- a/protocol/batch/BatchRecordCodec.cpp
+++ b/protocol/batch/BatchRecordCodec.cpp
@@ -20,12 +20,19 @@
     // First element of each record; a changed layout needs another number.
     constexpr int layoutVersion = 1;
 
+    // Elements of a task's record. The last three are omitted while no worker has crashed under the task.
+    constexpr std::size_t taskStateSize = 8;
+    constexpr std::size_t taskStateSizeWithCrashes = 11;
+
     // Parses a record and converts errors of the JSON library to ProtocolError.
-    template <typename Function> auto decode(const std::string& text, std::size_t size, Function function)
+    // @param optionalSize size of records that have the optional elements, if there are any.
+    template <typename Function>
+    auto decode(const std::string& text, std::size_t size, Function function, std::size_t optionalSize = 0)
     {
         try {
             json record = JsonReader::parse(text);
-            if (!record.is_array() || record.size() != size || record[0] != layoutVersion)
+            bool sizeKnown = record.size() == size || (optionalSize > 0 && record.size() == optionalSize);
+            if (!record.is_array() || !sizeKnown || record[0] != layoutVersion)
                 throw ProtocolError("record", "has an unknown layout");
             return function(record);
         } catch (const json::exception& error) {
@@ -119,19 +126,24 @@
 
 std::string encodeTaskState(const BatchTaskState& taskState)
 {
-    return json::array(
-        { layoutVersion, static_cast<int>(taskState.phase), taskState.run, taskState.worker.value(),
-            taskState.workerIncarnation, taskState.checkpoint, taskState.failures, taskState.lastFailedRun })
-        .dump();
+    json record
+        = json::array({ layoutVersion, static_cast<int>(taskState.phase), taskState.run, taskState.worker.value(),
+            taskState.workerIncarnation, taskState.checkpoint, taskState.failures, taskState.lastFailedRun });
+    if (taskState.workerCrashes > 0 || taskState.givenUp) {
+        record.push_back(taskState.workerCrashes);
+        record.push_back(taskState.attributedCrashes);
+        record.push_back(taskState.givenUp);
+    }
+    return record.dump();
 }
 
 BatchTaskState decodeTaskState(const std::string& text)
 {
-    return decode(text, 8, [](const json& record) {
+    auto decodeRecord = [](const json& record) {
         int phase = record.at(1).get<int>();
         if (phase < 0 || phase > static_cast<int>(BatchTaskState::Phase::Done))
             throw ProtocolError("record", "has an unknown phase");
-        return BatchTaskState {
+        BatchTaskState taskState {
             .phase = static_cast<BatchTaskState::Phase>(phase),
             .run = record.at(2).get<std::int64_t>(),
             .worker = state::WorkerId(record.at(3).get<std::string>()),
@@ -140,7 +152,14 @@
             .failures = record.at(6).get<int>(),
             .lastFailedRun = record.at(7).get<std::int64_t>(),
         };
-    });
+        if (record.size() == taskStateSizeWithCrashes) {
+            taskState.workerCrashes = record.at(8).get<int>();
+            taskState.attributedCrashes = record.at(9).get<int>();
+            taskState.givenUp = record.at(10).get<bool>();
+        }
+        return taskState;
+    };
+    return decode(text, taskStateSize, decodeRecord, taskStateSizeWithCrashes);
 }
 
 std::string encodeLeader(const LeaderRecord& leader)
--- a/state/batch/BatchJobEntry.cpp
+++ b/state/batch/BatchJobEntry.cpp
@@ -63,7 +63,7 @@
         ++m_doneTasks;
     if (taskState.run > 0)
         ++m_startedTasks;
-    if (failures(task) >= m_job.queue.maximumAttempts)
+    if (taskState.givenUp || failures(task) >= m_job.queue.maximumAttempts)
         m_failed = true;
 }
 
--- a/state/batch/BatchTaskState.h
+++ b/state/batch/BatchTaskState.h
@@ -30,6 +30,12 @@
     int failures = 0;
     /// Number of the last run that ended as failed; 0 if there was none.
     std::int64_t lastFailedRun = 0;
+    /// Number of workers that crashed while they had a run of the task.
+    int workerCrashes = 0;
+    /// Number of these crashes that are attributed to the task's job.
+    int attributedCrashes = 0;
+    /// The task is not started again, because it crashes workers; its job has failed.
+    bool givenUp = false;
 
     bool operator==(const BatchTaskState&) const = default;
 };
--- a/tests/protocol/OddDocumentTest.cpp
+++ b/tests/protocol/OddDocumentTest.cpp
@@ -93,6 +93,8 @@
         json::parse(batch::encodeJob(job)), [&job](const std::string& text) { batch::decodeJob(job.id, text); });
     expectOnlyOwnErrors(
         json::parse(batch::encodeTaskState({})), [](const std::string& text) { batch::decodeTaskState(text); });
+    expectOnlyOwnErrors(json::parse(batch::encodeTaskState({ .workerCrashes = 1 })),
+        [](const std::string& text) { batch::decodeTaskState(text); });
     expectOnlyOwnErrors(
         json::parse(batch::encodeLeader({})), [](const std::string& text) { batch::decodeLeader(text); });
 }
--- a/tests/protocol/batch/BatchRecordCodecTest.cpp
+++ b/tests/protocol/batch/BatchRecordCodecTest.cpp
@@ -67,6 +67,30 @@
     EXPECT_EQ(decodeInstance(encodeInstance(250)), 250);
 }
 
+// Guards against crashes of workers that are forgotten when a new leader reads the journal.
+TEST(BatchRecordCodec, CrashesOfWorkersDecodeUnchanged)
+{
+    BatchTaskState crashed {
+        .phase = BatchTaskState::Phase::Queued, .run = 2, .workerCrashes = 2, .attributedCrashes = 1
+    };
+    EXPECT_EQ(decodeTaskState(encodeTaskState(crashed)), crashed);
+    BatchTaskState givenUp = crashed;
+    givenUp.givenUp = true;
+    EXPECT_EQ(decodeTaskState(encodeTaskState(givenUp)), givenUp);
+}
+
+// Guards against jobs that are lost because their records were written before crashes of workers were stored.
+TEST(BatchRecordCodec, TaskRecordWithoutCrashesIsRead)
+{
+    BatchTaskState taskState = decodeTaskState(R"([1,1,7,"w",12,"00000bb8",2,6])");
+    EXPECT_EQ(taskState.run, 7);
+    EXPECT_EQ(taskState.lastFailedRun, 6);
+    EXPECT_EQ(taskState.workerCrashes, 0);
+    EXPECT_FALSE(taskState.givenUp);
+    EXPECT_EQ(encodeTaskState(taskState), R"([1,1,7,"w",12,"00000bb8",2,6])");
+    EXPECT_THROW(decodeTaskState(R"([1,1,7,"w",12,"00000bb8",2,6,1])"), ProtocolError);
+}
+
 // Guards against a record of another program or layout that ends the process or is decoded as a valid state.
 RC_GTEST_PROP(BatchRecordCodec, ArbitraryBytesAreRejectedOrDecoded, (const std::string& text))
 {
--- a/tests/state/batch/BatchTableTest.cpp
+++ b/tests/state/batch/BatchTableTest.cpp
@@ -39,6 +39,18 @@
     EXPECT_TRUE(table.activeJobs().empty());
 }
 
+// Guards against a job that is reported as running although one of its tasks is never started again.
+TEST(BatchTable, JobWithATaskThatWasGivenUpHasFailed)
+{
+    BatchTable table;
+    table.applyJob(makeJob(2));
+    table.applyTask(taskId(0), { .run = 2, .workerCrashes = 2 }, 5);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Running);
+    table.applyTask(taskId(0), { .run = 2, .workerCrashes = 2, .givenUp = true }, 6);
+    EXPECT_EQ(table.find(jobId)->phase(), Phase::Failed);
+    EXPECT_TRUE(table.activeJobs().empty());
+}
+
 // Guards against a record read from the stream that reverts a newer state, which the writer applied when its append was
 // acknowledged.
 TEST(BatchTable, OlderRecordDoesNotReplaceNewerState)
