Give up tasks that crash the workers that start them

Cause: only ends that a worker lists as failed counted as attempts. A crashed worker lists nothing. Its runs were lost when another worker responded at its address, 3 s later, and their tasks were queued again without a trace of the crash.

Now a task's record counts the crashes of workers under it, so that they survive a change of the leader. Only certain crashes count: the worker responds under a new identity or incarnation and had not announced its shutdown; an expired lease counts nothing. Tasks that share the worker must still be done. The crash is therefore attributed to a job only if no other job had a run there that the worker had not listed as running yet: a run that was listed has survived its start. With two crashes a task is a suspect and starts where no other run is starting, preferably on an empty worker, and nothing starts beside it until it is listed. It is given up after two attributed crashes, after three if the last one is attributed, and after five in any case, before the third start after the third crash.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -82,6 +82,8 @@
     std::chrono::milliseconds gangStartTimeout { 2'200 };
     /// Time in which a worker that could not execute a start gets no new work.
     std::chrono::milliseconds refusalBackoff { 1'500 };
+    /// Longest wait of a task that may crash its workers for a worker on which no other run is starting.
+    std::chrono::milliseconds isolationWait { 1'500 };
     /// Shortest time between two planning rounds.
     std::chrono::milliseconds planInterval { 20 };
     /// Minimum time between two planning rounds as a multiple of the duration of the last one, so that a leader with
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -1,5 +1,6 @@
 #include "coordination/batch/BatchScheduler.h"
 
+#include "coordination/decisions/batch/CrashAttribution.h"
 #include "transport/EventLoop.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
@@ -117,8 +118,11 @@
 
 void BatchScheduler::onWorkers(const std::map<state::WorkerId, BatchWorker>& workers)
 {
-    for (const auto& [id, worker] : workers)
+    for (const auto& [id, worker] : workers) {
+        if (worker.draining)
+            m_drainingIncarnations[id] = worker.incarnation;
         sessionFor(worker).update(worker, true);
+    }
     for (auto& [id, session] : m_sessions) {
         if (!workers.contains(id))
             session->setListed(false);
@@ -195,6 +199,8 @@
         BatchTaskId id { .job = unit.job, .occurrence = unit.occurrence, .step = unit.step, .index = index };
         WorkerSession& session = *m_sessions.at(worker);
         BatchTaskState claimed = entry.task(id);
+        if (mayCrashWorkers(claimed))
+            m_isolationSince.erase({ unit.job, unit.occurrence, unit.step });
         claimed.phase = TaskPhase::Claimed;
         claimed.run = unit.gang ? gangRun : claimed.run + 1;
         claimed.worker = worker;
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -76,6 +77,13 @@
         std::int64_t highest = 0;
     };
 
+    /// Run that a worker had when it crashed.
+    struct LostRun {
+        Allocation allocation;
+        /// The run has certainly ended; its task is queued again.
+        bool ended = false;
+    };
+
     WorkerSession& sessionFor(const state::batch::BatchWorker& worker);
     WorkerSession::Hooks sessionHooks(const state::WorkerId& worker);
     void inheritClaims(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
@@ -83,6 +91,16 @@
     void onEnded(const state::WorkerId& worker, const EndedTask& ended, const Allocation* allocation);
     void recordSpeed(const state::WorkerId& worker, const Allocation& allocation);
     void onLost(const state::WorkerId& worker, const Allocation& lost, RunLoss loss);
+    /// @return state of the run's task if it is claimed for the run and its job is not finished.
+    std::optional<state::batch::BatchTaskState> claimedState(
+        const state::WorkerId& worker, const Allocation& allocation) const;
+    static void requeue(state::batch::BatchTaskState& taskState, const Allocation& lost);
+    /// @return whether the loss shows that the worker crashed while it had the run, or while it may have had it.
+    /// @param incarnation incarnation of the worker that the run was claimed for; 0 if unknown.
+    bool crashedUnder(
+        const state::WorkerId& worker, const Allocation& lost, std::int64_t incarnation, RunLoss loss) const;
+    void addCrashedRun(const state::WorkerId& worker, const Allocation& lost);
+    void onWorkerCrashed(const state::WorkerId& worker);
     void onRunning(const state::WorkerId& worker, const Allocation& allocation);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     TaskStates statesAfterEnd(const state::WorkerId& worker, const EndedTask& ended) const;
@@ -103,6 +121,8 @@
     void addUnits(PlanInput& input, const RunOverview& overview);
     void addStep(PlanInput& input, const state::batch::BatchJobEntry& entry, int occurrence, int step,
         const std::vector<std::chrono::milliseconds>& criticalPaths);
+    /// Adds the unit of a step, and another one for its tasks that may crash their workers.
+    void addStepUnits(PlanInput& input, BatchUnit unit, const std::vector<int>& suspects);
     static void excludeAllocatedTasks(PlanInput& input, const RunOverview& overview);
     void addGroups(PlanInput& input, const RunOverview& overview) const;
     void addWorkers(PlanInput& input, const RunOverview& overview);
@@ -128,6 +148,14 @@
     std::set<GroupKey> m_doneRuns;
     std::map<StepKey, state::MonotonicTime> m_readySince;
     std::map<StepKey, std::set<state::WorkerId>> m_failedOn;
+    /// Runs of workers that have crashed, until the session has reported all of them.
+    std::map<state::WorkerId, std::vector<LostRun>> m_crashedRuns;
+    /// Runs that are not known to have ended, although a crash of their worker is stored.
+    std::set<WorkerSession::AllocationKey> m_countedCrashes;
+    /// Incarnations that have announced their shutdown.
+    std::map<state::WorkerId, std::int64_t> m_drainingIncarnations;
+    /// Since when a step has waited for workers on which its start shows whether it crashes them.
+    std::map<StepKey, state::MonotonicTime> m_isolationSince;
     WorkerQuarantine m_quarantine;
     WorkerSpeed m_speed;
     bool m_planRequested = false;
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -152,24 +152,42 @@
         });
 }
 
+std::optional<BatchTaskState> BatchScheduler::claimedState(
+    const state::WorkerId& worker, const Allocation& allocation) const
+{
+    const BatchJobEntry* entry = m_table.find(allocation.task.job);
+    if (!entry || !entry->contains(allocation.task) || entry->finished())
+        return std::nullopt;
+    const BatchTaskState& current = entry->task(allocation.task);
+    if (current.phase != TaskPhase::Claimed || current.worker != worker || current.run != allocation.run)
+        return std::nullopt;
+    return current;
+}
+
+void BatchScheduler::requeue(BatchTaskState& taskState, const Allocation& lost)
+{
+    taskState.phase = TaskPhase::Queued;
+    if (!lost.checkpoint.empty())
+        taskState.checkpoint = lost.checkpoint;
+}
+
 void BatchScheduler::onLost(const state::WorkerId& worker, const Allocation& lost, RunLoss loss)
 {
     m_quarantine.probeAbandoned(worker, lost.task.job);
     m_metrics.increment("lentilsaddle_batch_runs_lost_total");
-    const BatchJobEntry* entry = m_table.find(lost.task.job);
-    if (!entry || !entry->contains(lost.task) || entry->finished())
+    std::optional<BatchTaskState> current = claimedState(worker, lost);
+    if (crashedUnder(worker, lost, current ? current->workerIncarnation : 0, loss)) {
+        addCrashedRun(worker, lost);
         return;
-    BatchTaskState current = entry->task(lost.task);
-    bool claimedHere = current.phase == TaskPhase::Claimed && current.worker == worker && current.run == lost.run;
-    if (!claimedHere)
+    }
+    m_countedCrashes.erase({ lost.task, lost.run });
+    if (!current)
         return;
-    current.phase = TaskPhase::Queued;
-    if (!lost.checkpoint.empty())
-        current.checkpoint = lost.checkpoint;
+    requeue(*current, lost);
     writeLog(LogLevel::Info, "scheduler", "task requeued",
         { { "job", lost.task.job.value() }, { "task", lost.task.toString() }, { "run", std::to_string(lost.run) },
             { "worker", worker.value() }, { "cause", runLossName(loss) } });
-    m_hooks.storeTasks({ { lost.task, current } }, [this, alive = std::weak_ptr(m_alive)] {
+    m_hooks.storeTasks({ { lost.task, *current } }, [this, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             requestPlan();
     });
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -1,5 +1,7 @@
 #include "coordination/batch/BatchScheduler.h"
 
+#include "coordination/decisions/batch/CrashAttribution.h"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -81,20 +83,20 @@
 
 void BatchScheduler::excludeAllocatedTasks(PlanInput& input, const RunOverview& overview)
 {
-    std::map<std::tuple<std::string_view, int, int>, BatchUnit*> units;
+    std::multimap<std::tuple<std::string_view, int, int>, BatchUnit*> units;
     for (BatchUnit& unit : input.units)
-        units[{ unit.job.value(), unit.occurrence, unit.step }] = &unit;
+        units.emplace(std::tuple(std::string_view(unit.job.value()), unit.occurrence, unit.step), &unit);
     for (const RunOverview::Run& run : overview.runs()) {
         const BatchTaskId& task = run.key->first;
-        auto unit = units.find({ task.job.value(), task.occurrence, task.step });
-        if (unit == units.end())
-            continue;
-        // A task whose earlier run may still hold capacity somewhere cannot start again.
-        if (unit->second->gang)
-            unit->second->indices.clear();
-        else
-            std::erase(unit->second->indices, task.index);
-        ++unit->second->runningOnWorker[run.session->description().id];
+        auto [first, last] = units.equal_range({ task.job.value(), task.occurrence, task.step });
+        for (auto unit = first; unit != last; ++unit) {
+            // A task whose earlier run may still hold capacity somewhere cannot start again.
+            if (unit->second->gang)
+                unit->second->indices.clear();
+            else
+                std::erase(unit->second->indices, task.index);
+            ++unit->second->runningOnWorker[run.session->description().id];
+        }
     }
     std::erase_if(input.units, [](const BatchUnit& unit) { return unit.indices.empty(); });
 }
@@ -119,16 +121,19 @@
         .priority = job.queue.priority,
         .estimate = criticalPaths[static_cast<std::size_t>(step)],
     };
+    std::vector<int> suspects;
     for (int index = 0; index < description.taskCount; ++index) {
         bool queued = entry.task(occurrence, step, index).phase == BatchTaskState::Phase::Queued;
         bool claiming = queued && !m_claiming.empty()
             && m_claiming.contains({ .job = job.id, .occurrence = occurrence, .step = step, .index = index });
-        if (queued && !claiming)
-            unit.indices.push_back(index);
+        if (!queued || claiming)
+            continue;
+        bool suspect = mayCrashWorkers(entry.task(occurrence, step, index));
+        (suspect ? suspects : unit.indices).push_back(index);
     }
-    if (unit.indices.empty())
+    if (unit.indices.empty() && suspects.empty())
         return;
-    if (unit.gang && static_cast<int>(unit.indices.size()) != description.taskCount)
+    if (unit.gang && static_cast<int>(unit.indices.size() + suspects.size()) != description.taskCount)
         return;
     StepKey key(job.id, occurrence, step);
     unit.readySince = m_readySince.try_emplace(key, input.now).first->second;
@@ -145,7 +150,31 @@
     for (const BatchStep& other : job.steps)
         work += coreSeconds(other);
     unit.valueDensity = work > 0 ? 1 / work : 1;
-    input.units.push_back(std::move(unit));
+    addStepUnits(input, std::move(unit), suspects);
+}
+
+void BatchScheduler::addStepUnits(PlanInput& input, BatchUnit unit, const std::vector<int>& suspects)
+{
+    if (suspects.empty()) {
+        input.units.push_back(std::move(unit));
+        return;
+    }
+    state::MonotonicTime since
+        = m_isolationSince.try_emplace({ unit.job, unit.occurrence, unit.step }, input.now).first->second;
+    bool isolate = input.now - since < m_options.isolationWait;
+    if (unit.gang || !isolate) {
+        unit.indices.insert(unit.indices.end(), suspects.begin(), suspects.end());
+        std::sort(unit.indices.begin(), unit.indices.end());
+        unit.isolatedStart = isolate;
+        input.units.push_back(std::move(unit));
+        return;
+    }
+    BatchUnit isolated = unit;
+    isolated.indices = suspects;
+    isolated.isolatedStart = true;
+    if (!unit.indices.empty())
+        input.units.push_back(std::move(unit));
+    input.units.push_back(std::move(isolated));
 }
 
 double BatchScheduler::lossOf(const Allocation& allocation, const BatchStep& step) const
@@ -187,6 +216,11 @@
                 || allocation.phase == Allocation::Phase::StopAcknowledged;
             view.runs.push_back({ .group = next->group, .resources = allocation.resources, .stopping = stopping });
             occupied = true;
+            if (allocation.listed)
+                continue;
+            view.startPending = true;
+            if (next->entry && mayCrashWorkers(next->entry->task(allocation.task)))
+                view.isolatedStartPending = true;
         }
         if (!session->usable())
             continue;
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -181,6 +181,7 @@
     BatchUnit& unit = m_units[index];
     for (std::size_t task = 0; task < assignment.size(); ++task) {
         m_capacity.allocate(assignment[task], unit.resources);
+        m_capacity.markStarting(assignment[task], unit);
         ++unit.runningOnWorker[m_capacity.workers()[assignment[task]].worker.id];
         m_plan.placements.push_back({ .unit = index, .index = unit.indices[task], .worker = assignment[task] });
     }
--- a/coordination/decisions/batch/BatchUnit.h
+++ b/coordination/decisions/batch/BatchUnit.h
@@ -26,6 +26,8 @@
     state::batch::Resources resources;
     bool gang = false;
     bool sameRack = false;
+    /// The tasks may crash their workers, so no other run may be starting where they start.
+    bool isolatedStart = false;
     std::string requiredLabel;
     std::string preferredRack;
     /// 0 if there is no limit.
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -23,6 +23,15 @@
     // Above every other score, so that a worker where the step failed comes last.
     constexpr double failedBeforePenalty = 1'000;
 
+    // A task that may crash its worker ends each other run there.
+    constexpr double endangeredRunPenalty = 20;
+
+    // Whether starts on the worker would leave open which of them crashed it.
+    bool startsOverlap(const BatchUnit& unit, const WorkerView& view)
+    {
+        return view.isolatedStartPending || (unit.isolatedStart && view.startPending);
+    }
+
     struct Candidate {
         double score = 0;
         std::size_t worker = 0;
@@ -102,11 +111,13 @@
         if (!unit.resources.fitsInto(available) || !eligible(unit, worker))
             continue;
         int allowed = tasksAllowed(unit, view);
-        if (allowed <= 0)
+        if (allowed <= 0 || startsOverlap(unit, view))
             continue;
         double penalty = slownessWeight * (view.slowness - 1);
         if (!unit.avoidedWorkers.empty() && unit.avoidedWorkers.contains(view.worker.id))
             penalty += failedBeforePenalty;
+        if (unit.isolatedStart)
+            penalty += endangeredRunPenalty * static_cast<double>(view.runs.size());
         entries.push_back({ .score = fitScore(available, unit.resources) + penalty,
             .worker = worker,
             .free = available,
@@ -155,6 +166,13 @@
     m_racks[m_rackOf[worker]].freeAccelerators -= resources.accelerators;
 }
 
+void CapacityIndex::markStarting(std::size_t worker, const BatchUnit& unit)
+{
+    WorkerView& view = m_workers[worker];
+    view.startPending = true;
+    view.isolatedStartPending = view.isolatedStartPending || unit.isolatedStart;
+}
+
 void CapacityIndex::markStopping(std::size_t worker, std::size_t run)
 {
     WorkerView& view = m_workers[worker];
--- a/coordination/decisions/batch/CapacityIndex.h
+++ b/coordination/decisions/batch/CapacityIndex.h
@@ -60,6 +60,9 @@
     /// Allocates capacity of a worker for the rest of the round.
     void allocate(std::size_t worker, const state::batch::Resources& resources);
 
+    /// Marks a worker on which a task of the unit starts in this round.
+    void markStarting(std::size_t worker, const BatchUnit& unit);
+
     /// Marks a run as being stopped; its capacity counts as free after the stops.
     void markStopping(std::size_t worker, std::size_t run);
 
--- a/coordination/decisions/batch/WorkerView.h
+++ b/coordination/decisions/batch/WorkerView.h
@@ -26,6 +26,10 @@
     /// Free capacity, including that of runs that are being stopped.
     state::batch::Resources freeAfterStops;
     std::vector<Run> runs;
+    /// A run has been placed that the worker has not listed yet.
+    bool startPending = false;
+    /// One of these runs may crash the worker, so no other run may start until it is listed.
+    bool isolatedStartPending = false;
     /// Run time of tasks relative to other workers; 1 is normal.
     double slowness = 1;
 };
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -159,6 +159,13 @@
             return result->get_future().get();
         }
 
+        /// Lists the workers `w1` to `wN` in the directory.
+        void addWorkers(int count)
+        {
+            for (int number = 1; number <= count; ++number)
+                m_store.put(Stream::Directory, "w" + std::to_string(number), "ready");
+        }
+
         bool waitUntilRunning()
         {
             return waitUntil([this] { return m_workers.running().size() == 1; });
@@ -645,6 +652,84 @@
     EXPECT_EQ(m_workers.starts(taskName), 2);
 }
 
+// Guards against a task that crashes one worker after the other without end.
+TEST_F(BatchTaskTest, TaskThatCrashesItsWorkersIsGivenUp)
+{
+    addWorkers(8);
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::AsAnotherWorker);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_LE(m_workers.starts(taskName), 3);
+}
+
+// Guards against the same where a crashed worker returns under its identity.
+TEST_F(BatchTaskTest, TaskThatCrashesAWorkerThatReturnsUnderItsIdentityIsGivenUp)
+{
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::UnderItsIdentity);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_LE(m_workers.starts(taskName), 3);
+}
+
+// Guards against a gang of which one member crashes its workers without end.
+TEST_F(BatchTaskTest, GangThatCrashesItsWorkersIsGivenUp)
+{
+    addWorkers(8);
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::AsAnotherWorker);
+    auto task = startInstance("e-1");
+    BatchJob job = makeJob(2);
+    job.steps[0].gang = true;
+    job.steps[0].resources.accelerators = 5;
+    submit(*task, job);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().empty(); }));
+    EXPECT_LE(m_workers.starts(taskName), 3);
+}
+
+// Guards against a job that is reported as failed although it only shared workers with a task that crashes them.
+TEST_F(BatchTaskTest, TaskThatSharedACrashedWorkerIsDone)
+{
+    addWorkers(8);
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::AsAnotherWorker);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    BatchJob other = makeJob(4);
+    other.id = state::JobId("00000000000000bb");
+    submit(*task, other);
+    submit(*task, makeJob());
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+    EXPECT_LE(m_workers.starts(taskName), 5);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 4; }));
+    for (const std::string& run : m_workers.running()) {
+        std::size_t space = run.find(' ');
+        m_workers.finish(
+            run.substr(0, space), run.substr(space + 1, run.rfind(' ') - space - 1), EndedTask::Reason::Done);
+    }
+    EXPECT_TRUE(waitUntil([&] { return query(*task, other.id).phase == BatchJobEntry::Phase::Completed; }));
+}
+
+// Guards against a count of crashes that starts again with each leader, and is lost when all instances restart.
+TEST_F(BatchTaskTest, CrashesOfWorkersAreCountedAcrossRestartsOfAllInstances)
+{
+    addWorkers(8);
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::AsAnotherWorker);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    for (int starts = 1; starts <= 6; ++starts) {
+        bool started = waitUntil([&] { return m_workers.starts(taskName) >= starts; }, milliseconds(2'000));
+        if (!started)
+            break;
+        task.reset();
+        task = startInstance("e-1");
+    }
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+    EXPECT_LE(m_workers.starts(taskName), 5);
+}
+
 // Guards against new work on a draining worker.
 TEST_F(BatchTaskTest, DrainingWorkerGetsNoWork)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -11,6 +11,8 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <type_traits>
+#include <utility>
 #include <vector>
 
 namespace lentilsaddle::coordination::batch {
@@ -71,6 +73,20 @@
         m_workers[worker].begin = steadyNow();
     }
 
+    /// How a worker returns after a crash.
+    enum class Return {
+        UnderItsIdentity,
+        /// Another worker responds at the address.
+        AsAnotherWorker,
+    };
+
+    /// Each worker that starts the task crashes, refuses connections for some time and then returns.
+    void crashOnStart(const std::string& task, Return how)
+    {
+        std::lock_guard lock(m_mutex);
+        m_crashing[task] = how;
+    }
+
     /// Makes a worker unreachable. Its tasks keep running until their lease expires.
     void makeUnreachable(const std::string& worker)
     {
@@ -160,8 +176,14 @@
         /// Start of the incarnation, on the clock of the test.
         WorkerTime begin { 0 };
         bool unreachable = false;
+        /// Connections are refused until then.
+        WorkerTime downUntil { 0 };
+        /// Another worker has the address.
+        bool replaced = false;
     };
 
+    static constexpr std::chrono::milliseconds restartDuration { 60 };
+
     static WorkerTime steadyNow()
     {
         return std::chrono::duration_cast<WorkerTime>(std::chrono::steady_clock::now().time_since_epoch());
@@ -206,6 +228,33 @@
         }
     }
 
+    static void crash(Worker& worker, Return how)
+    {
+        std::int64_t incarnation = worker.incarnation;
+        worker = {};
+        worker.incarnation = incarnation + 1;
+        worker.begin = steadyNow();
+        worker.downUntil = steadyNow() + restartDuration;
+        worker.replaced = how == Return::AsAnotherWorker;
+    }
+
+    // Responds on behalf of a worker that has crashed.
+    // @return whether the worker had crashed.
+    template <typename Result>
+    bool respondAfterCrash(transport::EventLoop& loop, const Worker& worker, const std::function<void(Result)>& reply,
+        WorkerCallResult::Status downStatus)
+    {
+        bool down = steadyNow() < worker.downUntil;
+        if (!down && !worker.replaced)
+            return false;
+        WorkerCallResult result { .status = down ? downStatus : WorkerCallResult::Status::OtherIncarnation };
+        if constexpr (std::is_same_v<Result, Observation>)
+            respond(loop, reply, Observation { .result = result });
+        else
+            respond(loop, reply, result);
+        return true;
+    }
+
     WorkerCallResult executeStart(const std::string& id, const StartRequest& request)
     {
         Worker& worker = m_workers[id];
@@ -228,6 +277,8 @@
             m_ranTwice = m_ranTwice || otherWorker.running.contains(task);
         worker.running[task] = request.run;
         ++m_starts[task];
+        if (auto crashing = m_crashing.find(task); crashing != m_crashing.end())
+            crash(worker, crashing->second);
         return result;
     }
 
@@ -235,6 +286,8 @@
         std::chrono::milliseconds timeout, const std::function<void(WorkerCallResult)>& reply)
     {
         std::lock_guard lock(m_mutex);
+        if (respondAfterCrash(loop, m_workers[worker.id.value()], reply, WorkerCallResult::Status::NotDelivered))
+            return;
         if (m_workers[worker.id.value()].unreachable) {
             loop.startTimer(timeout, [reply] { reply({ .status = WorkerCallResult::Status::Unknown }); });
             return;
@@ -265,6 +318,8 @@
     {
         std::lock_guard lock(m_mutex);
         Worker& target = m_workers[worker.id.value()];
+        if (respondAfterCrash(loop, target, reply, WorkerCallResult::Status::NotDelivered))
+            return;
         if (target.unreachable) {
             loop.startTimer(std::chrono::milliseconds(50), [reply] { reply({}); });
             return;
@@ -288,6 +343,8 @@
     {
         std::lock_guard lock(m_mutex);
         Worker& target = m_workers[worker.id.value()];
+        if (respondAfterCrash(loop, target, reply, WorkerCallResult::Status::Unknown))
+            return;
         if (target.unreachable) {
             loop.startTimer(timeout, [reply] { reply({}); });
             return;
@@ -320,6 +377,7 @@
     std::mutex m_mutex;
     std::map<std::string, Worker> m_workers;
     std::map<std::string, int> m_starts;
+    std::map<std::string, Return> m_crashing;
     std::chrono::milliseconds m_nextStartDelay { 0 };
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     bool m_ranTwice = false;
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -88,6 +88,36 @@
         EXPECT_EQ(input.workers[placement.worker].worker.rack, "r2");
 }
 
+// Guards against a start beside others that leaves open which of them crashed the worker, and that endangers more runs
+// than necessary.
+TEST(BatchPlanner, IsolatedStartGetsTheEmptiestWorkerWithoutOtherStarts)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2"), makeWorker("w3") } };
+    input.groups = { {}, {}, {} };
+    addRun(input, 0, 0, 4);
+    addRun(input, 0, 1, 3);
+    input.workers[1].startPending = true;
+    addRun(input, 2, 2, 1);
+    input.units = { makeUnit("j", 1, 1) };
+    EXPECT_EQ(plan(input).placements.at(0).worker, 0U);
+    input.units[0].isolatedStart = true;
+    EXPECT_EQ(plan(input).placements.at(0).worker, 2U);
+}
+
+// Guards against another start on a worker before it is known whether the isolated one crashes it.
+TEST(BatchPlanner, NothingStartsBesideAnIsolatedStart)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.units = { makeUnit("j", 1, 1), makeUnit("k", 1, 1) };
+    input.units[0].isolatedStart = true;
+    EXPECT_EQ(plan(input).placements.size(), 1U);
+    input.units.erase(input.units.begin());
+    input.workers[0].startPending = true;
+    EXPECT_EQ(plan(input).placements.size(), 1U);
+    input.workers[0].isolatedStartPending = true;
+    EXPECT_TRUE(plan(input).placements.empty());
+}
+
 // Guards against preemption that loses more work than necessary.
 TEST(BatchPlanner, UrgentUnitPreemptsTheRunsWithTheLeastLoss)
 {
