Count crashes of workers that return after their leases have expired

What callers saw: a task that crashes its workers would still be started without end where a crashed worker takes longer to return than its lease lasts (4.5 s).

Cause: only a response of the new process showed a crash. When the lease expires first, the runs are declared lost without it, and the session of the old worker may be gone before the address responds again.

The leader now keeps the runs of a worker whose lease expired for 30 s. If the directory then lists another worker at the address, or the worker has a new incarnation, the old process has ended, and each of the tasks counts the crash when it is queued. A worker that was cut off keeps its address and incarnation and counts nothing.

Evidence: BatchTaskTest.CrashOfAWorkerThatIsReplacedAfterItsLeaseIsCounted fails without the change (9 starts in 12 s) and passes with it; BatchTaskTest.ExpiredLeasesDoNotCountAsCrashes passes with and without it.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -82,6 +82,8 @@
     std::chrono::milliseconds gangStartTimeout { 2'200 };
     /// Time in which a worker that could not execute a start gets no new work.
     std::chrono::milliseconds refusalBackoff { 1'500 };
+    /// A worker that returns within this time after its lease expired has crashed; later, it may have been shut down.
+    std::chrono::milliseconds crashReturnLimit { 30'000 };
     /// Longest wait of a task that may crash its workers for a worker on which no other run is starting.
     std::chrono::milliseconds isolationWait { 1'500 };
     /// Shortest time between two planning rounds.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -1,6 +1,5 @@
 #include "coordination/batch/BatchScheduler.h"
 
-#include "coordination/decisions/batch/CrashAttribution.h"
 #include "transport/EventLoop.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
@@ -294,6 +293,8 @@
 {
     if (!m_hooks.authorised())
         return;
+    checkExpiredWorkers();
+    storeLateCrashes();
     RunOverview overview(m_sessions, m_table);
     stopObsoleteRuns(overview);
     stopIncompleteGangs(overview);
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -10,6 +10,7 @@
 #include "coordination/batch/WorkerSession.h"
 #include "coordination/decisions/WorkerQuarantine.h"
 #include "coordination/decisions/batch/BatchPlanner.h"
+#include "coordination/decisions/batch/CrashAttribution.h"
 #include "coordination/decisions/batch/WorkerSpeed.h"
 #include "state/Time.h"
 #include "state/batch/BatchTable.h"
@@ -84,6 +85,21 @@
         bool ended = false;
     };
 
+    /// Worker that did not respond until its lease expired, with its runs.
+    struct ExpiredWorker {
+        std::string address;
+        std::int64_t incarnation = 0;
+        state::MonotonicTime since {};
+        std::vector<LostRun> runs;
+    };
+
+    /// Crash that became known after the task had been queued again.
+    struct LateCrash {
+        state::WorkerId worker;
+        Allocation allocation;
+        CrashEvidence evidence = CrashEvidence::None;
+    };
+
     WorkerSession& sessionFor(const state::batch::BatchWorker& worker);
     WorkerSession::Hooks sessionHooks(const state::WorkerId& worker);
     void inheritClaims(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
@@ -101,6 +117,15 @@
         const state::WorkerId& worker, const Allocation& lost, std::int64_t incarnation, RunLoss loss) const;
     void addCrashedRun(const state::WorkerId& worker, const Allocation& lost);
     void onWorkerCrashed(const state::WorkerId& worker);
+    static std::vector<CrashEvidence> evidenceAgainst(const std::vector<LostRun>& runs);
+    void countCrash(state::batch::BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost,
+        CrashEvidence evidence);
+    void addExpiredRun(const state::WorkerId& worker, const Allocation& lost);
+    bool restartedSince(const state::WorkerId& worker, const ExpiredWorker& expired) const;
+    /// Finds workers that have returned after their leases expired, and had thus crashed.
+    void checkExpiredWorkers();
+    /// Stores crashes of such workers under tasks that are queued.
+    void storeLateCrashes();
     void onRunning(const state::WorkerId& worker, const Allocation& allocation);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     TaskStates statesAfterEnd(const state::WorkerId& worker, const EndedTask& ended) const;
@@ -142,7 +167,7 @@
     std::map<state::WorkerId, std::unique_ptr<WorkerSession>> m_sessions;
     /// By worker and incarnation, because the numbers of ends restart with each incarnation.
     std::map<std::pair<state::WorkerId, std::int64_t>, PendingEnds> m_pendingEnds;
-    /// Tasks whose claim is being stored.
+    /// Tasks for which a claim or a late crash is being stored.
     std::set<state::batch::BatchTaskId> m_claiming;
     /// Runs with a completed member; the ends of the other members of a gang follow.
     std::set<GroupKey> m_doneRuns;
@@ -150,6 +175,8 @@
     std::map<StepKey, std::set<state::WorkerId>> m_failedOn;
     /// Runs of workers that have crashed, until the session has reported all of them.
     std::map<state::WorkerId, std::vector<LostRun>> m_crashedRuns;
+    std::map<state::WorkerId, ExpiredWorker> m_expiredWorkers;
+    std::vector<LateCrash> m_lateCrashes;
     /// Runs that are not known to have ended, although a crash of their worker is stored.
     std::set<WorkerSession::AllocationKey> m_countedCrashes;
     /// Incarnations that have announced their shutdown.
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -1,14 +1,17 @@
 #include "coordination/batch/BatchScheduler.h"
 
-#include "coordination/decisions/batch/CrashAttribution.h"
 #include "transport/EventLoop.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lentilsaddle::coordination::batch {
 
+using state::batch::BatchJobEntry;
+using state::batch::BatchTaskId;
 using state::batch::BatchTaskState;
 using transport::LogLevel;
 using transport::writeLog;
@@ -74,15 +77,39 @@
     });
 }
 
-void BatchScheduler::onWorkerCrashed(const state::WorkerId& worker)
+std::vector<CrashEvidence> BatchScheduler::evidenceAgainst(const std::vector<LostRun>& runs)
 {
-    std::vector<LostRun> runs = std::move(m_crashedRuns.extract(worker).mapped());
-    m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
     std::vector<CrashedRun> crashedRuns;
     crashedRuns.reserve(runs.size());
     for (const LostRun& run : runs)
         crashedRuns.push_back({ .job = run.allocation.task.job, .listed = run.allocation.listed });
-    std::vector<CrashEvidence> evidence = attributeCrash(crashedRuns);
+    return attributeCrash(crashedRuns);
+}
+
+void BatchScheduler::countCrash(
+    BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost, CrashEvidence evidence)
+{
+    recordCrash(taskState, evidence);
+    if (evidence == CrashEvidence::OnlyStartingJob)
+        m_failedOn[{ lost.task.job, lost.task.occurrence, lost.task.step }].insert(worker);
+    writeLog(LogLevel::Warning, "scheduler", "worker crashed under a task",
+        { { "job", lost.task.job.value() }, { "task", lost.task.toString() }, { "run", std::to_string(lost.run) },
+            { "worker", worker.value() }, { "crashes", std::to_string(taskState.workerCrashes) },
+            { "attributed", std::to_string(taskState.attributedCrashes) },
+            { "evidence", crashEvidenceName(evidence) } });
+    if (!taskState.givenUp)
+        return;
+    m_metrics.increment("lentilsaddle_batch_tasks_given_up_total");
+    writeLog(LogLevel::Warning, "scheduler", "task given up",
+        { { "job", lost.task.job.value() }, { "task", lost.task.toString() },
+            { "crashes", std::to_string(taskState.workerCrashes) } });
+}
+
+void BatchScheduler::onWorkerCrashed(const state::WorkerId& worker)
+{
+    std::vector<LostRun> runs = std::move(m_crashedRuns.extract(worker).mapped());
+    m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
+    std::vector<CrashEvidence> evidence = evidenceAgainst(runs);
     TaskStates states;
     for (std::size_t index = 0; index < runs.size(); ++index) {
         const Allocation& lost = runs[index].allocation;
@@ -93,20 +120,7 @@
             requeue(*current, lost);
         else
             m_countedCrashes.insert({ lost.task, lost.run });
-        recordCrash(*current, evidence[index]);
-        if (evidence[index] == CrashEvidence::OnlyStartingJob)
-            m_failedOn[{ lost.task.job, lost.task.occurrence, lost.task.step }].insert(worker);
-        writeLog(LogLevel::Warning, "scheduler", "worker crashed under a task",
-            { { "job", lost.task.job.value() }, { "task", lost.task.toString() }, { "run", std::to_string(lost.run) },
-                { "worker", worker.value() }, { "crashes", std::to_string(current->workerCrashes) },
-                { "attributed", std::to_string(current->attributedCrashes) },
-                { "evidence", crashEvidenceName(evidence[index]) } });
-        if (current->givenUp) {
-            m_metrics.increment("lentilsaddle_batch_tasks_given_up_total");
-            writeLog(LogLevel::Warning, "scheduler", "task given up",
-                { { "job", lost.task.job.value() }, { "task", lost.task.toString() },
-                    { "crashes", std::to_string(current->workerCrashes) } });
-        }
+        countCrash(*current, worker, lost, evidence[index]);
         states.emplace_back(lost.task, std::move(*current));
     }
     if (states.empty())
@@ -117,4 +131,75 @@
     });
 }
 
+void BatchScheduler::addExpiredRun(const state::WorkerId& worker, const Allocation& lost)
+{
+    const WorkerSession& session = *m_sessions.at(worker);
+    ExpiredWorker& expired = m_expiredWorkers[worker];
+    expired.address = session.description().address;
+    expired.incarnation = session.incarnation();
+    expired.since = m_hooks.clock();
+    expired.runs.push_back({ .allocation = lost, .ended = true });
+}
+
+bool BatchScheduler::restartedSince(const state::WorkerId& worker, const ExpiredWorker& expired) const
+{
+    if (auto session = m_sessions.find(worker); session != m_sessions.end()) {
+        if (expired.incarnation != 0 && session->second->incarnation() > expired.incarnation)
+            return true;
+    }
+    // An address is used again only after the process that had it has ended.
+    return !expired.address.empty() && std::any_of(m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
+        return entry.first != worker && entry.second->listed()
+            && entry.second->description().address == expired.address;
+    });
+}
+
+void BatchScheduler::checkExpiredWorkers()
+{
+    state::MonotonicTime now = m_hooks.clock();
+    for (auto next = m_expiredWorkers.begin(); next != m_expiredWorkers.end();) {
+        const auto& [worker, expired] = *next;
+        bool restarted = restartedSince(worker, expired);
+        if (restarted) {
+            m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
+            std::vector<CrashEvidence> evidence = evidenceAgainst(expired.runs);
+            for (std::size_t index = 0; index < expired.runs.size(); ++index)
+                m_lateCrashes.push_back({ worker, expired.runs[index].allocation, evidence[index] });
+        }
+        bool obsolete = restarted || now - expired.since > m_options.crashReturnLimit;
+        next = obsolete ? m_expiredWorkers.erase(next) : std::next(next);
+    }
+}
+
+void BatchScheduler::storeLateCrashes()
+{
+    TaskStates states;
+    std::erase_if(m_lateCrashes, [&](const LateCrash& crash) {
+        const BatchTaskId& task = crash.allocation.task;
+        const BatchJobEntry* entry = m_table.find(task.job);
+        if (!entry || !entry->contains(task) || entry->finished() || entry->task(task).phase == TaskPhase::Done)
+            return true;
+        // The record of a task that is claimed is written again when its run ends.
+        if (entry->task(task).phase != TaskPhase::Queued || !m_claiming.insert(task).second)
+            return false;
+        BatchTaskState current = entry->task(task);
+        countCrash(current, crash.worker, crash.allocation, crash.evidence);
+        states.emplace_back(task, std::move(current));
+        return true;
+    });
+    if (states.empty())
+        return;
+    std::vector<BatchTaskId> tasks;
+    tasks.reserve(states.size());
+    for (const auto& [task, taskState] : states)
+        tasks.push_back(task);
+    m_hooks.storeTasks(std::move(states), [this, tasks = std::move(tasks), alive = std::weak_ptr(m_alive)] {
+        if (alive.expired())
+            return;
+        for (const BatchTaskId& task : tasks)
+            m_claiming.erase(task);
+        requestPlan();
+    });
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -183,6 +183,8 @@
     m_countedCrashes.erase({ lost.task, lost.run });
     if (!current)
         return;
+    if (loss == RunLoss::LeaseExpired)
+        addExpiredRun(worker, lost);
     requeue(*current, lost);
     writeLog(LogLevel::Info, "scheduler", "task requeued",
         { { "job", lost.task.job.value() }, { "task", lost.task.toString() }, { "run", std::to_string(lost.run) },
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -1,7 +1,5 @@
 #include "coordination/batch/BatchScheduler.h"
 
-#include "coordination/decisions/batch/CrashAttribution.h"
-
 #include <algorithm>
 #include <string_view>
 #include <utility>
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -121,6 +121,9 @@
                         return std::optional(BatchWorker {
                             .id = state::WorkerId(key),
                             .service = state::ServiceId("s"),
+                            // `ready@ADDRESS` is an entry with the address of another worker.
+                            .address
+                            = value.substr(value.find('@') + 1) == value ? key : value.substr(value.find('@') + 1),
                             .capacity = { .milliCores = 8, .memoryMegabytes = 8, .accelerators = 8 },
                             .draining = lifecycle == "draining",
                             .incarnation = std::max<std::int64_t>(incarnation, 1),
@@ -730,6 +733,45 @@
     EXPECT_LE(m_workers.starts(taskName), 5);
 }
 
+// Guards against crashes that are not counted because the workers return only after their leases have expired.
+TEST_F(BatchTaskTest, CrashOfAWorkerThatIsReplacedAfterItsLeaseIsCounted)
+{
+    addWorkers(6);
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::AsAnotherWorker, milliseconds(60'000));
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    std::set<std::string> replaced;
+    bool failed = waitUntil(
+        [&] {
+            // Lists the successor of a crashed worker when its task has been started elsewhere.
+            for (const std::string& worker : m_workers.crashed()) {
+                if (m_workers.starts(taskName) > static_cast<int>(replaced.size()) + 1
+                    && replaced.insert(worker).second)
+                    m_store.put(Stream::Directory, "successor-of-" + worker, "ready@" + worker);
+            }
+            return query(*task, jobId).phase == BatchJobEntry::Phase::Failed;
+        },
+        milliseconds(12'000));
+    EXPECT_TRUE(failed);
+    EXPECT_LE(m_workers.starts(taskName), 5);
+}
+
+// Guards against a job that is reported as failed because workers that had its task were cut off.
+TEST_F(BatchTaskTest, ExpiredLeasesDoNotCountAsCrashes)
+{
+    addWorkers(4);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    for (int cut = 1; cut <= 3; ++cut) {
+        ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == cut; }));
+        std::string run = m_workers.running().back();
+        m_workers.makeUnreachable(run.substr(0, run.find(' ')));
+    }
+    ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 4; }));
+    EXPECT_EQ(query(*task, jobId).phase, BatchJobEntry::Phase::Running);
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 // Guards against new work on a draining worker.
 TEST_F(BatchTaskTest, DrainingWorkerGetsNoWork)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -81,10 +81,23 @@
     };
 
     /// Each worker that starts the task crashes, refuses connections for some time and then returns.
-    void crashOnStart(const std::string& task, Return how)
+    void crashOnStart(
+        const std::string& task, Return how, std::chrono::milliseconds outage = std::chrono::milliseconds(60))
     {
         std::lock_guard lock(m_mutex);
-        m_crashing[task] = how;
+        m_crashing[task] = { .how = how, .outage = outage };
+    }
+
+    /// @return workers that have crashed.
+    std::vector<std::string> crashed()
+    {
+        std::lock_guard lock(m_mutex);
+        std::vector<std::string> result;
+        for (const auto& [id, worker] : m_workers) {
+            if (worker.downUntil.count() > 0)
+                result.push_back(id);
+        }
+        return result;
     }
 
     /// Makes a worker unreachable. Its tasks keep running until their lease expires.
@@ -182,7 +195,10 @@
         bool replaced = false;
     };
 
-    static constexpr std::chrono::milliseconds restartDuration { 60 };
+    struct Crash {
+        Return how = Return::UnderItsIdentity;
+        std::chrono::milliseconds outage { 0 };
+    };
 
     static WorkerTime steadyNow()
     {
@@ -228,14 +244,14 @@
         }
     }
 
-    static void crash(Worker& worker, Return how)
+    static void crash(Worker& worker, const Crash& crash)
     {
         std::int64_t incarnation = worker.incarnation;
         worker = {};
         worker.incarnation = incarnation + 1;
         worker.begin = steadyNow();
-        worker.downUntil = steadyNow() + restartDuration;
-        worker.replaced = how == Return::AsAnotherWorker;
+        worker.downUntil = steadyNow() + crash.outage;
+        worker.replaced = crash.how == Return::AsAnotherWorker;
     }
 
     // Responds on behalf of a worker that has crashed.
@@ -377,7 +393,7 @@
     std::mutex m_mutex;
     std::map<std::string, Worker> m_workers;
     std::map<std::string, int> m_starts;
-    std::map<std::string, Return> m_crashing;
+    std::map<std::string, Crash> m_crashing;
     std::chrono::milliseconds m_nextStartDelay { 0 };
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     bool m_ranTwice = false;
