Give each instance of the batch tests its own random numbers

Cause: the environment of the test counts instead of drawing random numbers, so all instances drew the same claim sequence.

Change: the fixture gives each instance a generator of its own, seeded with its incarnation. The test is unchanged.

--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <atomic>
 #include <future>
+#include <random>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -92,6 +93,8 @@
             options.processors = processors;
             TaskEnvironment environment = makeTestEnvironment(name, m_metrics);
             environment.incarnation = ++m_incarnation;
+            // Claims of several instances must differ in their sequence numbers, as in the daemon.
+            environment.random = [engine = std::make_shared<std::mt19937_64>(m_incarnation)] { return (*engine)(); };
             environment.monotonicClock = [this] { return std::chrono::steady_clock::now() + m_clockOffset.load(); };
             auto task = std::make_unique<BatchTask>(environment, options,
                 BatchTask::Hooks {
