Start all instances before the first claim in the test of the ranking

The design (docs/platform.md) promises that an instance that knows of one with more processors claims later, and that a leader steps down when one with more becomes ready. It does not promise that the first instance waits for others.

Change: the test withholds the configuration, without which no instance may lead, until all three have announced themselves. From then on every leader record must name e-2, as before. A second test keeps the sequence of the old one, in which e-1 may claim first, and expects that e-2 leads in the end, that no other instance leads within a further failover delay, and that the task is started once.

--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -172,6 +172,22 @@
                 m_store.put(Stream::Directory, "w" + std::to_string(number), "ready");
         }
 
+        std::vector<std::string> leaderRecords()
+        {
+            std::vector<std::string> values;
+            for (const KeyedRecord& record : m_store.records(Stream::Journal)) {
+                if (record.key == leaderKey)
+                    values.push_back(*record.value);
+            }
+            return values;
+        }
+
+        std::ptrdiff_t announcements()
+        {
+            return std::ranges::count_if(m_store.records(Stream::Journal),
+                [](const KeyedRecord& record) { return record.key.starts_with(instanceKeyPrefix); });
+        }
+
         bool waitUntilRunning()
         {
             return waitUntil([this] { return m_workers.running().size() == 1; });
@@ -570,20 +586,46 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
-// Guards against a leader with too few processors for its work while another instance has more.
+// Guards against a leader with too few processors for its work while another instance has announced more.
 TEST_F(BatchTaskTest, InstanceWithMostProcessorsLeads)
 {
+    // No instance may lead without a configuration, so all announce themselves before the first claim.
+    m_store.put(Stream::Configuration, "config", std::nullopt);
     std::vector<std::unique_ptr<BatchTask>> tasks;
     tasks.push_back(startInstance("e-1", 120));
     tasks.push_back(startInstance("e-2", 500));
     tasks.push_back(startInstance("e-3", 120));
+    ASSERT_TRUE(waitUntil([this] { return announcements() == 3; }));
+    EXPECT_TRUE(leaderRecords().empty());
+    m_store.put(Stream::Configuration, "config", "1");
     submit(*tasks.front(), makeJob());
     ASSERT_TRUE(waitUntilRunning());
-    for (const KeyedRecord& record : m_store.records(Stream::Journal)) {
-        if (record.key == leaderKey) {
-            EXPECT_NE(record.value->find("e-2"), std::string::npos) << *record.value;
-        }
-    }
+    EXPECT_FALSE(leaderRecords().empty());
+    for (const std::string& record : leaderRecords())
+        EXPECT_NE(record.find("e-2"), std::string::npos) << record;
+}
+
+// Guards against an instance with few processors that leads permanently because it claimed before another instance,
+// started at the same time, had announced more.
+TEST_F(BatchTaskTest, InstanceWithMostProcessorsLeadsInTheEndIfInstancesStartTogether)
+{
+    std::vector<std::unique_ptr<BatchTask>> tasks;
+    tasks.push_back(startInstance("e-1", 120));
+    tasks.push_back(startInstance("e-2", 500));
+    tasks.push_back(startInstance("e-3", 120));
+    submit(*tasks.front(), makeJob());
+    EXPECT_TRUE(waitUntil([this] {
+        std::vector<std::string> records = leaderRecords();
+        return !records.empty() && records.back().find("e-2") != std::string::npos;
+    }));
+    ASSERT_TRUE(waitUntilRunning());
+    std::size_t known = leaderRecords().size();
+    std::this_thread::sleep_for(shortOptions().failoverDelay);
+    std::vector<std::string> records = leaderRecords();
+    EXPECT_GT(records.size(), known);
+    for (std::size_t index = known; index < records.size(); ++index)
+        EXPECT_NE(records[index].find("e-2"), std::string::npos) << records[index];
+    EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
 // Guards against an instance with few processors that leads permanently because those with more were not running when
