Name the log in the error if it cannot be opened for a child process

What was seen: a soak test whose folder another run had removed ended with "cannot start .../lentilsaddled: No such file or directory", although the program was there.

Cause: posix_spawn() opened the log as one of its steps and does not report which step failed.

Change: ChildProcess opens the log itself and names it in the error.

--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -3,7 +3,9 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <system_error>
 
@@ -19,12 +21,17 @@
     for (const std::string& argument : arguments)
         pointers.push_back(const_cast<char*>(argument.c_str()));
     pointers.push_back(nullptr);
+    // Opened here, because posix_spawn() does not report which of its steps failed.
+    int log = open(m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    if (log < 0)
+        throw std::system_error(errno, std::generic_category(), "cannot open " + m_logPath);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, log, STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, log, STDERR_FILENO);
     int error = posix_spawn(&m_id, pointers[0], &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
+    close(log);
     if (error != 0)
         throw std::system_error(error, std::generic_category(), "cannot start " + arguments[0]);
 }
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -15,7 +15,7 @@
     /// Starts a program.
     /// @param arguments path of the program and its arguments.
     /// @param logPath file that gets standard output and standard error.
-    /// @throws std::system_error if the program cannot be started.
+    /// @throws std::system_error if the log cannot be opened or the program cannot be started.
     ChildProcess(const std::vector<std::string>& arguments, std::string logPath);
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
