Give each run of the soak a folder of its own

What was seen: of two soak runs of one seed at the same time, for example in two checkouts, one ended with "cannot start .../lentilsaddled: No such file or directory".

Cause: the folder of the logs and settings was named by the seed alone. A run removed it at its start and, if it had passed, at its end, while the other run still restarted daemons in it.

Change: the soak test and lentilsaddle_soak create a folder with a random end, as the process tests do.

--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/ProcessHarness.h"
 
 #include "tests/process/FreePorts.h"
+#include "tests/process/TemporaryFolder.h"
 
 #include <gtest/gtest.h>
 
@@ -23,14 +24,6 @@
     constexpr std::chrono::milliseconds pollInterval { 50 };
     constexpr std::size_t printedLogLines = 15;
 
-    std::string makeFolder()
-    {
-        std::string path = (std::filesystem::temp_directory_path() / "lentilsaddle-test-XXXXXX").string();
-        if (!mkdtemp(path.data()))
-            throw std::system_error(errno, std::generic_category(), "cannot create a temporary folder");
-        return path;
-    }
-
     std::string loopback(std::uint16_t port)
     {
         return "127.0.0.1:" + std::to_string(port);
@@ -61,7 +54,7 @@
 
 ProcessHarness::ProcessHarness(Options options)
     : m_options(std::move(options))
-    , m_folder(makeFolder())
+    , m_folder(makeTemporaryFolder((std::filesystem::temp_directory_path() / "lentilsaddle-test-").string()))
 {
     startPlatform();
     for (std::size_t i = 0; i < m_options.dataCentres.size(); ++i)
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -1,3 +1,4 @@
+#include "tests/process/TemporaryFolder.h"
 #include "tests/soak/SoakRun.h"
 
 #include <gtest/gtest.h>
@@ -24,8 +25,8 @@
 TEST_P(SoakTest, GuaranteesHoldUnderRandomFaults)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    std::string folder = testing::TempDir() + "lentilsaddle-soak-" + std::to_string(GetParam().seed);
-    std::filesystem::remove_all(folder);
+    std::string folder = testing_support::makeTemporaryFolder(
+        testing::TempDir() + "lentilsaddle-soak-" + std::to_string(GetParam().seed) + "-");
     SoakResult result = runSoak({ .seed = GetParam().seed, .duration = GetParam().duration, .folder = folder });
     EXPECT_GT(result.accepted, 0U);
     for (const std::string& violation : result.violations)
--- a/tests/soak/soakMain.cpp
+++ b/tests/soak/soakMain.cpp
@@ -1,3 +1,4 @@
+#include "tests/process/TemporaryFolder.h"
 #include "tests/soak/SoakRun.h"
 
 #include <gflags/gflags.h>
@@ -22,8 +23,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     unsigned failed = 0;
     for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed) {
-        std::string folder = FLAGS_folder + "/seed-" + std::to_string(seed);
-        std::filesystem::remove_all(folder);
+        std::filesystem::create_directories(FLAGS_folder);
+        std::string folder
+            = lentilsaddle::testing_support::makeTemporaryFolder(FLAGS_folder + "/seed-" + std::to_string(seed) + "-");
         SoakResult result = runSoak({
             .seed = seed,
             .duration = std::chrono::seconds(FLAGS_seconds),
