Observe a worker before a new leader ends the claims of its earlier incarnations

Callers could see a task that ran twice at the same time. A claim names the incarnation of the worker that the leader knew when it stored the claim; the next incarnation may have executed the start. A new leader whose directory named a later incarnation declared the run lost without having observed the worker, and started the task again.

The claim now stays until the first observation under the new term, from which on the worker refuses starts of earlier terms. If the list does not show the run, its loss has the cause "worker restarted" as before.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -101,6 +101,7 @@
                         .run = claimed.run,
                         .resources = description.resources,
                         .phase = Allocation::Phase::Uncertain,
+                        .incarnation = claimed.workerIncarnation,
                         .inherited = true,
                         .checkpoint = claimed.checkpoint,
                         .since = m_hooks.clock(),
@@ -108,7 +109,7 @@
                     WorkerSession& session = sessionFor(worker);
                     if (listed == workers.end())
                         session.setListed(false);
-                    session.inherit(allocation, claimed.workerIncarnation);
+                    session.inherit(allocation);
                 }
             }
         }
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -54,12 +54,8 @@
     m_hooks.onChanged();
 }
 
-void WorkerSession::inherit(const Allocation& allocation, std::int64_t incarnation)
+void WorkerSession::inherit(const Allocation& allocation)
 {
-    if (m_incarnation != 0 && incarnation != 0 && incarnation < m_incarnation) {
-        m_hooks.onLost(allocation, RunLoss::WorkerRestarted);
-        return;
-    }
     m_allocations[{ allocation.task, allocation.run }] = allocation;
 }
 
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -63,9 +63,8 @@
     void setListed(bool listed);
     bool listed() const { return m_listed; }
 
-    /// Adds a run that an earlier leader claimed.
-    /// @param incarnation incarnation of the worker that the claim names; 0 if unknown.
-    void inherit(const Allocation& allocation, std::int64_t incarnation);
+    /// Adds a run that an earlier leader claimed, with the incarnation of the worker that the claim names.
+    void inherit(const Allocation& allocation);
 
     /// Reserves capacity for a run whose claim is being stored.
     void reserve(const Allocation& allocation);
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -3,6 +3,7 @@
 #include "FakeStore.h"
 #include "FakeWorkers.h"
 #include "coordination/batch/JournalKeys.h"
+#include "protocol/batch/BatchRecordCodec.h"
 #include "tests/coordination/TestEnvironment.h"
 
 #include <gtest/gtest.h>
@@ -22,6 +23,7 @@
     using state::batch::BatchConfiguration;
     using state::batch::BatchJob;
     using state::batch::BatchJobEntry;
+    using state::batch::BatchTaskState;
     using state::batch::BatchWorker;
     using std::chrono::milliseconds;
 
@@ -204,6 +206,19 @@
             ASSERT_TRUE(waitUntil([this] { return m_workers.acknowledged("w1") == 1; }));
         }
 
+        // Stores a job whose task an earlier leader has claimed for a run on the first incarnation of w1.
+        void storeClaim()
+        {
+            m_store.put(Stream::Journal, makeKey(jobKeyPrefix, jobId.value()), protocol::batch::encodeJob(makeJob()));
+            BatchTaskState claimed {
+                .phase = BatchTaskState::Phase::Claimed,
+                .run = 1,
+                .worker = state::WorkerId("w1"),
+                .workerIncarnation = 1,
+            };
+            m_store.put(Stream::Journal, makeKey(taskKeyPrefix, taskName), protocol::batch::encodeTaskState(claimed));
+        }
+
         transport::Metrics m_metrics;
         FakeStore m_store;
         FakeWorkers m_workers;
@@ -660,6 +675,35 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
+// Guards against a second run of a task whose start was executed by the next incarnation of its worker, which the
+// earlier leader did not know when it stored the claim.
+TEST_F(BatchTaskTest, NewLeaderAdoptsARunOfTheNextIncarnation)
+{
+    storeClaim();
+    m_workers.restart("w1");
+    m_workers.run("w1", taskName, 1);
+    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w2", "ready");
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Running; }));
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+    EXPECT_FALSE(m_workers.ranTwice());
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+}
+
+// Guards against a task that waits forever for a run that ended with an earlier incarnation of its worker.
+TEST_F(BatchTaskTest, NewLeaderStartsATaskOfARestartedWorkerAgain)
+{
+    storeClaim();
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready 2");
+    auto task = startInstance("e-1");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 1; }));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 // Guards against seconds without a leader after a planned stop of the leader.
 TEST_F(BatchTaskTest, DrainingLeaderIsReplacedBeforeTheFailoverDelay)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -100,6 +100,16 @@
         return result;
     }
 
+    /// Makes a worker run a task that an earlier leader started.
+    void run(const std::string& worker, const std::string& task, std::int64_t run)
+    {
+        std::lock_guard lock(m_mutex);
+        Worker& target = m_workers[worker];
+        extendLease(target, clockOf(target) + longestLease);
+        target.running[task] = run;
+        ++m_starts[task];
+    }
+
     /// Makes a worker unreachable. Its tasks keep running until their lease expires.
     void makeUnreachable(const std::string& worker)
     {
