Use the room of a rack beside a worker that is over its capacity

Callers saw a gang that must be in one rack wait although workers of a rack had room for it.

Cause: the index of free capacity summed the free accelerators of a rack, and a worker counts as less than nothing when its capacity has shrunk below what is allocated there, or when capacity is reserved on it for the time after stops. The sum then hid the room of the other workers, and the rack was passed over.

PreemptionOnAWorkerOverItsCapacityCoversTheShortage passed before: the search for victims already makes up for the shortage.

--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -52,6 +52,12 @@
         return accelerators + coreWeight * cores;
     }
 
+    // Free accelerators; none if the capacity has shrunk below what is allocated, or more is reserved than is free yet.
+    std::int64_t usableAccelerators(const WorkerView& view)
+    {
+        return std::max<std::int64_t>(0, view.free.accelerators);
+    }
+
 } // namespace
 
 CapacityIndex::CapacityIndex(std::vector<WorkerView> workers)
@@ -70,7 +76,7 @@
             m_racks.push_back({ .name = view.worker.rack });
         Rack& rack = m_racks[position->second];
         rack.workers.push_back(worker);
-        rack.freeAccelerators += view.free.accelerators;
+        rack.freeAccelerators += usableAccelerators(view);
         m_rackOf[worker] = position->second;
         total += view.worker.capacity.accelerators;
         free += view.free.accelerators;
@@ -161,9 +167,11 @@
 
 void CapacityIndex::allocate(std::size_t worker, const Resources& resources)
 {
-    m_workers[worker].free -= resources;
-    m_workers[worker].freeAfterStops -= resources;
-    m_racks[m_rackOf[worker]].freeAccelerators -= resources.accelerators;
+    WorkerView& view = m_workers[worker];
+    std::int64_t usableBefore = usableAccelerators(view);
+    view.free -= resources;
+    view.freeAfterStops -= resources;
+    m_racks[m_rackOf[worker]].freeAccelerators += usableAccelerators(view) - usableBefore;
 }
 
 void CapacityIndex::markStarting(std::size_t worker, const BatchUnit& unit)
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -55,6 +56,16 @@
         input.workers[worker].runs.push_back({ .group = group, .resources = resources });
     }
 
+    // Sets the accelerators of a worker; its runs stay.
+    void shrink(PlanInput& input, std::size_t worker, std::int64_t accelerators)
+    {
+        WorkerView& view = input.workers[worker];
+        std::int64_t removed = view.worker.capacity.accelerators - accelerators;
+        view.worker.capacity.accelerators = accelerators;
+        view.free.accelerators -= removed;
+        view.freeAfterStops.accelerators -= removed;
+    }
+
     BatchPlan plan(PlanInput input)
     {
         if (input.now == state::MonotonicTime {})
@@ -252,4 +263,80 @@
     }
 }
 
+// Guards against a gang that waits although workers of its rack have room: a worker whose capacity has shrunk below
+// what runs there must not hide the free capacity of the others.
+TEST(BatchPlanner, WorkerOverItsCapacityDoesNotHideTheRoomOfItsRack)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2"), makeWorker("w3") } };
+    input.groups = { { .priority = 1, .loss = 5 } };
+    addRun(input, 0, 0, 8);
+    shrink(input, 0, 0);
+    input.units = { makeUnit("j", 2, 8) };
+    input.units[0].gang = true;
+    input.units[0].sameRack = true;
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+}
+
+// Guards against the same while capacity is reserved on a worker whose runs are being stopped.
+TEST(BatchPlanner, ReservationAfterStopsDoesNotHideTheRoomOfItsRack)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2"), makeWorker("w3") } };
+    input.workers[0].worker.labels.insert("b");
+    input.groups = { { .priority = 2, .loss = 5 } };
+    addRun(input, 0, 0, 8);
+    input.workers[0].runs[0].stopping = true;
+    input.workers[0].freeAfterStops = wholeWorker;
+    input.units = { makeUnit("urgent", 1, 8, 0), makeUnit("j", 2, 8) };
+    input.units[0].requiredLabel = "b";
+    input.units[1].gang = true;
+    input.units[1].sameRack = true;
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+}
+
+// Guards against preempting too few runs of a worker over its capacity: the stops must also make up for the shortage.
+TEST(BatchPlanner, PreemptionOnAWorkerOverItsCapacityCoversTheShortage)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2, .loss = 1 }, { .priority = 2, .loss = 2 }, { .priority = 2, .loss = 3 } };
+    for (std::size_t group = 0; group < input.groups.size(); ++group)
+        addRun(input, 0, group, 2);
+    shrink(input, 0, 4);
+    input.units = { makeUnit("j", 1, 2, 0) };
+    EXPECT_EQ(plan(input).preemptions.size(), 2U);
+}
+
+// Guards against a start on a worker whose capacity has shrunk below what runs there, also of a task that does not need
+// the resource that is short, and against a rack whose room is not used because one of its workers is over its
+// capacity.
+RC_GTEST_PROP(BatchPlanner, WorkersOverTheirCapacityGetNothingAndHideNothing, ())
+{
+    PlanInput input;
+    int workers = *rc::gen::inRange(1, 6);
+    for (int worker = 0; worker < workers; ++worker) {
+        auto index = static_cast<std::size_t>(worker);
+        input.workers.push_back(makeWorker("w" + std::to_string(worker)));
+        input.groups.push_back({ .priority = 0, .loss = 1 });
+        addRun(input, index, index, *rc::gen::inRange(0, 9));
+        shrink(input, index, *rc::gen::inRange(0, 9));
+    }
+    input.units = { makeUnit("j", *rc::gen::inRange(1, 5), *rc::gen::inRange(0, 5)) };
+    BatchUnit& unit = input.units[0];
+    unit.gang = *rc::gen::arbitrary<bool>();
+    unit.sameRack = *rc::gen::arbitrary<bool>();
+    std::size_t room = 0;
+    for (const WorkerView& view : input.workers) {
+        Resources free = view.free;
+        for (; unit.resources.fitsInto(free); free -= unit.resources)
+            ++room;
+    }
+    BatchPlan result = plan(input);
+    for (const Placement& placement : result.placements) {
+        Resources& free = input.workers[placement.worker].free;
+        free -= unit.resources;
+        RC_ASSERT(Resources {}.fitsInto(free));
+    }
+    std::size_t expected = unit.gang && room < unit.indices.size() ? 0 : std::min(room, unit.indices.size());
+    RC_ASSERT(result.placements.size() == expected);
+}
+
 } // namespace lentilsaddle::coordination::batch
