Count a worker over its capacity as full, not as more than full

Callers saw a task wait for its preferred rack although another rack was idle.

Cause: the share of accelerators in use, which decides whether a waiting task may start outside its rack, subtracted the shortage of a worker over its capacity from what was free on the others. One worker of 1 accelerator with 8 in use beside an idle worker of 8 counted as 89% in use instead of 11%.

Evidence: WorkerOverItsCapacityDoesNotCountAsMoreThanFull placed nothing before. The share now adds nothing for such a worker, as the racks do.

--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -79,7 +79,7 @@
         rack.freeAccelerators += usableAccelerators(view);
         m_rackOf[worker] = position->second;
         total += view.worker.capacity.accelerators;
-        free += view.free.accelerators;
+        free += usableAccelerators(view);
     }
     m_utilisation = total > 0 ? 1 - static_cast<double>(free) / static_cast<double>(total) : 0;
 }
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -293,6 +293,20 @@
     EXPECT_EQ(plan(input).placements.size(), 2U);
 }
 
+// Guards against a worker over its capacity that makes the others look as busy, so that a task waits for its rack
+// longer than it should.
+TEST(BatchPlanner, WorkerOverItsCapacityDoesNotCountAsMoreThanFull)
+{
+    PlanInput input { .workers = { makeWorker("w1", "r1"), makeWorker("w2", "r2") } };
+    input.groups = { { .priority = 1, .loss = 5 } };
+    addRun(input, 0, 0, 8);
+    shrink(input, 0, 1);
+    input.units = { makeUnit("j", 1, 1) };
+    input.units[0].preferredRack = "r1";
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_EQ(plan(input).placements.size(), 1U);
+}
+
 // Guards against preempting too few runs of a worker over its capacity: the stops must also make up for the shortage.
 TEST(BatchPlanner, PreemptionOnAWorkerOverItsCapacityCoversTheShortage)
 {
