Check a claim against the worker's capacity again before its start

Callers, and the worker's owner, saw a worker get a start that brought it over a capacity that had shrunk meanwhile. The same path started tasks on a worker that had begun to drain.

Cause: a claim is planned, stored, and started when the store confirms it. With a slow store, or one that refuses and is retried, this takes any time, and nothing looked at the worker again: not at its capacity, nor whether it drains, is listed or responds.

Once a claim is stored, decideStarts() compares everything that is allocated on the worker, runs being stopped included, with the newest capacity. A claim that no longer fits is given back: its reservation ends and the task is stored as queued with its run number, so that it is no attempt; the claims of a gang are given back as a whole, in one batch. lentilsaddle_batch_claims_released_total{reason} and the log line 'claim released before its start' show it.

The tests read the directory every 20 ms instead of 400 ms, so that a shrink arrives within the leader's short lease.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -188,7 +188,7 @@
 {
     const BatchJobEntry& entry = *m_table.find(unit.job);
     TaskStates states;
-    std::vector<std::pair<BatchTaskId, state::WorkerId>> tasks;
+    ClaimedTasks tasks;
     std::int64_t gangRun = entry.highestRun(unit.occurrence, unit.step) + 1;
     std::string gangCheckpoint;
     for (const auto& [index, worker] : places) {
@@ -231,28 +231,79 @@
     });
 }
 
-void BatchScheduler::startClaimed(const std::vector<std::pair<BatchTaskId, state::WorkerId>>& tasks)
+void BatchScheduler::startClaimed(const ClaimedTasks& tasks)
 {
-    for (const auto& [id, worker] : tasks) {
+    for (const auto& [id, worker] : tasks)
         m_claiming.erase(id);
-        const BatchJobEntry& entry = *m_table.find(id.job);
-        std::int64_t run = entry.task(id).run;
-        auto session = m_sessions.find(worker);
-        if (session == m_sessions.end())
-            continue;
-        if (entry.finished()) {
-            session->second->cancelReservation({ id, run });
-            continue;
-        }
-        m_metrics.increment("lentilsaddle_batch_starts_total");
-        if (auto ready = m_readySince.find({ id.job, id.occurrence, id.step }); ready != m_readySince.end())
-            m_metrics.observe("lentilsaddle_batch_start_wait_seconds", m_hooks.clock() - ready->second,
-                { { "priority", std::to_string(entry.job().queue.priority) } });
-        session->second->start({ id, run }, entry.job().payload);
+    const BatchTaskId& first = tasks.front().first;
+    const BatchJobEntry& entry = *m_table.find(first.job);
+    if (entry.finished()) {
+        for (const auto& [id, worker] : tasks)
+            cancelReservation(worker, { id, entry.task(id).run });
+        requestPlan();
+        return;
+    }
+    std::vector<StartDecision> decisions = checkStarts(tasks);
+    TaskStates released;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto& [id, worker] = tasks[index];
+        if (decisions[index] == StartDecision::Start)
+            startTask(entry, id, worker);
+        else
+            released.emplace_back(id, releaseClaim(entry, id, worker, decisions[index]));
     }
+    // In one batch, so that a new leader finds all members of a gang claimed or none.
+    if (!released.empty())
+        m_hooks.storeTasks(std::move(released), [this, alive = std::weak_ptr(m_alive)] {
+            if (!alive.expired())
+                requestPlan();
+        });
     requestPlan();
 }
 
+std::vector<StartDecision> BatchScheduler::checkStarts(const ClaimedTasks& tasks) const
+{
+    const BatchTaskId& first = tasks.front().first;
+    const BatchStep& step = m_table.find(first.job)->job().steps[static_cast<std::size_t>(first.step)];
+    std::vector<DueStart> starts;
+    std::map<state::WorkerId, StartCapacity> workers;
+    for (const auto& [id, worker] : tasks) {
+        starts.push_back({ .worker = worker, .resources = step.resources });
+        if (auto found = m_sessions.find(worker); found != m_sessions.end())
+            workers[worker] = { .available = found->second->acceptsStarts(), .free = found->second->freeCapacity() };
+    }
+    return decideStarts(starts, std::move(workers), step.gang);
+}
+
+void BatchScheduler::startTask(const BatchJobEntry& entry, const BatchTaskId& id, const state::WorkerId& worker)
+{
+    m_metrics.increment("lentilsaddle_batch_starts_total");
+    if (auto ready = m_readySince.find({ id.job, id.occurrence, id.step }); ready != m_readySince.end())
+        m_metrics.observe("lentilsaddle_batch_start_wait_seconds", m_hooks.clock() - ready->second,
+            { { "priority", std::to_string(entry.job().queue.priority) } });
+    m_sessions.at(worker)->start({ id, entry.task(id).run }, entry.job().payload);
+}
+
+BatchTaskState BatchScheduler::releaseClaim(
+    const BatchJobEntry& entry, const BatchTaskId& id, const state::WorkerId& worker, StartDecision reason)
+{
+    BatchTaskState queued = entry.task(id);
+    queued.phase = TaskPhase::Queued;
+    cancelReservation(worker, { id, queued.run });
+    m_quarantine.probeAbandoned(worker, id.job);
+    m_metrics.increment("lentilsaddle_batch_claims_released_total", { { "reason", startDecisionName(reason) } });
+    writeLog(LogLevel::Info, "scheduler", "claim released before its start",
+        { { "job", id.job.value() }, { "task", id.toString() }, { "run", std::to_string(queued.run) },
+            { "worker", worker.value() }, { "reason", startDecisionName(reason) } });
+    return queued;
+}
+
+void BatchScheduler::cancelReservation(const state::WorkerId& worker, const WorkerSession::AllocationKey& key)
+{
+    if (auto found = m_sessions.find(worker); found != m_sessions.end())
+        found->second->cancelReservation(key);
+}
+
 void BatchScheduler::requestPlan()
 {
     if (m_planRequested)
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -11,6 +11,7 @@
 #include "coordination/decisions/WorkerQuarantine.h"
 #include "coordination/decisions/batch/BatchPlanner.h"
 #include "coordination/decisions/batch/CrashAttribution.h"
+#include "coordination/decisions/batch/StartCheck.h"
 #include "coordination/decisions/batch/WorkerSpeed.h"
 #include "state/Time.h"
 #include "state/batch/BatchTable.h"
@@ -71,6 +72,9 @@
     using GroupKey = std::tuple<state::JobId, int, int, int, std::int64_t>;
     using TaskStates = std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>>;
 
+    /// Tasks of one unit, with the workers that they are claimed for.
+    using ClaimedTasks = std::vector<std::pair<state::batch::BatchTaskId, state::WorkerId>>;
+
     struct PendingEnds {
         /// Ends that are being stored.
         int stores = 0;
@@ -155,7 +159,16 @@
     double lossOf(const Allocation& allocation, const state::batch::BatchStep& step) const;
     void executePlan(const PlanInput& input, const RunOverview& overview, const BatchPlan& plan);
     void claim(const BatchUnit& unit, const std::vector<std::pair<int, state::WorkerId>>& places);
-    void startClaimed(const std::vector<std::pair<state::batch::BatchTaskId, state::WorkerId>>& tasks);
+    /// Starts the tasks of a unit whose claims have been stored, and gives back the claims that no longer fit.
+    void startClaimed(const ClaimedTasks& tasks);
+    std::vector<StartDecision> checkStarts(const ClaimedTasks& tasks) const;
+    void startTask(
+        const state::batch::BatchJobEntry& entry, const state::batch::BatchTaskId& id, const state::WorkerId& worker);
+    /// Releases the reservation of a claim. No start was sent, so its run is no attempt.
+    /// @return the state to store.
+    state::batch::BatchTaskState releaseClaim(const state::batch::BatchJobEntry& entry,
+        const state::batch::BatchTaskId& id, const state::WorkerId& worker, StartDecision reason);
+    void cancelReservation(const state::WorkerId& worker, const WorkerSession::AllocationKey& key);
 
     transport::EventLoop& m_loop;
     const BatchOptions& m_options;
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -376,9 +376,14 @@
     m_hooks.onLost(node.mapped(), loss);
 }
 
+bool WorkerSession::acceptsStarts() const
+{
+    return m_listed && !m_description.draining && m_observed && m_reachable && m_clock.known();
+}
+
 bool WorkerSession::usable() const
 {
-    if (!m_listed || m_description.draining || !m_observed || !m_reachable || !m_clock.known())
+    if (!acceptsStarts())
         return false;
     state::MonotonicTime now = m_hooks.clock();
     if (m_pausedUntil && now < *m_pausedUntil)
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -83,7 +83,9 @@
     /// Observes the worker now, unless an observation is in flight.
     void observeNow();
 
-    /// @return whether new work may be sent.
+    /// @return whether a start may be sent to the worker, if it fits.
+    bool acceptsStarts() const;
+    /// @return whether new work may be planned for the worker.
     bool usable() const;
     /// @return whether the worker has not responded recently, so that only an observation can make it usable.
     bool needsObservation() const;
--- /dev/null
+++ b/coordination/decisions/batch/StartCheck.h
@@ -0,0 +1,48 @@
+/// @file
+/// Check of claimed tasks against the capacity of their workers before they are started.
+#pragma once
+
+#include "state/Identifier.h"
+#include "state/batch/Resources.h"
+
+#include <map>
+#include <vector>
+
+namespace lentilsaddle::coordination::batch {
+
+/// A claimed task whose start is due. Its worker may have changed since the claim was planned.
+struct DueStart {
+    state::WorkerId worker;
+    state::batch::Resources resources;
+};
+
+/// What a worker offers to the tasks that are claimed for it.
+struct StartCapacity {
+    /// The worker accepts starts: it is listed, responds and is not draining.
+    bool available = false;
+    /// Capacity without that of all allocations, the due starts among them; negative amounts are a shortage.
+    state::batch::Resources free;
+};
+
+/// Whether a claimed task is started, or why not.
+enum class StartDecision {
+    Start,
+    WorkerUnavailable,
+    /// The start would bring the worker over its capacity.
+    InsufficientCapacity,
+    /// Another member of the gang cannot start.
+    GangIncomplete,
+};
+
+/// Decides which claimed tasks are started.
+/// @param starts tasks of one step.
+/// @param workers the workers of the tasks.
+/// @param gang whether the tasks start together or not at all.
+/// @return one decision for each task, in their order.
+std::vector<StartDecision> decideStarts(
+    const std::vector<DueStart>& starts, std::map<state::WorkerId, StartCapacity> workers, bool gang);
+
+/// @return the decision as a log value.
+const char* startDecisionName(StartDecision decision);
+
+} // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -11,9 +11,11 @@
 #include <algorithm>
 #include <atomic>
 #include <future>
+#include <map>
 #include <random>
 #include <set>
 #include <sstream>
+#include <string_view>
 #include <thread>
 
 namespace lentilsaddle::coordination::batch {
@@ -29,6 +31,10 @@
 
     const state::JobId jobId { "00000000000000aa" };
     constexpr const char* taskName = "00000000000000aa.0.0.0";
+    // Begins the entry of a ready worker that states its accelerators.
+    constexpr std::string_view acceleratorsPrefix = "accelerators=";
+    constexpr std::string_view addressPrefix = "address=";
+    constexpr std::string_view incarnationPrefix = "incarnation=";
 
     // Short limits, in the proportions of the defaults.
     BatchOptions shortOptions()
@@ -55,6 +61,7 @@
         options.startRetryLimit = milliseconds(200);
         options.stopGrace = milliseconds(50);
         options.refusalBackoff = milliseconds(50);
+        options.directoryReadInterval = milliseconds(20);
         options.planRefreshInterval = milliseconds(30);
         options.lookupTimeout = milliseconds(60);
         return options;
@@ -116,23 +123,28 @@
             return {
                 .journal = m_store.hooksFor(loop),
                 .worker = m_workers.hooksFor(loop),
-                // An entry is `STATE`, or `STATE INCARNATION` after a restart of the worker.
+                // An entry is its state, followed by what differs from the default.
                 .decodeWorker =
                     [](const std::string& key, const std::string& value) {
-                        std::istringstream entry(value);
-                        std::string lifecycle;
-                        std::int64_t incarnation = 0;
-                        entry >> lifecycle >> incarnation;
-                        return std::optional(BatchWorker {
+                        BatchWorker worker {
                             .id = state::WorkerId(key),
                             .service = state::ServiceId("s"),
-                            // `ready@ADDRESS` is an entry with the address of another worker.
-                            .address
-                            = value.substr(value.find('@') + 1) == value ? key : value.substr(value.find('@') + 1),
+                            .address = key,
                             .capacity = { .milliCores = 8, .memoryMegabytes = 8, .accelerators = 8 },
-                            .draining = lifecycle == "draining",
-                            .incarnation = std::max<std::int64_t>(incarnation, 1),
-                        });
+                            .incarnation = 1,
+                        };
+                        std::istringstream words(value);
+                        for (std::string word; words >> word;) {
+                            if (word == "draining")
+                                worker.draining = true;
+                            else if (word.starts_with(acceleratorsPrefix))
+                                worker.capacity.accelerators = std::stoll(word.substr(acceleratorsPrefix.size()));
+                            else if (word.starts_with(addressPrefix))
+                                worker.address = word.substr(addressPrefix.size());
+                            else if (word.starts_with(incarnationPrefix))
+                                worker.incarnation = std::stoll(word.substr(incarnationPrefix.size()));
+                        }
+                        return std::optional(worker);
                     },
                 .decodeConfiguration =
                     [this](const std::string&, const std::string& value) {
@@ -190,6 +202,27 @@
                 [](const KeyedRecord& record) { return record.key.starts_with(instanceKeyPrefix); });
         }
 
+        void setAccelerators(const std::string& worker, int accelerators)
+        {
+            m_store.put(Stream::Directory, worker, std::string(acceleratorsPrefix) + std::to_string(accelerators));
+        }
+
+        // Makes the leader claim the job's tasks while the store refuses appends, so that the claims stay unconfirmed.
+        // The workers must have no capacity before.
+        void holdClaims(BatchTask& task, const BatchJob& job, const std::map<std::string, int>& accelerators)
+        {
+            ASSERT_EQ(submit(task, job), ChangeOutcome::Done);
+            ASSERT_TRUE(waitUntil([this] { return m_workers.observations() > 0; }));
+            m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+            for (const auto& [worker, count] : accelerators)
+                setAccelerators(worker, count);
+            std::string prefix = makeKey(taskKeyPrefix, job.id.value());
+            ASSERT_TRUE(waitUntil([&] { return m_store.refused(prefix); }));
+        }
+
+        // Longer than the leader needs to read the directory and to plan.
+        static void letTheLeaderAct() { std::this_thread::sleep_for(milliseconds(250)); }
+
         bool waitUntilRunning()
         {
             return waitUntil([this] { return m_workers.running().size() == 1; });
@@ -451,7 +484,7 @@
     // The first observation after the start is in flight then.
     std::this_thread::sleep_for(shortOptions().observeWait / 4 + milliseconds(15));
     m_store.put(Stream::Directory, "w2", "ready");
-    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
     std::this_thread::sleep_for(milliseconds(400));
     EXPECT_EQ(m_workers.starts(taskName), 1);
     EXPECT_FALSE(m_workers.ranTwice());
@@ -468,7 +501,7 @@
     std::this_thread::sleep_for(milliseconds(30));
     m_workers.restart("w1");
     m_store.put(Stream::Directory, "w2", "ready");
-    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
     ASSERT_TRUE(waitUntilRunning());
     std::this_thread::sleep_for(milliseconds(600));
     EXPECT_FALSE(m_workers.ranTwice());
@@ -511,7 +544,7 @@
     std::this_thread::sleep_for(milliseconds(150));
     m_workers.restart("w1");
     m_store.put(Stream::Directory, "w2", "ready");
-    m_store.put(Stream::Directory, "w1", "ready 3");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=3");
     ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
     std::this_thread::sleep_for(milliseconds(800));
     EXPECT_FALSE(m_workers.ranTwice());
@@ -530,7 +563,7 @@
     cancel(*task, cancelled.id);
     ASSERT_TRUE(waitUntil([this] { return m_workers.running().empty(); }));
     m_workers.restart("w1");
-    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
     std::this_thread::sleep_for(milliseconds(400));
     submit(*task, makeJob());
     ASSERT_TRUE(waitUntilRunning());
@@ -682,7 +715,7 @@
     storeClaim();
     m_workers.restart("w1");
     m_workers.run("w1", taskName, 1);
-    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
     m_store.put(Stream::Directory, "w2", "ready");
     auto task = startInstance("e-1");
     ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Running; }));
@@ -698,7 +731,7 @@
 {
     storeClaim();
     m_workers.restart("w1");
-    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
     auto task = startInstance("e-1");
     EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 1; }));
     EXPECT_FALSE(m_workers.ranTwice());
@@ -836,7 +869,7 @@
             for (const std::string& worker : m_workers.crashed()) {
                 if (m_workers.starts(taskName) > static_cast<int>(replaced.size()) + 1
                     && replaced.insert(worker).second)
-                    m_store.put(Stream::Directory, "successor-of-" + worker, "ready@" + worker);
+                    m_store.put(Stream::Directory, "successor-of-" + worker, "ready address=" + worker);
             }
             return query(*task, jobId).phase == BatchJobEntry::Phase::Failed;
         },
@@ -909,4 +942,141 @@
     EXPECT_TRUE(query(*second, jobId).phase.has_value());
 }
 
+// Guards against a worker over its capacity: one that shrinks while a claim is being stored must not get the start.
+TEST_F(BatchTaskTest, CapacityThatShrinksBeforeAStartIsNotExceeded)
+{
+    setAccelerators("w1", 0);
+    auto task = startInstance("e-1");
+    holdClaims(*task, makeJob(), { { "w1", 8 } });
+    setAccelerators("w1", 0);
+    letTheLeaderAct();
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    setAccelerators("w1", 8);
+    EXPECT_TRUE(waitUntilRunning());
+}
+
+// Guards against new work on a worker that begins to drain while the claim is being stored.
+TEST_F(BatchTaskTest, ClaimForAWorkerThatBeginsToDrainIsNotStarted)
+{
+    setAccelerators("w1", 0);
+    auto task = startInstance("e-1");
+    holdClaims(*task, makeJob(), { { "w1", 8 } });
+    m_store.put(Stream::Directory, "w1", "draining");
+    letTheLeaderAct();
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntilRunning());
+}
+
+// Guards against giving back more claims than the smaller capacity requires.
+TEST_F(BatchTaskTest, ClaimsThatStillFitAfterAShrinkAreStarted)
+{
+    setAccelerators("w1", 0);
+    auto task = startInstance("e-1");
+    holdClaims(*task, makeJob(6), { { "w1", 8 } });
+    setAccelerators("w1", 2);
+    letTheLeaderAct();
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 2; }));
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.running().size(), 2U);
+    setAccelerators("w1", 8);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 6; }));
+}
+
+// Guards against a gang of which only some members start because the worker of another one has shrunk.
+TEST_F(BatchTaskTest, GangIsNotStartedInPartAfterAShrink)
+{
+    setAccelerators("w1", 0);
+    setAccelerators("w2", 0);
+    auto task = startInstance("e-1");
+    BatchJob job = makeJob(2);
+    job.steps[0].gang = true;
+    holdClaims(*task, job, { { "w1", 1 }, { "w2", 1 } });
+    setAccelerators("w2", 0);
+    letTheLeaderAct();
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    letTheLeaderAct();
+    for (int index = 0; index < 2; ++index)
+        EXPECT_EQ(m_workers.starts("00000000000000aa.0.0." + std::to_string(index)), 0);
+    setAccelerators("w2", 1);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 2; }));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against a job that fails because claims that were given back count as attempts.
+TEST_F(BatchTaskTest, ClaimThatIsGivenBackIsNoAttempt)
+{
+    setAccelerators("w1", 0);
+    auto task = startInstance("e-1");
+    holdClaims(*task, makeJob(), { { "w1", 8 } });
+    setAccelerators("w1", 0);
+    letTheLeaderAct();
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    letTheLeaderAct();
+    ASSERT_EQ(m_workers.starts(taskName), 0);
+    setAccelerators("w1", 8);
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == attempt + 1; }));
+        EXPECT_NE(query(*task, jobId).phase, BatchJobEntry::Phase::Failed);
+        m_workers.finish("w1", taskName, EndedTask::Reason::Failed);
+    }
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+}
+
+// Guards against a start on a worker that still runs as much as its smaller capacity, or more.
+TEST_F(BatchTaskTest, WorkerOverItsShrunkenCapacityGetsNoWork)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob(4));
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().size() == 4; }));
+    setAccelerators("w1", 2);
+    letTheLeaderAct();
+    BatchJob job = makeJob();
+    job.id = state::JobId("00000000000000bb");
+    submit(*task, job);
+    for (int ended = 0; ended < 3; ++ended) {
+        letTheLeaderAct();
+        EXPECT_EQ(m_workers.starts(job.id.value() + ".0.0.0"), 0);
+        m_workers.finish("w1", jobId.value() + ".0.0." + std::to_string(ended), EndedTask::Reason::Done);
+    }
+    EXPECT_TRUE(waitUntil([&] { return m_workers.starts(job.id.value() + ".0.0.0") == 1; }));
+}
+
+// Guards against capacity that stays unused after a worker has grown.
+TEST_F(BatchTaskTest, GrownCapacityIsUsedAtOnce)
+{
+    setAccelerators("w1", 2);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob(6));
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().size() == 2; }));
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.running().size(), 2U);
+    setAccelerators("w1", 8);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 6; }, milliseconds(1'000)));
+}
+
+// Guards against a new leader that reckons with the capacity at the time of the claims it inherits.
+TEST_F(BatchTaskTest, NewLeaderCountsInheritedRunsAgainstTheShrunkenCapacity)
+{
+    auto first = startInstance("e-1");
+    submit(*first, makeJob(4));
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().size() == 4; }));
+    auto second = startInstance("e-2");
+    first.reset();
+    setAccelerators("w1", 4);
+    BatchJob job = makeJob();
+    job.id = state::JobId("00000000000000bb");
+    ASSERT_TRUE(waitUntil([&] { return submit(*second, job) == ChangeOutcome::Done; }));
+    std::this_thread::sleep_for(milliseconds(700));
+    EXPECT_EQ(m_workers.running().size(), 4U);
+    EXPECT_EQ(m_workers.starts(job.id.value() + ".0.0.0"), 0);
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return m_workers.starts(job.id.value() + ".0.0.0") == 1; }));
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/batch/FakeStore.h
+++ b/tests/coordination/batch/FakeStore.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,14 @@
         m_unresponsive = unresponsive;
     }
 
+    /// @return whether an append of a record whose key begins with the prefix was refused.
+    bool refused(const std::string& prefix)
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_refusedKeys.lower_bound(prefix);
+        return found != m_refusedKeys.end() && found->starts_with(prefix);
+    }
+
     /// Limits the number of records in a response to a read.
     void setReadLimit(std::size_t records)
     {
@@ -150,6 +159,8 @@
     {
         std::lock_guard lock(m_mutex);
         if (m_appendFault == AppendFault::Refuse) {
+            for (const KeyedRecord& record : request.records)
+                m_refusedKeys.insert(record.key);
             respond(loop, reply, AppendResult { .status = AppendResult::Status::NotStored });
             return;
         }
@@ -223,6 +234,7 @@
     std::optional<Writer> m_writer;
     AppendResult m_lastResult;
     AppendFault m_appendFault = AppendFault::None;
+    std::set<std::string> m_refusedKeys;
     bool m_unresponsive = false;
     std::size_t m_readLimit = std::numeric_limits<std::size_t>::max();
     std::size_t m_pageSize = std::numeric_limits<std::size_t>::max();
