--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -31,7 +31,7 @@
 
     const state::JobId jobId { "00000000000000aa" };
     constexpr const char* taskName = "00000000000000aa.0.0.0";
-    // Begins the entry of a ready worker that states its accelerators.
+    // Words in the directory entry of a worker.
     constexpr std::string_view acceleratorsPrefix = "accelerators=";
     constexpr std::string_view addressPrefix = "address=";
     constexpr std::string_view incarnationPrefix = "incarnation=";
@@ -98,7 +98,7 @@
 
         std::unique_ptr<BatchTask> startInstance(const std::string& name, int processors = 0)
         {
-            BatchOptions options = shortOptions();
+            BatchOptions options = m_options;
             options.processors = processors;
             TaskEnvironment environment = makeTestEnvironment(name, m_metrics);
             environment.incarnation = ++m_incarnation;
@@ -252,6 +252,8 @@
             m_store.put(Stream::Journal, makeKey(taskKeyPrefix, taskName), protocol::batch::encodeTaskState(claimed));
         }
 
+        /// Options of the instances that are started next.
+        BatchOptions m_options = shortOptions();
         transport::Metrics m_metrics;
         FakeStore m_store;
         FakeWorkers m_workers;
@@ -972,6 +974,38 @@
     EXPECT_TRUE(waitUntilRunning());
 }
 
+// Guards against a worker over its capacity: a start without a response must not be repeated there after a shrink.
+TEST_F(BatchTaskTest, StartIsNotRepeatedOnAWorkerThatHasShrunk)
+{
+    m_options.startRetryLimit = milliseconds(2'000);
+    auto task = startInstance("e-1");
+    m_workers.dropStarts(true);
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.droppedStarts() > 0; }));
+    setAccelerators("w1", 0);
+    letTheLeaderAct();
+    m_workers.dropStarts(false);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    setAccelerators("w1", 8);
+    EXPECT_TRUE(waitUntilRunning());
+}
+
+// Guards against stopping a start without a response although its worker has shrunk no further than what runs there.
+TEST_F(BatchTaskTest, StartIsRepeatedOnAShrunkenWorkerWhereItFits)
+{
+    m_options.startRetryLimit = milliseconds(2'000);
+    auto task = startInstance("e-1");
+    m_workers.dropStarts(true);
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.droppedStarts() > 0; }));
+    setAccelerators("w1", 1);
+    letTheLeaderAct();
+    m_workers.dropStarts(false);
+    ASSERT_TRUE(waitUntilRunning());
+    EXPECT_EQ(m_workers.running().front(), std::string("w1 ") + taskName + " 1");
+}
+
 // Guards against giving back more claims than the smaller capacity requires.
 TEST_F(BatchTaskTest, ClaimsThatStillFitAfterAShrinkAreStarted)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -63,6 +63,20 @@
         m_nextStopResponseDelay = delay;
     }
 
+    /// While set, start requests are neither executed nor responded to.
+    void dropStarts(bool drop)
+    {
+        std::lock_guard lock(m_mutex);
+        m_dropStarts = drop;
+    }
+
+    /// @return start requests that were dropped.
+    int droppedStarts()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_droppedStarts;
+    }
+
     /// Restarts a worker under its identity: it has no runs and no state, and numbers its ends from 1.
     void restart(const std::string& worker)
     {
@@ -314,7 +328,8 @@
         std::lock_guard lock(m_mutex);
         if (respondAfterCrash(loop, m_workers[worker.id.value()], reply, WorkerCallResult::Status::NotDelivered))
             return;
-        if (m_workers[worker.id.value()].unreachable) {
+        if (m_workers[worker.id.value()].unreachable || m_dropStarts) {
+            m_droppedStarts += m_dropStarts ? 1 : 0;
             loop.startTimer(timeout, [reply] { reply({ .status = WorkerCallResult::Status::Unknown }); });
             return;
         }
@@ -409,6 +424,8 @@
     bool m_ranTwice = false;
     int m_observations = 0;
     bool m_loseNextStart = false;
+    bool m_dropStarts = false;
+    int m_droppedStarts = 0;
     bool m_refuseNextStart = false;
 };
 
