Start nothing while the directory of workers is stale

The owner of a worker could see it get starts over a capacity that had shrunk long before.

While the reads fail or are slow, claims are still confirmed, and starts were planned, sent and retried by whatever capacity was last read, however long ago.

A smaller capacity must be known within 3 s. If the last read is older than 2.2 s, nothing is planned, claims are given back and starts are not retried; planning resumes with the next read. One lost response costs 2.05 s and so delays no start. The age of the directory is a value of lentilsaddle_batch_stream_age_seconds on the leader.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -55,6 +55,10 @@
     std::chrono::milliseconds readTimeout { 600 };
     /// The same for one page of a listing, to which a slow store responds late and which cannot be split.
     std::chrono::milliseconds listTimeout { 2'000 };
+    /// No task starts if the leader's view of the directory is older than this, because a worker's capacity may have
+    /// shrunk since. Above the 2.05 s that a lost response costs. With the readTimeout by which a response may be late,
+    /// below the 3 s in which a smaller capacity must be known.
+    std::chrono::milliseconds directoryStaleAfter { 2'200 };
     /// Delay before a failed call to the store is retried.
     std::chrono::milliseconds storeRetryDelay { 150 };
     /// The instance is not ready if its view of the journal is older than this.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -59,6 +59,7 @@
         .clock = m_hooks.clock,
         .authorised = m_hooks.authorised,
         .mayRenew = m_hooks.mayRenew,
+        .directoryCurrent = m_hooks.directoryCurrent,
         .onFenced = m_hooks.onFenced,
         .onEnded
         = [this, worker](const EndedTask& ended, const Allocation* allocation) { onEnded(worker, ended, allocation); },
@@ -263,6 +264,8 @@
 
 std::vector<StartDecision> BatchScheduler::checkStarts(const ClaimedTasks& tasks) const
 {
+    if (!m_hooks.directoryCurrent())
+        return std::vector(tasks.size(), StartDecision::StaleDirectory);
     const BatchTaskId& first = tasks.front().first;
     const BatchStep& step = m_table.find(first.job)->job().steps[static_cast<std::size_t>(first.step)];
     std::vector<DueStart> starts;
@@ -350,6 +353,8 @@
     RunOverview overview(m_sessions, m_table);
     stopObsoleteRuns(overview);
     stopIncompleteGangs(overview);
+    if (waitForDirectory())
+        return;
     PlanInput input = makeInput(overview);
     if (input.units.empty())
         return;
@@ -358,6 +363,23 @@
     executePlan(input, overview, result);
 }
 
+bool BatchScheduler::waitForDirectory()
+{
+    bool wait = !m_hooks.directoryCurrent();
+    if (wait != m_waitingForDirectory)
+        writeLog(LogLevel::Info, "scheduler",
+            wait ? "nothing starts until the directory has been read" : "directory is current again",
+            { { "term", std::to_string(m_term) } });
+    m_waitingForDirectory = wait;
+    return wait;
+}
+
+void BatchScheduler::onDirectoryRead()
+{
+    if (m_waitingForDirectory)
+        requestPlan();
+}
+
 void BatchScheduler::probeWorkers()
 {
     for (auto& [id, session] : m_sessions) {
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -44,6 +44,8 @@
         std::function<bool()> authorised;
         /// Whether leases may be renewed now.
         std::function<bool()> mayRenew;
+        /// Whether the known capacities of the workers are recent enough to start tasks.
+        std::function<bool()> directoryCurrent;
         /// Stores records of tasks and applies them to the table, then calls back.
         std::function<void(std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>> states,
             std::function<void()> onStored)>
@@ -64,6 +66,9 @@
     /// Applies a change of the directory.
     void onWorkers(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
 
+    /// Called after each successful read of the directory.
+    void onDirectoryRead();
+
     /// Called when jobs or cancellations were added to the table.
     void onTableChanged() { requestPlan(); }
 
@@ -145,6 +150,7 @@
     static void stopObsoleteRuns(const RunOverview& overview);
     void stopIncompleteGangs(const RunOverview& overview);
     bool gangIncomplete(const RunOverview& overview, const RunOverview::Group& gang) const;
+    bool waitForDirectory();
     void probeWorkers();
     PlanInput makeInput(const RunOverview& overview);
     void addUnits(PlanInput& input, const RunOverview& overview);
@@ -199,6 +205,8 @@
     WorkerQuarantine m_quarantine;
     WorkerSpeed m_speed;
     bool m_planRequested = false;
+    /// Nothing is placed until the directory has been read.
+    bool m_waitingForDirectory = false;
     /// When the last planning round ended, and how long it took.
     state::MonotonicTime m_lastPlan {};
     std::chrono::microseconds m_planDuration { 0 };
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -162,8 +162,14 @@
         [this, term](const std::vector<KeyedRecord>& records) {
             applyDirectory(records, true);
             startScheduler(term);
+            // Nothing starts before a read follows the listing, so the read must not wait for the next record.
+            m_directoryReader->refresh(m_options.lookupTimeout, [] {});
         },
-        [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, false); }, [] {});
+        [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, false); },
+        [this] {
+            if (m_scheduler)
+                m_scheduler->onDirectoryRead();
+        });
     m_directoryReader->start();
 }
 
@@ -213,6 +219,7 @@
             .wallClock = m_environment.wallClock,
             .authorised = [this, term] { return m_leadership->term() == term && m_leadership->authorised(); },
             .mayRenew = [this, term] { return m_leadership->term() == term && m_leadership->mayRenew(); },
+            .directoryCurrent = [this] { return directoryCurrent(); },
             .storeTasks
             = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
             .onFenced =
@@ -388,6 +395,14 @@
     return m_journalListed && current && m_environment.monotonicClock() - *current < m_options.staleAfter;
 }
 
+bool BatchTask::directoryCurrent() const
+{
+    std::optional<state::MonotonicTime> current;
+    if (m_directoryReader)
+        current = m_directoryReader->currentAsOf();
+    return current && m_environment.monotonicClock() - *current < m_options.directoryStaleAfter;
+}
+
 void BatchTask::updateReadiness()
 {
     bool ready = !m_draining && m_configuration && journalCurrent();
@@ -412,7 +427,10 @@
 void BatchTask::recordStreamAges()
 {
     for (const auto& [stream, reader] : { std::pair(Stream::Journal, m_journalReader.get()),
-             std::pair(Stream::Configuration, m_configurationReader.get()) }) {
+             std::pair(Stream::Configuration, m_configurationReader.get()),
+             std::pair(Stream::Directory, m_directoryReader.get()) }) {
+        if (!reader)
+            continue;
         if (std::optional<state::MonotonicTime> current = reader->currentAsOf())
             m_environment.metrics->setGauge("lentilsaddle_batch_stream_age_seconds",
                 std::chrono::duration<double>(m_environment.monotonicClock() - *current).count(),
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -89,6 +89,8 @@
     void startScheduler(std::uint64_t term);
     void storeTasks(const TaskStates& states, const std::function<void()>& onStored);
     bool journalCurrent() const;
+    /// @return whether the view of the directory is recent enough to start tasks.
+    bool directoryCurrent() const;
     void updateReadiness();
     void watchReadiness();
     void recordStreamAges();
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -122,7 +122,7 @@
         return;
     // The incarnation recognises a run that it already has, so the start can be retried there, and only there.
     // If no earlier attempt was executed, a retry could bring the worker over a capacity that has shrunk since.
-    bool fits = state::batch::Resources {}.fitsInto(freeCapacity());
+    bool fits = m_hooks.directoryCurrent() && state::batch::Resources {}.fitsInto(freeCapacity());
     bool retry = fits && m_hooks.clock() - allocation.since < m_options.startRetryLimit && m_hooks.authorised()
         && !startedOnEarlierIncarnation(allocation);
     if (retry) {
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -36,6 +36,8 @@
         std::function<bool()> authorised;
         /// Whether leases may be renewed now.
         std::function<bool()> mayRenew;
+        /// Whether the known capacity of the worker is recent enough to start tasks.
+        std::function<bool()> directoryCurrent;
         /// The worker has seen a later term.
         std::function<void()> onFenced;
         /// A run ended. The end stays listed until acknowledge().
--- a/coordination/decisions/batch/StartCheck.cpp
+++ b/coordination/decisions/batch/StartCheck.cpp
@@ -36,6 +36,8 @@
         return "start";
     case StartDecision::WorkerUnavailable:
         return "worker_unavailable";
+    case StartDecision::StaleDirectory:
+        return "stale_directory";
     case StartDecision::InsufficientCapacity:
         return "insufficient_capacity";
     case StartDecision::GangIncomplete:
--- a/coordination/decisions/batch/StartCheck.h
+++ b/coordination/decisions/batch/StartCheck.h
@@ -28,6 +28,8 @@
 enum class StartDecision {
     Start,
     WorkerUnavailable,
+    /// The capacity of the worker may have changed unseen.
+    StaleDirectory,
     /// The start would bring the worker over its capacity.
     InsufficientCapacity,
     /// Another member of the gang cannot start.
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -53,6 +53,7 @@
         options.readTimeout = milliseconds(100);
         options.storeRetryDelay = milliseconds(10);
         options.staleAfter = milliseconds(250);
+        options.directoryStaleAfter = milliseconds(250);
         options.workerLease = milliseconds(900);
         options.observeWait = milliseconds(100);
         options.requestTimeout = milliseconds(80);
@@ -223,6 +224,11 @@
         // Longer than the leader needs to read the directory and to plan.
         static void letTheLeaderAct() { std::this_thread::sleep_for(milliseconds(250)); }
 
+        static void letTheDirectoryBecomeStale()
+        {
+            std::this_thread::sleep_for(shortOptions().directoryStaleAfter + milliseconds(50));
+        }
+
         bool waitUntilRunning()
         {
             return waitUntil([this] { return m_workers.running().size() == 1; });
@@ -974,6 +980,71 @@
     EXPECT_TRUE(waitUntilRunning());
 }
 
+// Guards against a start over a capacity that has shrunk unseen: the store confirms the claim, but the directory cannot
+// be read.
+TEST_F(BatchTaskTest, ClaimIsNotStartedWhileTheDirectoryIsStale)
+{
+    setAccelerators("w1", 0);
+    auto task = startInstance("e-1");
+    holdClaims(*task, makeJob(), { { "w1", 8 } });
+    m_store.setUnresponsive(Stream::Directory, true);
+    letTheDirectoryBecomeStale();
+    setAccelerators("w1", 0);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    m_store.setUnresponsive(Stream::Directory, false);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    setAccelerators("w1", 8);
+    EXPECT_TRUE(waitUntilRunning());
+}
+
+// Guards against the same for a job that arrives while the directory cannot be read.
+TEST_F(BatchTaskTest, NothingIsPlannedWhileTheDirectoryIsStale)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load() && m_workers.observations() > 0; }));
+    m_store.setUnresponsive(Stream::Directory, true);
+    letTheDirectoryBecomeStale();
+    setAccelerators("w1", 0);
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    setAccelerators("w1", 8);
+    m_store.setUnresponsive(Stream::Directory, false);
+    EXPECT_TRUE(waitUntilRunning());
+}
+
+// Guards against a new leader that starts nothing until a worker changes its entry or the first long poll ends.
+TEST_F(BatchTaskTest, NewLeaderReadsTheDirectoryAtOnce)
+{
+    m_options.directoryWait = milliseconds(3'000);
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 1; }, milliseconds(1'500)));
+}
+
+// Guards against a retry of a start over a capacity that has shrunk unseen.
+TEST_F(BatchTaskTest, StartIsNotRepeatedWhileTheDirectoryIsStale)
+{
+    m_options.startRetryLimit = milliseconds(2'000);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load() && m_workers.observations() > 0; }));
+    m_workers.dropStarts(true);
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.droppedStarts() > 0; }));
+    m_store.setUnresponsive(Stream::Directory, true);
+    setAccelerators("w1", 0);
+    letTheDirectoryBecomeStale();
+    m_workers.dropStarts(false);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    setAccelerators("w1", 8);
+    m_store.setUnresponsive(Stream::Directory, false);
+    EXPECT_TRUE(waitUntilRunning());
+}
+
 // Guards against a worker over its capacity: a start without a response must not be repeated there after a shrink.
 TEST_F(BatchTaskTest, StartIsNotRepeatedOnAWorkerThatHasShrunk)
 {
--- a/tests/coordination/batch/FakeStore.h
+++ b/tests/coordination/batch/FakeStore.h
@@ -65,6 +65,13 @@
         m_unresponsive = unresponsive;
     }
 
+    /// The same for one stream.
+    void setUnresponsive(Stream stream, bool unresponsive)
+    {
+        std::lock_guard lock(m_mutex);
+        m_streams[stream].unresponsive = unresponsive;
+    }
+
     /// @return whether an append of a record whose key begins with the prefix was refused.
     bool refused(const std::string& prefix)
     {
@@ -118,6 +125,7 @@
     struct StreamState {
         std::vector<KeyedRecord> records;
         std::uint64_t first = 0;
+        bool unresponsive = false;
     };
 
     std::uint64_t store(Stream stream, KeyedRecord record)
@@ -186,7 +194,7 @@
         std::chrono::milliseconds timeout, const std::function<void(ReadResult)>& reply)
     {
         std::lock_guard lock(m_mutex);
-        if (m_unresponsive) {
+        if (m_unresponsive || m_streams[stream].unresponsive) {
             loop.startTimer(wait + timeout, [reply] { reply({ .status = ReadResult::Status::Failed }); });
             return;
         }
