Restart workers in series in the soak, and list their incarnations later

A restart was announced in the directory at once and came alone, so the leader learnt of it before it sent the next start. Now up to six restarts follow each other within 50 to 500 ms, and the directory names the new incarnation up to 2 s later.

--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -63,7 +63,7 @@
         m_workerProxies.push_back(
             std::make_unique<FaultProxy>(portAt(m_firstWorkerProxyPort, worker), portAt(m_firstWorkerPort, worker)));
         m_workerProxies.back()->start();
-        announceWorker(worker, "ready", workerJournal().at("runners").at(static_cast<std::size_t>(worker)).at("born"));
+        announceWorker(worker);
     }
     writeConfiguration(1);
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
@@ -145,8 +145,7 @@
 
 void SoakCluster::restartWorker(int worker) const
 {
-    HttpReply reply = post(m_firstWorkerPort, "/control", json { { "restart", worker } }.dump());
-    announceWorker(worker, "ready", reply.json().at("born"));
+    post(m_firstWorkerPort, "/control", json { { "restart", worker } }.dump());
 }
 
 void SoakCluster::putRecord(const std::string& topic, const std::string& key, const std::string& value) const
@@ -154,10 +153,11 @@
     post(m_storePort, "/put?topic=" + topic + "&key=" + key, value);
 }
 
-void SoakCluster::announceWorker(int worker, const std::string& state, std::int64_t incarnation) const
+void SoakCluster::announceWorker(int worker) const
 {
+    json incarnation = workerJournal().at("runners").at(static_cast<std::size_t>(worker)).at("born");
     json entry { { "service", "s" }, { "addr", "127.0.0.1:" + std::to_string(portAt(m_firstWorkerProxyPort, worker)) },
-        { "zone", "dc-0" }, { "state", state }, { "seq", 1 }, { "born", incarnation },
+        { "zone", "dc-0" }, { "state", "ready" }, { "seq", 1 }, { "born", incarnation },
         { "labels", json::array({ "a", "r-" + std::to_string(worker / 3) }) },
         { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", m_options.accelerators } } } };
     putRecord("keyed.servers", "w-" + std::to_string(worker), entry.dump());
@@ -192,9 +192,8 @@
         proxy->post({});
     for (auto& proxy : m_workerProxies)
         proxy->post({});
-    json runners = workerJournal().at("runners");
     for (int worker = 0; worker < m_options.workers; ++worker)
-        announceWorker(worker, "ready", runners.at(static_cast<std::size_t>(worker)).at("born"));
+        announceWorker(worker);
     for (int daemon = 0; daemon < m_options.daemons; ++daemon)
         this->daemon(daemon).resume();
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -44,8 +44,10 @@
     void controlWorkers(const nlohmann::json& faults) const;
     void setStoreProxy(int daemon, FaultProxyMode mode);
     void setWorkerProxy(int worker, FaultProxyMode mode);
+    /// Restarts a worker; its directory entry keeps the last incarnation until announceWorker() is called.
     void restartWorker(int worker) const;
-    void announceWorker(int worker, const std::string& state, std::int64_t incarnation) const;
+    /// Writes the directory entry of a worker with its current incarnation.
+    void announceWorker(int worker) const;
     void removeWorker(int worker) const;
 
     /// Writes a configuration version with the queues `q0` and `q1` and a queue `v<version>` that only this version
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -149,8 +149,7 @@
     int worker = draw(m_cluster.options().workers);
     switch (draw(3)) {
     case 0:
-        recordFault("worker " + std::to_string(worker) + " restarted");
-        m_cluster.restartWorker(worker);
+        restartWorkers(1 + draw(6));
         return;
     case 1:
         recordFault("worker commands delayed");
@@ -162,10 +161,18 @@
     }
     recordFault("worker " + std::to_string(worker) + " removed from the directory");
     m_cluster.removeWorker(worker);
-    schedule(drawDuration(500, 5'000), [this, worker] {
-        json runners = m_cluster.workerJournal().at("runners");
-        m_cluster.announceWorker(worker, "ready", runners.at(static_cast<std::size_t>(worker)).at("born"));
-    });
+    schedule(drawDuration(500, 5'000), [this, worker] { m_cluster.announceWorker(worker); });
+}
+
+void SoakFaults::restartWorkers(int count)
+{
+    int worker = draw(m_cluster.options().workers);
+    recordFault("worker " + std::to_string(worker) + " restarted");
+    m_cluster.restartWorker(worker);
+    // Until the directory names the new incarnation, only lists of runs do.
+    schedule(drawDuration(0, 2'000), [this, worker] { m_cluster.announceWorker(worker); });
+    if (count > 1)
+        schedule(drawDuration(50, 500), [this, count] { restartWorkers(count - 1); });
 }
 
 void SoakFaults::killAllDaemons()
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -33,6 +33,8 @@
     void injectProxyFault();
     void injectDaemonFault();
     void injectWorkerFault();
+    /// Restarts random workers one after the other; their directory entries follow later.
+    void restartWorkers(int count);
     void killAllDaemons();
     void injectConfigurationChanges();
     void recordFault(const std::string& description);
