Wait for the longest lease of a run that a later incarnation of its worker may have started

Callers could see a task that ran twice at the same time. The leader computed the end of the lease of an unresponsive worker from the clock of the known incarnation and its own lease of 4.5 s. A later incarnation that executed the start had shortened the requested end, which lay far ahead on its own clock, only to the longest lease that workers grant (6 to 10 s). Once the restart was known, the clock was unknown, and the bound fell back to one that counts from the begin of the term and had often passed long ago.

Evidence: BatchTaskTest.RunThatWasNotListedIsLostOnlyAfterTheLongestLease and RunOnAnUnresponsiveNewIncarnationIsLostOnlyAfterTheLongestLease (worker restarted, start executed, worker cut off) found a task that ran twice at the same time in 3 of 3 runs each before; both pass now (3 of 3). ListedRunIsLostWithItsIncarnationAlthoughTheNextOneIsUnresponsive failed before, because since the run is kept until a list does not show it, it also waited for a lease although it had ended with its incarnation; it passes now.

Runs that the known incarnation has listed keep the old bound. The others, and those with a start request without a response, wait for the longest lease since the last request with a lease; inherited claims of an earlier incarnation for the longest lease since the earlier leader's last renewal. Not covered: a request that a later, unresponsive incarnation executes seconds after it was sent, and an inherited claim on a restarted worker that the directory does not show as restarted.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -65,6 +65,9 @@
     std::chrono::milliseconds staleAfter { 1'200 };
     /// Lease of the tasks on a worker.
     std::chrono::milliseconds workerLease { 4'500 };
+    /// Longest lease that workers grant. A worker that has restarted shortens a lease to it that was meant for the
+    /// clock of its last incarnation.
+    std::chrono::milliseconds longestWorkerLease { 6'000 };
     /// Long-poll wait of an observe request: the worker responds earlier if a run ends.
     std::chrono::milliseconds observeWait { 1'000 };
     /// Timeout of a stop or observe request, beyond the wait.
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -71,7 +71,8 @@
 
 milliseconds WorkerSession::nextLeaseEnd()
 {
-    milliseconds end = m_clock.estimate(m_hooks.clock()) + m_options.workerLease;
+    m_latestLeaseRequest = m_hooks.clock();
+    milliseconds end = m_clock.estimate(*m_latestLeaseRequest) + m_options.workerLease;
     m_latestLeaseEnd = std::max(m_latestLeaseEnd, end);
     return m_latestLeaseEnd;
 }
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -99,7 +99,7 @@
     /// Excludes the worker from new work for a time.
     void pause(std::chrono::milliseconds duration);
 
-    /// Declares all runs lost if the worker is unresponsive and its lease has expired.
+    /// Declares the runs lost whose lease has expired, if the worker is unresponsive.
     void checkLease();
 
 private:
@@ -139,6 +139,8 @@
     void declareAllLost(RunLoss loss);
     void declareLost(const AllocationKey& key, RunLoss loss);
     std::chrono::milliseconds nextLeaseEnd();
+    /// @return when the lease of a run has ended at the latest, if the worker does not respond any more.
+    state::MonotonicTime latestLeaseEnd(const Allocation& allocation) const;
 
     transport::EventLoop& m_loop;
     const WorkerHooks& m_worker;
@@ -151,6 +153,8 @@
     WorkerClock m_clock;
     /// Highest lease end ever sent under this term, on the worker's clock.
     std::chrono::milliseconds m_latestLeaseEnd { 0 };
+    /// When the last request with a lease was sent, to any incarnation.
+    std::optional<state::MonotonicTime> m_latestLeaseRequest;
     state::MonotonicTime m_termStart;
     bool m_observed = false;
     bool m_reachable = false;
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -131,18 +131,40 @@
 
 void WorkerSession::checkLease()
 {
-    if (m_allocations.empty() || m_reachable)
+    if (m_reachable)
         return;
     state::MonotonicTime now = m_hooks.clock();
+    std::vector<std::pair<AllocationKey, RunLoss>> lost;
+    for (const auto& [key, allocation] : m_allocations) {
+        if (endedWithIncarnation(allocation))
+            lost.emplace_back(key, RunLoss::WorkerRestarted);
+        else if (allocation.phase != Phase::Claiming && now >= latestLeaseEnd(allocation) + m_options.leaseMargin)
+            lost.emplace_back(key, RunLoss::LeaseExpired);
+    }
+    for (const auto& [key, loss] : lost)
+        declareLost(key, loss);
+}
+
+state::MonotonicTime WorkerSession::latestLeaseEnd(const Allocation& allocation) const
+{
+    auto longestDuration = [this](milliseconds lease) {
+        auto duration = std::chrono::duration<double, std::milli>(lease) / (1 - m_options.maximumClockDrift);
+        return std::chrono::duration_cast<state::MonotonicTime::duration>(duration);
+    };
     // An earlier leader renewed leases at most until the end of its grace period, which began before this term.
-    auto longestLease
-        = std::chrono::duration<double, std::milli>(m_options.workerLease) / (1 - m_options.maximumClockDrift)
-        + m_options.renewalGrace;
-    state::MonotonicTime end = m_termStart + std::chrono::duration_cast<state::MonotonicTime::duration>(longestLease);
+    state::MonotonicTime latestRenewal = m_termStart + m_options.renewalGrace;
+    state::MonotonicTime end = latestRenewal + longestDuration(m_options.workerLease);
     if (m_clock.known() && m_latestLeaseEnd.count() > 0)
         end = std::max(end, m_clock.latestTimeOf(m_latestLeaseEnd));
-    if (now >= end + m_options.leaseMargin)
-        declareAllLost(RunLoss::LeaseExpired);
+    bool restarted = startedOnEarlierIncarnation(allocation);
+    if (allocation.listed && !restarted && !allocation.startOutstanding())
+        return end;
+    // The run may be one of an incarnation whose clock is unknown.
+    if (allocation.inherited && restarted)
+        end = std::max(end, latestRenewal + longestDuration(m_options.longestWorkerLease));
+    if (m_latestLeaseRequest)
+        end = std::max(end, *m_latestLeaseRequest + longestDuration(m_options.longestWorkerLease));
+    return end;
 }
 
 void WorkerSession::applyLists(state::MonotonicTime sent, const Observation& observation)
--- a/daemon/BatchDaemon.cpp
+++ b/daemon/BatchDaemon.cpp
@@ -92,6 +92,7 @@
     coordination::batch::BatchOptions options;
     const state::batch::BatchSettings& settings = m_settings.batch;
     options.workerLease = std::min(options.workerLease, settings.workerLeaseLimit);
+    options.longestWorkerLease = settings.workerLeaseLimit;
     options.stopGrace = settings.stopGrace + milliseconds(100);
     // The stop requests for an incomplete gang must reach the workers before their own gang timeout expires.
     options.gangStartTimeout = std::min(options.gangStartTimeout, settings.gangTimeout * 3 / 4);
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -55,6 +55,7 @@
         options.staleAfter = milliseconds(250);
         options.directoryStaleAfter = milliseconds(250);
         options.workerLease = milliseconds(900);
+        options.longestWorkerLease = FakeWorkers::longestLease;
         options.observeWait = milliseconds(100);
         options.requestTimeout = milliseconds(80);
         options.requestRetryDelay = milliseconds(20);
@@ -420,6 +421,55 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against a second run beside one that a worker's next incarnation executes: the lease that the leader had
+// requested on the clock of the last one is shortened there only to the longest lease.
+TEST_F(BatchTaskTest, RunThatWasNotListedIsLostOnlyAfterTheLongestLease)
+{
+    auto task = startInstance("e-1");
+    // The leases of an earlier leader would have expired then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace);
+    runFirstJob(*task);
+    m_workers.restart("w1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }, milliseconds(4'000)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against the same if the directory shows the new incarnation, whose clock is unknown then.
+TEST_F(BatchTaskTest, RunOnAnUnresponsiveNewIncarnationIsLostOnlyAfterTheLongestLease)
+{
+    auto task = startInstance("e-1");
+    // The leases of an earlier leader would have expired then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace);
+    runFirstJob(*task);
+    m_workers.restart("w1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }, milliseconds(4'000)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against waiting for a lease although the directory shows that the run has ended with its worker.
+TEST_F(BatchTaskTest, ListedRunIsLostWithItsIncarnationAlthoughTheNextOneIsUnresponsive)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    // Longer than an observation, so that a list has shown the run.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.restart("w1");
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }, shortOptions().workerLease / 2));
+}
+
 // Guards against treating the definite response to a retried start as one to the first request: a task whose start was
 // executed without a response would also start elsewhere.
 TEST_F(BatchTaskTest, RefusedRetryDoesNotResolveAStartWithoutResponse)
