--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -795,6 +795,17 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against a new leader that delays its next read as a follower does, and so starts jobs that other instances
+// accept late.
+TEST_F(BatchTaskTest, NewLeaderReadsTheJournalAtTheIntervalOfLeaders)
+{
+    auto task = startInstance("e-1");
+    // The claim and the record that confirms it.
+    ASSERT_TRUE(waitUntil([this] { return m_store.records(Stream::Journal).size() >= 2; }));
+    m_store.put(Stream::Journal, makeKey(jobKeyPrefix, jobId.value()), protocol::batch::encodeJob(makeJob()));
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 1; }, shortOptions().followerReadInterval / 2));
+}
+
 // Guards against seconds without a leader after a planned stop of the leader.
 TEST_F(BatchTaskTest, DrainingLeaderIsReplacedBeforeTheFailoverDelay)
 {
