--- a/coordination/batch/Leadership.cpp
+++ b/coordination/batch/Leadership.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 Leadership::Leadership(transport::EventLoop& loop, const JournalHooks& journal, const BatchOptions& options,
-    const state::InstanceId& self, std::uint64_t incarnation, const KeyedReader& reader, Hooks hooks)
+    const state::InstanceId& self, std::uint64_t incarnation, KeyedReader& reader, Hooks hooks)
     : m_loop(loop)
     , m_journal(journal)
     , m_options(options)
@@ -187,6 +187,9 @@
     if (ownClaimRead && !m_leader->vacant)
         beginTerm(term, sequence + 1);
     drawJitter();
+    // The journal holds a record that this instance has not read, so the claim is retried after the read.
+    if (result.status == AppendResult::Status::ConditionFailed)
+        m_reader.refresh(m_options.readTimeout, [] {});
 }
 
 void Leadership::beginTerm(std::uint64_t term, std::uint64_t sequence)
--- a/coordination/batch/Leadership.h
+++ b/coordination/batch/Leadership.h
@@ -41,7 +41,7 @@
     };
 
     Leadership(transport::EventLoop& loop, const JournalHooks& journal, const BatchOptions& options,
-        const state::InstanceId& self, std::uint64_t incarnation, const KeyedReader& reader, Hooks hooks);
+        const state::InstanceId& self, std::uint64_t incarnation, KeyedReader& reader, Hooks hooks);
     ~Leadership();
 
     /// Called when the journal has been listed.
@@ -91,7 +91,7 @@
     const BatchOptions& m_options;
     state::InstanceId m_self;
     std::uint64_t m_incarnation;
-    const KeyedReader& m_reader;
+    KeyedReader& m_reader;
     Hooks m_hooks;
     LeaderAppender m_appender;
     std::optional<state::batch::LeaderRecord> m_leader;
