Do not retry a start on a worker that begins to drain

Callers saw a task start on a worker that was already leaving, and run again elsewhere later.

If no earlier request was executed, a retry is what starts the task, and it did not look at whether the worker drains or is still listed.

Evidence: StartIsNotRepeatedOnAWorkerThatBeginsToDrain (requests dropped until the worker drains) had 1 start instead of 0.

--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -122,9 +122,11 @@
     if (allocation.phase != Phase::Starting)
         return;
     // The incarnation recognises a run that it already has, so the start can be retried there, and only there.
-    // If no earlier attempt was executed, a retry could bring the worker over a capacity that has shrunk since.
+    // If no earlier attempt was executed, a retry is new work: on a worker that drains now, or over a capacity that has
+    // shrunk since.
+    bool open = m_listed && !m_description.draining;
     bool fits = m_hooks.directoryCurrent() && state::batch::Resources {}.fitsInto(freeCapacity());
-    bool retry = fits && m_hooks.clock() - allocation.since < m_options.startRetryLimit && m_hooks.authorised()
+    bool retry = open && fits && m_hooks.clock() - allocation.since < m_options.startRetryLimit && m_hooks.authorised()
         && !startedOnEarlierIncarnation(allocation);
     if (retry) {
         sendStart(key, payload);
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -1123,6 +1123,23 @@
     EXPECT_TRUE(waitUntilRunning());
 }
 
+// Guards against new work on a draining worker: a start without a response must not be repeated there.
+TEST_F(BatchTaskTest, StartIsNotRepeatedOnAWorkerThatBeginsToDrain)
+{
+    m_options.startRetryLimit = milliseconds(2'000);
+    auto task = startInstance("e-1");
+    m_workers.dropStarts(true);
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.droppedStarts() > 0; }));
+    m_store.put(Stream::Directory, "w1", "draining");
+    letTheLeaderAct();
+    m_workers.dropStarts(false);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntilRunning());
+}
+
 // Guards against stopping a start without a response although its worker has shrunk no further than what runs there.
 TEST_F(BatchTaskTest, StartIsRepeatedOnAShrunkenWorkerWhereItFits)
 {
