Let a run of an unknown job hold the whole worker until it has ended

The owner of a worker could see it get a start over its capacity beside a run that was still being stopped.

Cause: a run that a worker lists and whose job the leader does not know was stopped, but counted as no capacity meanwhile. Journals that are read as they should be show each job before its claims; an unreadable job record is enough for it.

Evidence: UnknownRunHoldsTheWholeWorkerUntilItHasEnded (stops dropped) had 1 start instead of 0. What such a run holds is not known, so it now holds the capacity of the worker until its end is certain.

--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -198,10 +198,12 @@
 void BatchScheduler::onUnknownRun(const state::WorkerId& worker, const RunningTask& running)
 {
     const BatchJobEntry* entry = m_table.find(running.task.job);
-    state::batch::Resources resources;
+    WorkerSession& session = *m_sessions.at(worker);
+    // A run of an unknown job may hold any amount.
+    state::batch::Resources resources = session.description().capacity;
     if (entry && entry->contains(running.task))
         resources = entry->job().steps[static_cast<std::size_t>(running.task.step)].resources;
-    m_sessions.at(worker)->stopUnknown(running, resources);
+    session.stopUnknown(running, resources);
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -1230,6 +1230,20 @@
     EXPECT_TRUE(waitUntil([&] { return m_workers.starts(job.id.value() + ".0.0.0") == 1; }));
 }
 
+// Guards against a worker over its capacity because a run of a job that the leader does not know counts as nothing
+// until it has been stopped.
+TEST_F(BatchTaskTest, UnknownRunHoldsTheWholeWorkerUntilItHasEnded)
+{
+    m_workers.run("w1", "00000000000000cc.0.0.0", 1);
+    m_workers.dropStops(true);
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    m_workers.dropStops(false);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 1; }));
+}
+
 // Guards against capacity that stays unused after a worker has grown.
 TEST_F(BatchTaskTest, GrownCapacityIsUsedAtOnce)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -63,6 +63,13 @@
         m_nextStopResponseDelay = delay;
     }
 
+    /// While set, stop requests are neither executed nor responded to.
+    void dropStops(bool drop)
+    {
+        std::lock_guard lock(m_mutex);
+        m_dropStops = drop;
+    }
+
     /// While set, start requests are neither executed nor responded to.
     void dropStarts(bool drop)
     {
@@ -114,7 +121,7 @@
         return result;
     }
 
-    /// Makes a worker run a task that an earlier leader started.
+    /// Makes a worker run a task that no leader of the test has started.
     void run(const std::string& worker, const std::string& task, std::int64_t run)
     {
         std::lock_guard lock(m_mutex);
@@ -361,7 +368,7 @@
         Worker& target = m_workers[worker.id.value()];
         if (respondAfterCrash(loop, target, reply, WorkerCallResult::Status::NotDelivered))
             return;
-        if (target.unreachable) {
+        if (target.unreachable || m_dropStops) {
             loop.startTimer(std::chrono::milliseconds(50), [reply] { reply({}); });
             return;
         }
@@ -425,6 +432,7 @@
     int m_observations = 0;
     bool m_loseNextStart = false;
     bool m_dropStarts = false;
+    bool m_dropStops = false;
     int m_droppedStarts = 0;
     bool m_refuseNextStart = false;
 };
