Let a waiting observation end with its worker in the tests

The fake worker went on with an observation that waited for an end after a restart, and so extended the lease of the new incarnation; on the platform such a request ends with the worker.

The fake now loses the response to such an observation. The test waits until a lease of that kind has expired, and its bound stays the same.

--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -449,7 +449,7 @@
     submit(*task, makeJob());
     ASSERT_TRUE(waitUntilRunning());
     m_workers.makeUnreachable("w1");
-    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
     m_store.put(Stream::Directory, "w2", "ready");
     EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }, milliseconds(4'000)));
     EXPECT_FALSE(m_workers.ranTwice());
@@ -465,7 +465,7 @@
     std::this_thread::sleep_for(milliseconds(200));
     m_workers.restart("w1");
     m_workers.makeUnreachable("w1");
-    m_store.put(Stream::Directory, "w1", "ready 2");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
     m_store.put(Stream::Directory, "w2", "ready");
     EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }, shortOptions().workerLease / 2));
 }
@@ -622,7 +622,8 @@
     ASSERT_TRUE(waitUntil([this] { return m_workers.running().empty(); }));
     m_workers.restart("w1");
     m_store.put(Stream::Directory, "w1", "ready incarnation=2");
-    std::this_thread::sleep_for(milliseconds(400));
+    // The late response has arrived then, and a lease that was requested before the restart was known has expired.
+    std::this_thread::sleep_for(FakeWorkers::longestLease);
     submit(*task, makeJob());
     ASSERT_TRUE(waitUntilRunning());
     EXPECT_LE(m_workers.remainingLease("w1"), shortOptions().workerLease);
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -37,7 +37,7 @@
                 [this, &loop](const state::batch::BatchWorker& worker, const ObserveRequest& request,
                     std::chrono::milliseconds timeout, const std::function<void(Observation)>& reply) {
                     countObservation();
-                    observe(loop, worker, request, request.wait, timeout, reply);
+                    observe(loop, worker, request, incarnationOf(worker), request.wait, timeout, reply);
                 },
         };
     }
@@ -385,8 +385,15 @@
         loop.startTimer(std::exchange(m_nextStopResponseDelay, {}), [reply, result] { reply(result); });
     }
 
+    std::int64_t incarnationOf(const state::batch::BatchWorker& worker)
+    {
+        std::lock_guard lock(m_mutex);
+        return m_workers[worker.id.value()].incarnation;
+    }
+
+    // A request that waits for an end is lost when the worker restarts.
     void observe(transport::EventLoop& loop, const state::batch::BatchWorker& worker, const ObserveRequest& request,
-        std::chrono::milliseconds wait, std::chrono::milliseconds timeout,
+        std::int64_t incarnation, std::chrono::milliseconds wait, std::chrono::milliseconds timeout,
         const std::function<void(Observation)>& reply)
     {
         std::lock_guard lock(m_mutex);
@@ -397,6 +404,10 @@
             loop.startTimer(timeout, [reply] { reply({}); });
             return;
         }
+        if (target.incarnation != incarnation) {
+            respond(loop, reply, Observation {});
+            return;
+        }
         if (request.leaseEnd)
             extendLease(target, *request.leaseEnd);
         Observation observation;
@@ -412,7 +423,8 @@
         std::erase_if(target.ended, [&](const EndedTask& ended) { return ended.number <= request.acknowledgedEnd; });
         if (target.ended.empty() && wait.count() > 0) {
             std::chrono::milliseconds step { 2 };
-            loop.startTimer(step, [=, this, &loop] { observe(loop, worker, request, wait - step, timeout, reply); });
+            loop.startTimer(
+                step, [=, this, &loop] { observe(loop, worker, request, incarnation, wait - step, timeout, reply); });
             return;
         }
         for (const auto& [task, run] : target.running)
