Count the lease that the observation of a restart grants

Callers could see a task that ran twice at the same time. The first observation that a new incarnation of a worker executes still requests a lease on the clock of the last one; the worker shortens it only to the longest lease that it grants, and a lease never gets shorter. The leader then computed the lease from its own 4.5 s alone. If the worker was cut off within seconds of its restart, its runs were declared lost while they were live.

--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -326,6 +326,7 @@
             { "previous", std::to_string(previous) }, { "allocations", std::to_string(m_allocations.size()) } });
     m_clock.reset();
     m_latestLeaseEnd = milliseconds(0);
+    m_earlierClockRequest = m_latestLeaseRequest;
     m_seenEnd = 0;
     m_acknowledgedEnd = 0;
     m_observed = false;
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -155,6 +155,8 @@
     std::chrono::milliseconds m_latestLeaseEnd { 0 };
     /// When the last request with a lease was sent, to any incarnation.
     std::optional<state::MonotonicTime> m_latestLeaseRequest;
+    /// When the last request was sent whose lease end was meant for the clock of an earlier incarnation.
+    std::optional<state::MonotonicTime> m_earlierClockRequest;
     state::MonotonicTime m_termStart;
     bool m_observed = false;
     bool m_reachable = false;
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -455,6 +455,25 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against a second run beside one on a new incarnation, whose lease an observation has extended for the clock of
+// the last one.
+TEST_F(BatchTaskTest, ObservationThatShowsARestartExtendsTheLeaseOfLaterRuns)
+{
+    auto task = startInstance("e-1");
+    // The leases of an earlier leader would have expired then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace);
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.restart("w1");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    // Longer than an observation, so that a list has shown the run.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 3; }, milliseconds(4'000)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 // Guards against waiting for a lease although the directory shows that the run has ended with its worker.
 TEST_F(BatchTaskTest, ListedRunIsLostWithItsIncarnationAlthoughTheNextOneIsUnresponsive)
 {
