Count crashes that a new leader learns of after the worker's entry has expired

The new leader found the claim, but the directory no longer listed the worker, so it had no address, asked nobody and declared the run lost when the longest lease had passed.

The claim of a task under which a worker has crashed now names the worker's address. The new leader asks there; the response of another worker shows the crash. Records of tasks without a crash stay as they were; the first crash of a task is still missed in this case.

Evidence: BatchTaskTest.CrashOfAWorkerThatANewLeaderDoesNotFindInTheDirectoryIsCounted fails without the change (9 starts) and passes with it.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -94,9 +94,10 @@
                     if (claimed.phase != TaskPhase::Claimed)
                         continue;
                     auto listed = workers.find(claimed.worker);
-                    BatchWorker worker = listed != workers.end()
-                        ? listed->second
-                        : BatchWorker { .id = claimed.worker, .service = entry.job().queue.service };
+                    BatchWorker worker = listed != workers.end() ? listed->second
+                                                                 : BatchWorker { .id = claimed.worker,
+                                                                       .service = entry.job().queue.service,
+                                                                       .address = claimed.workerAddress };
                     Allocation allocation {
                         .task = id,
                         .run = claimed.run,
@@ -206,6 +207,8 @@
         claimed.run = unit.gang ? gangRun : claimed.run + 1;
         claimed.worker = worker;
         claimed.workerIncarnation = session.incarnation();
+        if (claimed.workerCrashes > 0)
+            claimed.workerAddress = session.description().address;
         if (unit.gang)
             claimed.checkpoint = gangCheckpoint;
         session.reserve({
--- a/protocol/batch/BatchRecordCodec.cpp
+++ b/protocol/batch/BatchRecordCodec.cpp
@@ -20,9 +20,9 @@
     // First element of each record; a changed layout needs another number.
     constexpr int layoutVersion = 1;
 
-    // Elements of a task's record. The last three are omitted while no worker has crashed under the task.
+    // Elements of a task's record. The last four are omitted while no worker has crashed under the task.
     constexpr std::size_t taskStateSize = 8;
-    constexpr std::size_t taskStateSizeWithCrashes = 11;
+    constexpr std::size_t taskStateSizeWithCrashes = 12;
 
     // Parses a record and converts errors of the JSON library to ProtocolError.
     // @param optionalSize size of records that have the optional elements, if there are any.
@@ -133,6 +133,7 @@
         record.push_back(taskState.workerCrashes);
         record.push_back(taskState.attributedCrashes);
         record.push_back(taskState.givenUp);
+        record.push_back(taskState.workerAddress);
     }
     return record.dump();
 }
@@ -156,6 +157,7 @@
             taskState.workerCrashes = record.at(8).get<int>();
             taskState.attributedCrashes = record.at(9).get<int>();
             taskState.givenUp = record.at(10).get<bool>();
+            taskState.workerAddress = record.at(11).get<std::string>();
         }
         return taskState;
     };
--- a/state/batch/BatchTaskState.h
+++ b/state/batch/BatchTaskState.h
@@ -24,6 +24,8 @@
     /// Worker, with its incarnation, that the task is claimed for; valid if the phase is Claimed.
     WorkerId worker;
     std::int64_t workerIncarnation = 0;
+    /// Address of that worker; stored only if workers have crashed under the task, else empty.
+    std::string workerAddress;
     /// Newest known checkpoint; empty if there is none.
     std::string checkpoint;
     /// Number of runs that ended as failed.
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -967,6 +967,28 @@
     EXPECT_LE(m_workers.starts(taskName), 5);
 }
 
+// Guards against crashes that are forgotten when the leader changes after the entry of the crashed worker has expired.
+TEST_F(BatchTaskTest, CrashOfAWorkerThatANewLeaderDoesNotFindInTheDirectoryIsCounted)
+{
+    addWorkers(12);
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::AsAnotherWorker);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    std::set<std::string> removed;
+    for (int starts = 2; starts <= 8; ++starts) {
+        if (!waitUntil([&] { return m_workers.starts(taskName) >= starts; }, milliseconds(4'000)))
+            break;
+        task.reset();
+        for (const std::string& worker : m_workers.crashed()) {
+            if (removed.insert(worker).second)
+                m_store.put(Stream::Directory, worker, std::nullopt);
+        }
+        task = startInstance("e-1");
+    }
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Failed; }));
+    EXPECT_LE(m_workers.starts(taskName), 5);
+}
+
 // Guards against a job that is reported as failed because workers that had its task were cut off.
 TEST_F(BatchTaskTest, ExpiredLeasesDoNotCountAsCrashes)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -285,13 +285,13 @@
         worker.replaced = crash.how == Return::AsAnotherWorker;
     }
 
-    // Responds on behalf of a worker that has crashed.
-    // @return whether the worker had crashed.
+    // Responds on behalf of a worker that has crashed, or whose address the caller does not know.
+    // @return whether it responded.
     template <typename Result>
-    bool respondAfterCrash(transport::EventLoop& loop, const Worker& worker, const std::function<void(Result)>& reply,
-        WorkerCallResult::Status downStatus)
+    bool respondAfterCrash(transport::EventLoop& loop, const state::batch::BatchWorker& description,
+        const Worker& worker, const std::function<void(Result)>& reply, WorkerCallResult::Status downStatus)
     {
-        bool down = steadyNow() < worker.downUntil;
+        bool down = steadyNow() < worker.downUntil || description.address.empty();
         if (!down && !worker.replaced)
             return false;
         WorkerCallResult result { .status = down ? downStatus : WorkerCallResult::Status::OtherIncarnation };
@@ -333,7 +333,8 @@
         std::chrono::milliseconds timeout, const std::function<void(WorkerCallResult)>& reply)
     {
         std::lock_guard lock(m_mutex);
-        if (respondAfterCrash(loop, m_workers[worker.id.value()], reply, WorkerCallResult::Status::NotDelivered))
+        if (respondAfterCrash(
+                loop, worker, m_workers[worker.id.value()], reply, WorkerCallResult::Status::NotDelivered))
             return;
         if (m_workers[worker.id.value()].unreachable || m_dropStarts) {
             m_droppedStarts += m_dropStarts ? 1 : 0;
@@ -366,7 +367,7 @@
     {
         std::lock_guard lock(m_mutex);
         Worker& target = m_workers[worker.id.value()];
-        if (respondAfterCrash(loop, target, reply, WorkerCallResult::Status::NotDelivered))
+        if (respondAfterCrash(loop, worker, target, reply, WorkerCallResult::Status::NotDelivered))
             return;
         if (target.unreachable || m_dropStops) {
             loop.startTimer(std::chrono::milliseconds(50), [reply] { reply({}); });
@@ -398,7 +399,7 @@
     {
         std::lock_guard lock(m_mutex);
         Worker& target = m_workers[worker.id.value()];
-        if (respondAfterCrash(loop, target, reply, WorkerCallResult::Status::Unknown))
+        if (respondAfterCrash(loop, worker, target, reply, WorkerCallResult::Status::Unknown))
             return;
         if (target.unreachable) {
             loop.startTimer(timeout, [reply] { reply({}); });
--- a/tests/protocol/batch/BatchRecordCodecTest.cpp
+++ b/tests/protocol/batch/BatchRecordCodecTest.cpp
@@ -71,7 +71,11 @@
 TEST(BatchRecordCodec, CrashesOfWorkersDecodeUnchanged)
 {
     BatchTaskState crashed {
-        .phase = BatchTaskState::Phase::Queued, .run = 2, .workerCrashes = 2, .attributedCrashes = 1
+        .phase = BatchTaskState::Phase::Queued,
+        .run = 2,
+        .workerAddress = "10.0.0.1:8000",
+        .workerCrashes = 2,
+        .attributedCrashes = 1,
     };
     EXPECT_EQ(decodeTaskState(encodeTaskState(crashed)), crashed);
     BatchTaskState givenUp = crashed;
