Keep starts of tasks that may crash workers apart after a long wait

What callers saw: nothing yet; a task that crashes workers is found out later, after more crashes.

Cause: 1.5 s after such a task was queued its start was no longer isolated, although it had waited for capacity, not for a worker without other starts.

After the wait the task still goes to a worker without other starts if there is one, nothing starts beside it afterwards, and only as a last resort it joins other starts.

Evidence: BatchPlanner.IsolatedStartThatHasWaitedLongJoinsOtherStartsAsALastResort tests both cases; the planner had no such state before.

--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -159,19 +159,18 @@
     }
     state::MonotonicTime since
         = m_isolationSince.try_emplace({ unit.job, unit.occurrence, unit.step }, input.now).first->second;
-    bool isolate = input.now - since < m_options.isolationWait;
-    if (unit.gang || !isolate) {
-        unit.indices.insert(unit.indices.end(), suspects.begin(), suspects.end());
-        std::sort(unit.indices.begin(), unit.indices.end());
-        unit.isolatedStart = isolate;
-        input.units.push_back(std::move(unit));
-        return;
-    }
     BatchUnit isolated = unit;
     isolated.indices = suspects;
     isolated.isolatedStart = true;
-    if (!unit.indices.empty())
+    isolated.isolationWaitOver = input.now - since >= m_options.isolationWait;
+    // Units of one step that share a worker would each count only their own tasks towards the limit per worker.
+    bool merge = unit.gang || (isolated.isolationWaitOver && unit.maximumPerWorker > 0);
+    if (merge) {
+        isolated.indices.insert(isolated.indices.end(), unit.indices.begin(), unit.indices.end());
+        std::sort(isolated.indices.begin(), isolated.indices.end());
+    } else if (!unit.indices.empty()) {
         input.units.push_back(std::move(unit));
+    }
     input.units.push_back(std::move(isolated));
 }
 
--- a/coordination/decisions/batch/BatchUnit.h
+++ b/coordination/decisions/batch/BatchUnit.h
@@ -28,6 +28,8 @@
     bool sameRack = false;
     /// The tasks may crash their workers, so no other run may be starting where they start.
     bool isolatedStart = false;
+    /// The unit has waited long for such a worker and may start beside other starting runs, as a last resort.
+    bool isolationWaitOver = false;
     std::string requiredLabel;
     std::string preferredRack;
     /// 0 if there is no limit.
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -23,13 +23,15 @@
     // Above every other score, so that a worker where the step failed comes last.
     constexpr double failedBeforePenalty = 1'000;
 
+    // Above the penalties for the runs of a worker.
+    constexpr double overlappingStartPenalty = 1'000;
     // A task that may crash its worker ends each other run there.
     constexpr double endangeredRunPenalty = 20;
 
     // Whether starts on the worker would leave open which of them crashed it.
     bool startsOverlap(const BatchUnit& unit, const WorkerView& view)
     {
-        return view.isolatedStartPending || (unit.isolatedStart && view.startPending);
+        return view.isolatedStartPending || (unit.isolatedStart && !unit.isolationWaitOver && view.startPending);
     }
 
     struct Candidate {
@@ -124,6 +126,8 @@
             penalty += failedBeforePenalty;
         if (unit.isolatedStart)
             penalty += endangeredRunPenalty * static_cast<double>(view.runs.size());
+        if (unit.isolatedStart && view.startPending)
+            penalty += overlappingStartPenalty;
         entries.push_back({ .score = fitScore(available, unit.resources) + penalty,
             .worker = worker,
             .free = available,
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -115,6 +115,25 @@
     EXPECT_EQ(plan(input).placements.at(0).worker, 2U);
 }
 
+// Guards against a task that waits for ever because some run is starting on each worker, and against giving up the
+// isolation of its start where that is not needed.
+TEST(BatchPlanner, IsolatedStartThatHasWaitedLongJoinsOtherStartsAsALastResort)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.groups = { {}, {} };
+    input.workers[0].startPending = true;
+    addRun(input, 1, 0, 1);
+    addRun(input, 1, 1, 1);
+    input.units = { makeUnit("j", 1, 1) };
+    input.units[0].isolatedStart = true;
+    input.units[0].isolationWaitOver = true;
+    EXPECT_EQ(plan(input).placements.at(0).worker, 1U);
+    input.workers[1].startPending = true;
+    EXPECT_EQ(plan(input).placements.at(0).worker, 0U);
+    input.units[0].isolationWaitOver = false;
+    EXPECT_TRUE(plan(input).placements.empty());
+}
+
 // Guards against another start on a worker before it is known whether the isolated one crashes it.
 TEST(BatchPlanner, NothingStartsBesideAnIsolatedStart)
 {
