Neither queue nor start a task while its completion is being stored

Callers saw a gang that never ended, and could see a task that started after it had ended as done. While the record of a completion was on its way to the store, decisions still used the state before it. The loss or another end of a member was stored behind the completion and queued that member again, which never starts without the others. A task that had been declared lost and whose end was listed later was claimed behind its completion and started again.

The scheduler remembers the tasks whose completion is being stored. It does not plan them, does not queue them after a loss or another end, and releases a reservation whose claim was stored in the meantime without a start.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -239,18 +239,22 @@
 {
     for (const auto& [id, worker] : tasks)
         m_claiming.erase(id);
-    const BatchTaskId& first = tasks.front().first;
-    const BatchJobEntry& entry = *m_table.find(first.job);
-    if (entry.finished()) {
-        for (const auto& [id, worker] : tasks)
+    const BatchJobEntry& entry = *m_table.find(tasks.front().first.job);
+    ClaimedTasks due;
+    for (const auto& [id, worker] : tasks) {
+        if (entry.finished() || m_completing.contains(id))
             cancelReservation(worker, { id, entry.task(id).run });
+        else
+            due.emplace_back(id, worker);
+    }
+    if (due.empty()) {
         requestPlan();
         return;
     }
-    std::vector<StartDecision> decisions = checkStarts(tasks);
+    std::vector<StartDecision> decisions = checkStarts(due);
     TaskStates released;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        const auto& [id, worker] = tasks[index];
+    for (std::size_t index = 0; index < due.size(); ++index) {
+        const auto& [id, worker] = due[index];
         if (decisions[index] == StartDecision::Start)
             startTask(entry, id, worker);
         else
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -116,7 +116,8 @@
     void onEnded(const state::WorkerId& worker, const EndedTask& ended, const Allocation* allocation);
     void recordSpeed(const state::WorkerId& worker, const Allocation& allocation);
     void onLost(const state::WorkerId& worker, const Allocation& lost, RunLoss loss);
-    /// @return state of the run's task if it is claimed for the run and its job is not finished.
+    /// @return state of the run's task if it is claimed for the run, its job is not finished, and its completion is not
+    /// being stored.
     std::optional<state::batch::BatchTaskState> claimedState(
         const state::WorkerId& worker, const Allocation& allocation) const;
     static void requeue(state::batch::BatchTaskState& taskState, const Allocation& lost);
@@ -137,6 +138,8 @@
     void storeLateCrashes();
     void onRunning(const state::WorkerId& worker, const Allocation& allocation);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
+    /// Stores the states that follow from ends listed by an incarnation of a worker, then acknowledges the ends.
+    void storeEnd(const state::WorkerId& worker, std::int64_t incarnation, TaskStates states);
     TaskStates statesAfterEnd(const state::WorkerId& worker, const EndedTask& ended) const;
     void updateQuarantine(const state::WorkerId& worker, const EndedTask& ended);
     GroupKey groupOf(const state::batch::BatchTaskId& task, std::int64_t run) const;
@@ -158,6 +161,8 @@
         const std::vector<std::chrono::milliseconds>& criticalPaths);
     /// Adds the unit of a step, and another one for its tasks that may crash their workers.
     void addStepUnits(PlanInput& input, BatchUnit unit, const std::vector<int>& suspects);
+    /// @return whether a claim or a completion of the task is being stored.
+    bool isBeingStored(const state::batch::BatchTaskId& task) const;
     static void excludeAllocatedTasks(PlanInput& input, const RunOverview& overview);
     void addGroups(PlanInput& input, const RunOverview& overview) const;
     void addWorkers(PlanInput& input, const RunOverview& overview);
@@ -188,6 +193,8 @@
     std::map<std::pair<state::WorkerId, std::int64_t>, PendingEnds> m_pendingEnds;
     /// Tasks for which a claim or a late crash is being stored.
     std::set<state::batch::BatchTaskId> m_claiming;
+    /// Tasks whose completion is being stored.
+    std::set<state::batch::BatchTaskId> m_completing;
     /// Runs with a completed member; the ends of the other members of a gang follow.
     std::set<GroupKey> m_doneRuns;
     std::map<StepKey, state::MonotonicTime> m_readySince;
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -180,8 +180,9 @@
         if (!entry || !entry->contains(task) || entry->finished() || entry->task(task).phase == TaskPhase::Done)
             return true;
         // The record of a task that is claimed is written again when its run ends.
-        if (entry->task(task).phase != TaskPhase::Queued || !m_claiming.insert(task).second)
+        if (entry->task(task).phase != TaskPhase::Queued || isBeingStored(task))
             return false;
+        m_claiming.insert(task);
         BatchTaskState current = entry->task(task);
         countCrash(current, crash.worker, crash.allocation, crash.evidence);
         states.emplace_back(task, std::move(current));
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -63,7 +63,7 @@
         return states;
     }
     bool claimedHere = current.phase == TaskPhase::Claimed && current.worker == worker && current.run == ended.run;
-    if (!claimedHere || entry->finished())
+    if (!claimedHere || entry->finished() || m_completing.contains(ended.task))
         return {};
     current.phase = TaskPhase::Queued;
     if (!ended.checkpoint.empty())
@@ -138,10 +138,23 @@
         return;
     }
     ++pending.stores;
-    m_hooks.storeTasks(
-        std::move(states), [this, worker, incarnation, listed = m_hooks.clock(), alive = std::weak_ptr(m_alive)] {
+    storeEnd(worker, incarnation, std::move(states));
+}
+
+void BatchScheduler::storeEnd(const state::WorkerId& worker, std::int64_t incarnation, TaskStates states)
+{
+    std::vector<BatchTaskId> completing;
+    for (const auto& [task, taskState] : states) {
+        if (taskState.phase == TaskPhase::Done)
+            completing.push_back(task);
+    }
+    m_completing.insert(completing.begin(), completing.end());
+    m_hooks.storeTasks(std::move(states),
+        [this, worker, incarnation, completing, listed = m_hooks.clock(), alive = std::weak_ptr(m_alive)] {
             if (alive.expired())
                 return;
+            for (const BatchTaskId& task : completing)
+                m_completing.erase(task);
             m_metrics.observe("lentilsaddle_batch_end_store_seconds", m_hooks.clock() - listed);
             PendingEnds& stored = m_pendingEnds[{ worker, incarnation }];
             --stored.stores;
@@ -156,7 +169,7 @@
     const state::WorkerId& worker, const Allocation& allocation) const
 {
     const BatchJobEntry* entry = m_table.find(allocation.task.job);
-    if (!entry || !entry->contains(allocation.task) || entry->finished())
+    if (!entry || !entry->contains(allocation.task) || entry->finished() || m_completing.contains(allocation.task))
         return std::nullopt;
     const BatchTaskState& current = entry->task(allocation.task);
     if (current.phase != TaskPhase::Claimed || current.worker != worker || current.run != allocation.run)
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -99,6 +99,11 @@
     std::erase_if(input.units, [](const BatchUnit& unit) { return unit.indices.empty(); });
 }
 
+bool BatchScheduler::isBeingStored(const BatchTaskId& task) const
+{
+    return m_claiming.contains(task) || m_completing.contains(task);
+}
+
 void BatchScheduler::addStep(PlanInput& input, const BatchJobEntry& entry, int occurrence, int step,
     const std::vector<milliseconds>& criticalPaths)
 {
@@ -122,9 +127,9 @@
     std::vector<int> suspects;
     for (int index = 0; index < description.taskCount; ++index) {
         bool queued = entry.task(occurrence, step, index).phase == BatchTaskState::Phase::Queued;
-        bool claiming = queued && !m_claiming.empty()
-            && m_claiming.contains({ .job = job.id, .occurrence = occurrence, .step = step, .index = index });
-        if (!queued || claiming)
+        bool storing = queued && (!m_claiming.empty() || !m_completing.empty())
+            && isBeingStored({ .job = job.id, .occurrence = occurrence, .step = step, .index = index });
+        if (!queued || storing)
             continue;
         bool suspect = mayCrashWorkers(entry.task(occurrence, step, index));
         (suspect ? suspects : unit.indices).push_back(index);
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -367,6 +367,42 @@
     EXPECT_TRUE(waitUntil([&] { return m_workers.acknowledged("w1") == 1; }));
 }
 
+// Guards against a completed gang that is queued again, behind the record of its completion, because another member is
+// lost while that record is being stored.
+TEST_F(BatchTaskTest, MemberLostWhileTheCompletionIsStoredDoesNotQueueTheGangAgain)
+{
+    auto task = startInstance("e-1");
+    BatchJob job = makeJob(2);
+    job.steps[0].gang = true;
+    submit(*task, job);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().size() == 2; }));
+    // Longer than an observation, so that a list has shown the runs.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    std::this_thread::sleep_for(milliseconds(50));
+    m_workers.restart("w1");
+    std::this_thread::sleep_for(milliseconds(100));
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+}
+
+// Guards against a start after a run has ended as done, while the record of its completion is being stored.
+TEST_F(BatchTaskTest, TaskIsNotStartedWhileItsCompletionIsStored)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.makeUnreachable("w1");
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    // The run is lost and its task queued then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace + milliseconds(700));
+    m_store.setAppendDelay(milliseconds(60));
+    m_workers.makeReachable("w1");
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
 // Guards against a task that runs twice because a start without a response is executed late.
 TEST_F(BatchTaskTest, LateStartDoesNotRunATaskTwice)
 {
--- a/tests/coordination/batch/FakeStore.h
+++ b/tests/coordination/batch/FakeStore.h
@@ -58,6 +58,13 @@
         m_appendFault = fault;
     }
 
+    /// Sets the time after which the responses to later appends arrive.
+    void setAppendDelay(std::chrono::milliseconds delay)
+    {
+        std::lock_guard lock(m_mutex);
+        m_appendDelay = delay;
+    }
+
     /// Reads that are sent while this is set have no response and fail at their timeout.
     void setUnresponsive(bool unresponsive)
     {
@@ -181,7 +188,7 @@
             loop.startTimer(request.timeout, [reply] { reply({ .status = AppendResult::Status::Unknown }); });
             return;
         }
-        respond(loop, reply, result);
+        loop.startTimer(m_appendDelay, [reply, result] { reply(result); });
     }
 
     template <typename Result>
@@ -243,6 +250,7 @@
     AppendResult m_lastResult;
     AppendFault m_appendFault = AppendFault::None;
     std::set<std::string> m_refusedKeys;
+    std::chrono::milliseconds m_appendDelay { 0 };
     bool m_unresponsive = false;
     std::size_t m_readLimit = std::numeric_limits<std::size_t>::max();
     std::size_t m_pageSize = std::numeric_limits<std::size_t>::max();
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -138,6 +138,14 @@
         m_workers[worker].unreachable = true;
     }
 
+    /// Makes a worker reachable again.
+    void makeReachable(const std::string& worker)
+    {
+        std::lock_guard lock(m_mutex);
+        expireLeases();
+        m_workers[worker].unreachable = false;
+    }
+
     /// Ends a running task.
     void finish(const std::string& worker, const std::string& task, EndedTask::Reason reason)
     {
