Stop a later run of a task that an earlier run has completed

Callers could see a start of a task more than a second after it had ended as done: a run that was declared lost and whose end was listed later completes the task, but the start of the next run was still retried, and a live run went on and held its capacity to its end.

The retried start is covered by reading only: a stopped run is not retried.

Members of a gang whose run has completed are not stopped; their own ends follow.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -141,15 +141,18 @@
     return { task.job, task.occurrence, task.step, gang ? -1 : task.index, run };
 }
 
-void BatchScheduler::stopObsoleteRuns(const RunOverview& overview)
+void BatchScheduler::stopObsoleteRuns(const RunOverview& overview) const
 {
     for (const RunOverview::Run& run : overview.runs()) {
+        const auto& [task, number] = *run.key;
         if (!run.entry)
             run.session->stop(*run.key, "job is unknown");
         else if (run.entry->phase() == BatchJobEntry::Phase::Cancelled)
             run.session->stop(*run.key, "job is cancelled");
         else if (run.entry->phase() == BatchJobEntry::Phase::Failed)
             run.session->stop(*run.key, "job has failed");
+        else if (run.entry->task(task).phase == TaskPhase::Done && !m_doneRuns.contains(groupOf(task, number)))
+            run.session->stop(*run.key, "an earlier run has completed the task");
     }
 }
 
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -150,7 +150,7 @@
     void refresh();
     void plan();
     void planRound();
-    static void stopObsoleteRuns(const RunOverview& overview);
+    void stopObsoleteRuns(const RunOverview& overview) const;
     void stopIncompleteGangs(const RunOverview& overview);
     bool gangIncomplete(const RunOverview& overview, const RunOverview::Group& gang) const;
     bool waitForDirectory();
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -403,6 +403,22 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
+// Guards against a later run that goes on, or whose start is retried, after an earlier run has ended as done.
+TEST_F(BatchTaskTest, LaterRunOfACompletedTaskIsStopped)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.makeUnreachable("w1");
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    m_store.put(Stream::Directory, "w2", "ready");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    m_workers.makeReachable("w1");
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().empty(); }));
+    EXPECT_EQ(m_workers.starts(taskName), 2);
+}
+
 // Guards against a task that runs twice because a start without a response is executed late.
 TEST_F(BatchTaskTest, LateStartDoesNotRunATaskTwice)
 {
