Take a run for missing only from complete lists

Callers could see a task that started after it had ended as done, or twice at the same time. A worker lists 500 ends at a time, and an entry that cannot be read is skipped. A run whose end came behind the 500, or whose entry was skipped, was taken for missing and its task started again.

A list now says whether it may lack entries. From such a list, runs and ends are applied, and nothing is taken for missing. An entry that stays unreadable keeps the missing runs of that worker waiting until a later end has been acknowledged or the worker becomes unresponsive.

--- a/coordination/batch/WorkerHooks.h
+++ b/coordination/batch/WorkerHooks.h
@@ -103,6 +103,8 @@
     std::vector<EndedTask> ended;
     /// The highest number among the ends, including those that cannot be decoded.
     std::int64_t lastEnd = 0;
+    /// Each run of the worker is in one of the lists, unless its end was acknowledged.
+    bool complete = true;
 };
 
 /// Calls of one process to workers. Callbacks run later on the calling task's thread.
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -194,7 +194,8 @@
         m_hooks.onRunning(allocation);
     }
     applyEnds(observation);
-    dropMissing(sent, observation);
+    if (observation.complete)
+        dropMissing(sent, observation);
 }
 
 void WorkerSession::applyEnds(const Observation& observation)
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -700,6 +700,20 @@
     EXPECT_LE(m_workers.remainingLease("w1"), shortOptions().workerLease);
 }
 
+// Guards against a second run of a task that an incomplete list of a worker does not show.
+TEST_F(BatchTaskTest, RunMissingFromAnIncompleteListIsNotLost)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.setListsCut(true);
+    std::this_thread::sleep_for(milliseconds(300));
+    m_workers.setListsCut(false);
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+    EXPECT_EQ(m_workers.running().size(), 1U);
+}
+
 // Guards against acknowledging, and so losing, the ends of a new incarnation by the numbers of the earlier one.
 TEST_F(BatchTaskTest, EndsOfANewIncarnationAreAcknowledgedByTheirOwnNumbers)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -158,6 +158,13 @@
         target.running.erase(found);
     }
 
+    /// Lists of runs that are sent while this is set show no runs and say that they are incomplete.
+    void setListsCut(bool cut)
+    {
+        std::lock_guard lock(m_mutex);
+        m_listsCut = cut;
+    }
+
     /// Resets the count of observations.
     void resetObservations()
     {
@@ -436,8 +443,11 @@
                 step, [=, this, &loop] { observe(loop, worker, request, incarnation, wait - step, timeout, reply); });
             return;
         }
-        for (const auto& [task, run] : target.running)
-            observation.running.push_back({ .task = *state::batch::BatchTaskId::parse(task), .run = run });
+        observation.complete = !m_listsCut;
+        for (const auto& [task, run] : target.running) {
+            if (!m_listsCut)
+                observation.running.push_back({ .task = *state::batch::BatchTaskId::parse(task), .run = run });
+        }
         observation.ended = target.ended;
         observation.lastEnd = target.lastEnd;
         respond(loop, reply, observation);
@@ -451,6 +461,7 @@
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     bool m_ranTwice = false;
     int m_observations = 0;
+    bool m_listsCut = false;
     bool m_loseNextStart = false;
     bool m_dropStarts = false;
     bool m_dropStops = false;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -102,6 +102,20 @@
     EXPECT_EQ(observation.lastEnd, 58);
 }
 
+// Guards against taking a run for missing because the lists are cut or cannot be read completely.
+TEST(WorkerCodec, ListsThatMayLackEntriesAreIncomplete)
+{
+    EXPECT_TRUE(decodeResponse(200, R"({"clock_ms":1,"running":[],"ended":[]})").complete);
+    EXPECT_FALSE(decodeResponse(200, R"({"clock_ms":1,"running":[7],"ended":[]})").complete);
+    EXPECT_FALSE(decodeResponse(200, R"({"clock_ms":1,"running":[],"ended":[["1"]]})").complete);
+    EXPECT_FALSE(decodeResponse(200, R"({"clock_ms":1,"ended":[]})").complete);
+    std::string ends = R"([1,"00000000000000aa.0.0.0",1,"done",""])";
+    std::string list = ends;
+    for (int number = 2; number <= 500; ++number)
+        list += "," + ends;
+    EXPECT_FALSE(decodeResponse(200, R"({"clock_ms":1,"running":[],"ended":[)" + list + "]}").complete);
+}
+
 // Guards against losing the other entries of a list because of one that cannot be decoded.
 TEST(WorkerCodec, UnreadableEntryDoesNotHideOthers)
 {
