Shrink and grow the capacity of workers in the soak

The soak ran all workers with a constant capacity, so it could not show a start over one that had shrunk.

Workers now get 0, 1, 2, 4 or 8 accelerators at random times, from a random generator of its own, so that the other faults of a seed stay as they were; the directory announces the change. The stand-in counts a start over the smaller capacity as an overload 4.5 s after the change (3 s, and the 1.5 s between two announcements), and one over the larger capacity at once. A command that the stand-in executes late is judged by the time of its arrival.

--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -42,6 +42,8 @@
 
 SoakCluster::SoakCluster(Options options)
     : m_options(std::move(options))
+    , m_accelerators(static_cast<std::size_t>(m_options.workers), m_options.accelerators)
+    , m_listed(static_cast<std::size_t>(m_options.workers), false)
     , m_storePort(testing_support::findFreePorts(1))
     , m_firstWorkerPort(testing_support::findFreePorts(m_options.workers))
     , m_firstFrontPort(testing_support::findFreePorts(m_options.daemons))
@@ -143,6 +145,15 @@
     m_workerProxies.at(static_cast<std::size_t>(worker))->post(mode);
 }
 
+void SoakCluster::setAccelerators(int worker, int accelerators)
+{
+    auto index = static_cast<std::size_t>(worker);
+    controlWorkers({ { "accelerators", json::array({ worker, accelerators }) } });
+    m_accelerators.at(index) = accelerators;
+    if (m_listed.at(index))
+        announceWorker(worker);
+}
+
 void SoakCluster::restartWorker(int worker) const
 {
     post(m_firstWorkerPort, "/control", json { { "restart", worker } }.dump());
@@ -153,18 +164,21 @@
     post(m_storePort, "/put?topic=" + topic + "&key=" + key, value);
 }
 
-void SoakCluster::announceWorker(int worker) const
+void SoakCluster::announceWorker(int worker)
 {
-    json incarnation = workerJournal().at("runners").at(static_cast<std::size_t>(worker)).at("born");
+    auto index = static_cast<std::size_t>(worker);
+    json incarnation = workerJournal().at("runners").at(index).at("born");
     json entry { { "service", "s" }, { "addr", "127.0.0.1:" + std::to_string(portAt(m_firstWorkerProxyPort, worker)) },
         { "zone", "dc-0" }, { "state", "ready" }, { "seq", 1 }, { "born", incarnation },
         { "labels", json::array({ "a", "r-" + std::to_string(worker / 3) }) },
-        { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", m_options.accelerators } } } };
+        { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", m_accelerators.at(index) } } } };
     putRecord("keyed.servers", "w-" + std::to_string(worker), entry.dump());
+    m_listed.at(index) = true;
 }
 
-void SoakCluster::removeWorker(int worker) const
+void SoakCluster::removeWorker(int worker)
 {
+    m_listed.at(static_cast<std::size_t>(worker)) = false;
     putRecord("keyed.servers", "w-" + std::to_string(worker), "");
 }
 
@@ -192,8 +206,9 @@
         proxy->post({});
     for (auto& proxy : m_workerProxies)
         proxy->post({});
+    m_listed.assign(m_listed.size(), true);
     for (int worker = 0; worker < m_options.workers; ++worker)
-        announceWorker(worker);
+        setAccelerators(worker, m_options.accelerators);
     for (int daemon = 0; daemon < m_options.daemons; ++daemon)
         this->daemon(daemon).resume();
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -46,17 +46,19 @@
     void setWorkerProxy(int worker, FaultProxyMode mode);
     /// Restarts a worker; its directory entry keeps the last incarnation until announceWorker() is called.
     void restartWorker(int worker) const;
+    /// Changes the accelerators of a worker, and its directory entry if it has one.
+    void setAccelerators(int worker, int accelerators);
     /// Writes the directory entry of a worker with its current incarnation.
-    void announceWorker(int worker) const;
-    void removeWorker(int worker) const;
+    void announceWorker(int worker);
+    void removeWorker(int worker);
 
     /// Writes a configuration version with the queues `q0` and `q1` and a queue `v<version>` that only this version
     /// has.
     /// @param unusedQueues number of further queues, which make the version large.
     void writeConfiguration(int version, int unusedQueues = 0) const;
 
-    /// Ends all faults: proxies forward without a fault, the store responds normally, all workers are listed as ready,
-    /// and all daemons run. Waits for daemons that are shutting down and starts them again.
+    /// Ends all faults: proxies forward without a fault, the store responds normally, all workers are listed as ready
+    /// with all their accelerators, and all daemons run. Waits for daemons that are shutting down and starts them again.
     void clearFaults();
 
     nlohmann::json workerJournal() const;
@@ -75,6 +77,10 @@
     bool pollUntilOk(std::uint16_t port, const std::string& path) const;
 
     Options m_options;
+    /// By worker.
+    std::vector<int> m_accelerators;
+    /// By worker: whether the directory lists it.
+    std::vector<bool> m_listed;
     std::uint16_t m_storePort = 0;
     std::uint16_t m_firstWorkerPort = 0;
     std::uint16_t m_firstFrontPort = 0;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -14,6 +14,7 @@
 SoakFaults::SoakFaults(SoakCluster& cluster, std::uint64_t seed)
     : m_cluster(cluster)
     , m_random(seed)
+    , m_capacityRandom(seed + 1)
     , m_startTime(steady_clock::now())
 {
 }
@@ -45,6 +46,7 @@
 void SoakFaults::run(milliseconds duration)
 {
     Time end = steady_clock::now() + duration;
+    injectCapacityChange();
     while (steady_clock::now() < end) {
         injectRandomFault();
         Time next = steady_clock::now() + drawDuration(150, 1'400);
@@ -184,6 +186,17 @@
     }
 }
 
+void SoakFaults::injectCapacityChange()
+{
+    static const std::vector<int> amounts { 0, 1, 2, 4, 8 };
+    auto draw = [this](std::size_t limit) { return static_cast<int>(m_capacityRandom() % limit); };
+    int worker = draw(static_cast<std::size_t>(m_cluster.options().workers));
+    int accelerators = amounts.at(static_cast<std::size_t>(draw(amounts.size())));
+    recordFault("worker " + std::to_string(worker) + " has " + std::to_string(accelerators) + " accelerators");
+    m_cluster.setAccelerators(worker, accelerators);
+    schedule(milliseconds(200 + draw(1'000)), [this] { injectCapacityChange(); });
+}
+
 void SoakFaults::injectConfigurationChanges()
 {
     int versions = 1 + draw(4);
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -37,6 +37,8 @@
     void restartWorkers(int count);
     void killAllDaemons();
     void injectConfigurationChanges();
+    /// Changes the capacity of a worker and schedules the next change.
+    void injectCapacityChange();
     void recordFault(const std::string& description);
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
     void runDueActions();
@@ -47,6 +49,8 @@
 
     SoakCluster& m_cluster;
     std::mt19937_64 m_random;
+    /// Separate, so that a seed keeps its other faults.
+    std::mt19937_64 m_capacityRandom;
     Time m_startTime;
     std::multimap<Time, std::function<void()>> m_scheduledActions;
     std::vector<std::string> m_history;
--- a/tests/standin/BatchRunner.cpp
+++ b/tests/standin/BatchRunner.cpp
@@ -15,6 +15,9 @@
     // A gang whose members do not all start within this time ends.
     constexpr milliseconds gangTimeout { 3'000 };
     constexpr std::int64_t maximumLeaseMs = 6'000;
+    // Time in which the scheduler must know a smaller number of accelerators: 3 s after the worker has announced it,
+    // which it does every 1.5 s.
+    constexpr milliseconds shrinkTolerance { 4'500 };
 
     // The members of a gang have the same job, occurrence, step and run; the task name's last part is the member.
     std::string gangName(const std::string& task, std::int64_t run)
@@ -26,7 +29,7 @@
 
 BatchRunner::BatchRunner(std::string id, int accelerators)
     : m_id(std::move(id))
-    , m_accelerators(accelerators)
+    , m_capacities({ { .accelerators = accelerators } })
 {
     restart(std::chrono::steady_clock::now());
 }
@@ -46,6 +49,21 @@
     m_unacknowledgedEnds.clear();
 }
 
+void BatchRunner::setAccelerators(int accelerators, Time now)
+{
+    m_capacities.push_back({ .since = now, .accelerators = accelerators });
+}
+
+int BatchRunner::acceleratorsForStart(Time arrival) const
+{
+    int largest = m_capacities.back().accelerators;
+    for (std::size_t index = 0; index + 1 < m_capacities.size(); ++index) {
+        if (m_capacities[index + 1].since > arrival - shrinkTolerance)
+            largest = std::max(largest, m_capacities[index].accelerators);
+    }
+    return largest;
+}
+
 std::int64_t BatchRunner::clockMs(Time now) const
 {
     return std::chrono::duration_cast<milliseconds>(now - m_incarnationStart).count();
@@ -75,7 +93,7 @@
             m_leaseEnd, std::min(command.at("deadline_ms").get<std::int64_t>(), clockMs(now) + maximumLeaseMs));
 }
 
-BatchRunner::Response BatchRunner::start(const json& command, Time now)
+BatchRunner::Response BatchRunner::start(const json& command, Time arrival, Time now)
 {
     advance(now);
     if (!acceptFence(command))
@@ -105,7 +123,7 @@
     int used = run.accelerators;
     for (const auto& [name, other] : m_runs)
         used += other.accelerators;
-    m_overloads += used > m_accelerators ? 1 : 0;
+    m_overloads += used > acceleratorsForStart(arrival) ? 1 : 0;
     m_spans.push_back({ .task = task, .run = number, .payload = payload, .begin = now });
     m_runs[task] = std::move(run);
     return makeResponse(200, now);
--- a/tests/standin/BatchRunner.h
+++ b/tests/standin/BatchRunner.h
@@ -43,7 +43,11 @@
     /// Simulates a crash and restart: ends all runs and begins a new incarnation, whose clock starts at zero.
     void restart(Time now);
 
-    Response start(const nlohmann::json& command, Time now);
+    /// Changes the number of accelerators; runs continue.
+    void setAccelerators(int accelerators, Time now);
+
+    /// @param arrival when the command arrived, which is earlier than now if it is executed late.
+    Response start(const nlohmann::json& command, Time arrival, Time now);
     Response stop(const nlohmann::json& command, Time now);
     /// Renews the lease, acknowledges reported ends and lists the current runs and the unacknowledged ends.
     Response renewLease(const nlohmann::json& command, Time now);
@@ -66,7 +70,8 @@
 
     bool hasUnreportedEnds() const { return m_listedEndCount < m_unacknowledgedEnds.size(); }
     const std::vector<Span>& spans() const { return m_spans; }
-    /// @return the number of starts that exceeded the worker's accelerators.
+    /// @return the number of starts that exceeded the worker's accelerators. A smaller number counts only from the time
+    /// by which the scheduler must know it.
     int overloads() const { return m_overloads; }
 
 private:
@@ -93,7 +98,15 @@
         bool leaseExpired = false;
     };
 
+    /// Accelerators of the worker from a time on.
+    struct Capacity {
+        Time since {};
+        int accelerators = 0;
+    };
+
     std::int64_t clockMs(Time now) const;
+    /// @return the accelerators that a start may rely on that arrived at a time and is executed now.
+    int acceleratorsForStart(Time arrival) const;
     Response makeResponse(int status, Time now, const std::string& reason = "") const;
     /// Stores the fencing token of a command.
     /// @return false if the token is older than the newest one seen.
@@ -103,7 +116,8 @@
     void endRun(std::map<std::string, Run>::iterator run, const std::string& outcome, Time now);
 
     std::string m_id;
-    int m_accelerators = 0;
+    /// All changes, in the order of time.
+    std::vector<Capacity> m_capacities;
     std::int64_t m_incarnation = 0;
     Time m_incarnationStart {};
     std::uint64_t m_fence = 0;
--- a/tests/standin/BatchRunnerHostTask.cpp
+++ b/tests/standin/BatchRunnerHostTask.cpp
@@ -94,11 +94,12 @@
     }
 }
 
-BatchRunner::Response BatchRunnerHostTask::execute(std::size_t runner, const std::string& path, const json& command)
+BatchRunner::Response BatchRunnerHostTask::execute(
+    std::size_t runner, const std::string& path, const json& command, steady_clock::time_point arrival)
 {
     steady_clock::time_point now = steady_clock::now();
     if (path == "/-/run-start")
-        return m_runners[runner].start(command, now);
+        return m_runners[runner].start(command, arrival, now);
     if (path == "/-/run-stop")
         return m_runners[runner].stop(command, now);
     return m_runners[runner].renewLease(command, now);
@@ -121,15 +122,16 @@
     if (changesRuns && std::uniform_real_distribution<>(0, 1)(m_random) < m_lateShare) {
         milliseconds delay(std::uniform_int_distribution<>(minimumLateMs, maximumLateMs)(m_random));
         // A delayed command is lost when the worker restarts.
-        loop().startTimer(
-            delay, [this, runner, incarnation = m_runners[runner].incarnation(), path = request.path, command] {
+        loop().startTimer(delay,
+            [this, runner, incarnation = m_runners[runner].incarnation(), path = request.path, command,
+                arrival = steady_clock::now()] {
                 if (m_runners[runner].incarnation() == incarnation)
-                    execute(runner, path, command);
+                    execute(runner, path, command, arrival);
             });
         loop().startTimer(lateCloseDelay, [responder] { responder(droppedConnection()); });
         return;
     }
-    BatchRunner::Response response = execute(runner, request.path, command);
+    BatchRunner::Response response = execute(runner, request.path, command, steady_clock::now());
     milliseconds wait = millisecondsOr(command, "wait_ms", milliseconds(0));
     bool waitForEnds = !changesRuns && response.status == 200 && wait.count() > 0 && response.body.at("ended").empty();
     if (!waitForEnds) {
@@ -147,6 +149,10 @@
 json BatchRunnerHostTask::applyControl(const json& body)
 {
     m_lateShare = body.value("late", m_lateShare);
+    if (body.contains("accelerators")) {
+        const json& change = body.at("accelerators");
+        m_runners.at(change.at(0).get<std::size_t>()).setAccelerators(change.at(1).get<int>(), steady_clock::now());
+    }
     if (body.contains("restart")) {
         BatchRunner& runner = m_runners.at(body.at("restart").get<std::size_t>());
         runner.restart(steady_clock::now());
--- a/tests/standin/BatchRunnerHostTask.h
+++ b/tests/standin/BatchRunnerHostTask.h
@@ -15,7 +15,8 @@
 namespace lentilsaddle::standin {
 
 /// Serves one worker on each of its ports. For tests: `POST /control` with `late` (share of start and stop commands
-/// that are executed up to 3 s later and get no response) and `restart` (index of the worker to restart);
+/// that are executed up to 3 s later and get no response), `restart` (index of the worker to restart) and
+/// `accelerators` (pair of the index of a worker and its new number of accelerators);
 /// `GET /journal` returns the runs of all workers.
 class BatchRunnerHostTask : public StandinTask {
 public:
@@ -38,7 +39,8 @@
     void advanceRunners();
     void advanceGangs(std::chrono::steady_clock::time_point now);
     void completeLongPolls(std::chrono::steady_clock::time_point now);
-    BatchRunner::Response execute(std::size_t runner, const std::string& path, const nlohmann::json& command);
+    BatchRunner::Response execute(std::size_t runner, const std::string& path, const nlohmann::json& command,
+        std::chrono::steady_clock::time_point arrival);
     nlohmann::json journal() const;
     nlohmann::json applyControl(const nlohmann::json& body);
 
