Let a gang of the worker stand-in end as a whole

The product was right: one member's success is that of the gang.

Cause: the stand-in advances its runs every 10 ms. A gang that was stopped at the moment of its end had one member whose stop was complete and ended as stopped, and others whose work was complete and ended as done. A task whose work ended before its stop took effect ended as stopped, too.

Evidence: GangOfWhichAMemberIsStoppedFirstIsNotDone and WorkThatEndsBeforeAStopIsDone failed before. The stand-in now takes the earlier of both ends, and completes the work of gangs only after the gangs that lost a member have been ended. The check of the soak stays as it was.

--- a/tests/soak/BatchRunnerTest.cpp
+++ b/tests/soak/BatchRunnerTest.cpp
@@ -61,4 +61,30 @@
     EXPECT_EQ(m_runner.overloads(), 0);
 }
 
+// Guards against a gang that ends in part: one member stopped, another one done, because both times have passed when
+// the worker is advanced. The scheduler takes one member's success for that of the gang.
+TEST_F(BatchRunnerTest, GangOfWhichAMemberIsStoppedFirstIsNotDone)
+{
+    const json member { { "work_ms", 100 }, { "gang", 2 } };
+    start("a.0.0.0", member, milliseconds(0));
+    start("a.0.0.1", member, milliseconds(0));
+    m_runner.startCompleteGang("a.0.0#1", 2, m_begin);
+    stop("a.0.0.0", milliseconds(35));
+    m_runner.advance(m_begin + milliseconds(105));
+    for (const auto& [gang, done] : m_runner.takeEndedGangs())
+        m_runner.endGang(gang, done, m_begin + milliseconds(105));
+    ASSERT_EQ(m_runner.spans().size(), 2U);
+    EXPECT_EQ(m_runner.spans()[0].outcome, "stopped");
+    EXPECT_EQ(m_runner.spans()[1].outcome, "broken");
+}
+
+// Guards against a task that is reported as stopped although its work had ended before the stop took effect.
+TEST_F(BatchRunnerTest, WorkThatEndsBeforeAStopIsDone)
+{
+    start("a.0.0.0", { { "work_ms", 100 } }, milliseconds(0));
+    stop("a.0.0.0", milliseconds(50));
+    m_runner.advance(m_begin + milliseconds(120));
+    EXPECT_EQ(m_runner.spans()[0].outcome, "done");
+}
+
 } // namespace lentilsaddle::standin
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -58,7 +58,8 @@
     void writeConfiguration(int version, int unusedQueues = 0) const;
 
     /// Ends all faults: proxies forward without a fault, the store responds normally, all workers are listed as ready
-    /// with all their accelerators, and all daemons run. Waits for daemons that are shutting down and starts them again.
+    /// with all their accelerators, and all daemons run. Waits for daemons that are shutting down and starts them
+    /// again.
     void clearFaults();
 
     nlohmann::json workerJournal() const;
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -59,7 +59,7 @@
 // 100, 201 (also 102, 103, 106, 200, 302, 400, 402, 404): run ends of a restarted worker were acknowledged with the
 // sequence numbers of its previous incarnation. 100, 405, 407 failed later because of faults in the worker stand-in:
 // commands executed after their incarnation had ended, acknowledgements applied twice, run ends that no daemon
-// could learn of.
+// could learn of. 710006: the worker stand-in ended one member of a gang as stopped and the others as done.
 // 90211: the last fault terminated a daemon that was not started again, because its restart was dropped with the
 // faults.
 INSTANTIATE_TEST_SUITE_P(Regression, SoakTest,
--- a/tests/standin/BatchRunner.cpp
+++ b/tests/standin/BatchRunner.cpp
@@ -196,17 +196,28 @@
         auto run = next++;
         Time begin = m_spans[run->second.span].begin;
         bool working = run->second.workStart != Time::max();
+        Time workEnd = working ? run->second.workStart + run->second.workDuration : Time::max();
         if (expired)
             endRun(run, "lapsed", m_incarnationStart + milliseconds(m_leaseEnd));
-        else if (now >= run->second.stopTime)
+        else if (now >= run->second.stopTime && run->second.stopTime < workEnd)
             endRun(run, "stopped", run->second.stopTime);
-        else if (working && now >= run->second.workStart + run->second.workDuration)
-            endRun(run, run->second.fails ? "failed" : "done", run->second.workStart + run->second.workDuration);
+        else if (now >= workEnd && run->second.gang.empty())
+            endRun(run, run->second.fails ? "failed" : "done", workEnd);
         else if (!working && now >= begin + gangTimeout)
             endRun(run, "alone", begin + gangTimeout);
     }
 }
 
+void BatchRunner::completeGangWork(Time now)
+{
+    for (auto next = m_runs.begin(); next != m_runs.end();) {
+        auto run = next++;
+        bool working = !run->second.gang.empty() && run->second.workStart != Time::max();
+        if (working && now >= run->second.workStart + run->second.workDuration)
+            endRun(run, run->second.fails ? "failed" : "done", run->second.workStart + run->second.workDuration);
+    }
+}
+
 void BatchRunner::startCompleteGang(const std::string& gang, int members, Time now)
 {
     for (auto& [task, run] : m_runs) {
--- a/tests/standin/BatchRunner.h
+++ b/tests/standin/BatchRunner.h
@@ -55,8 +55,13 @@
     Response listRuns(Time now);
 
     /// Ends the runs whose lease has expired, whose work or stop is complete, or whose gang did not assemble in time.
+    /// The work of gangs is left to completeGangWork().
     void advance(Time now);
 
+    /// Ends the members of gangs whose work is complete. Call when the gangs that lost a member have been ended, so
+    /// that a gang is done as a whole or not at all.
+    void completeGangWork(Time now);
+
     /// Starts the work of a gang if the number of members present, on all workers, is the size of the gang.
     void startCompleteGang(const std::string& gang, int members, Time now);
     /// Ends the other members of a gang after one member has ended.
--- a/tests/standin/BatchRunnerHostTask.cpp
+++ b/tests/standin/BatchRunnerHostTask.cpp
@@ -64,6 +64,10 @@
         // Discards the ends that endGang() itself caused, so that the next call does not process the gang again.
         runner.takeEndedGangs();
     }
+    for (BatchRunner& runner : m_runners) {
+        runner.completeGangWork(now);
+        runner.takeEndedGangs();
+    }
     std::map<std::string, int> present;
     for (const BatchRunner& runner : m_runners) {
         for (const auto& [gang, members] : runner.gangMemberCounts())
