Step down for an instance that announced more processors before the election ended

What callers saw: nothing yet; found by reading and shown by a test. An instance with few processors could lead permanently, although docs/platform.md says that it steps down for one with more.

Cause: a leader steps down when it reads the announcement, but only if it leads already. If the store is slow, the other instance reads the claim and announces itself before the append that confirms the claimant's lease is acknowledged. The announcement was then ignored, and it is made only once a term.

Change: the instance remembers in which term it read such an announcement, and steps down when it is elected in that term. An announcement from before the claim belongs to an earlier term and does not count.

--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -193,6 +193,10 @@
     m_environment.metrics->setGauge("lentilsaddle_batch_leading", 1);
     m_environment.metrics->increment("lentilsaddle_batch_terms_total");
     m_scheduler.reset();
+    if (m_outrankedTerm == term) {
+        m_leadership->stepDown();
+        return;
+    }
     // The next read may still be delayed by the interval of followers.
     m_journalReader->refresh(m_options.readTimeout, [] {});
     startDirectory(term);
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -108,6 +108,9 @@
     InstanceRanking m_ranking;
     /// Newest term for which requestLeadership() was due.
     std::uint64_t m_requestedTerm = 0;
+    /// Term in which an instance with more processors last announced itself, perhaps before this instance's own claim
+    /// of the term was confirmed; empty if none has.
+    std::optional<std::uint64_t> m_outrankedTerm;
     bool m_leadershipRequestDue = false;
     std::unique_ptr<Leadership> m_leadership;
     std::unique_ptr<BatchScheduler> m_scheduler;
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -64,8 +64,10 @@
             int processors = protocol::batch::decodeInstance(*record.value);
             m_ranking.recordAnnouncement(id, processors);
             // An instance that announces itself now is alive and claims the leadership as soon as the term is vacant.
-            if (!listing && m_leadership->leading() && m_ranking.outrankedBy(processors))
+            if (!listing && m_ranking.outrankedBy(processors)) {
+                m_outrankedTerm = m_requestedTerm;
                 m_leadership->stepDown();
+            }
         } else if (record.key.starts_with(taskKeyPrefix)) {
             auto id = BatchTaskId::parse(std::string(withoutPrefix(record.key, taskKeyPrefix)));
             if (!id)
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -837,6 +837,21 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
+// Guards against an instance with few processors that leads permanently because one with more announced itself before
+// the lease of the claimant was confirmed.
+TEST_F(BatchTaskTest, LeaderStepsDownForAnInstanceAnnouncedBeforeItsLeaseWasConfirmed)
+{
+    m_store.setAppendFault(FakeStore::AppendFault::LoseResponse);
+    auto small = startInstance("e-1", 120);
+    ASSERT_TRUE(waitUntil([this] { return !leaderRecords().empty(); }));
+    auto large = startInstance("e-2", 500);
+    // At its start, and as a request for the leadership of the term that it has read.
+    ASSERT_TRUE(waitUntil([this] { return announcements() >= 3; }));
+    std::this_thread::sleep_for(2 * shortOptions().appendTimeout);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([this] { return leaderRecords().back().find("e-2") != std::string::npos; }));
+}
+
 // Guards against a new leader that restarts a task although it still runs, or never observes it.
 TEST_F(BatchTaskTest, NewLeaderAdoptsRunningTasks)
 {
