Do not attribute crashes to runs that have survived their start

Cause: the third crash was attributed to a task that was alone on the worker although the worker had listed its run before. Only a run that was starting is now blamed.

--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -106,7 +106,7 @@
     struct LateCrash {
         state::WorkerId worker;
         Allocation allocation;
-        CrashEvidence evidence = CrashEvidence::None;
+        bool attributed = false;
     };
 
     WorkerSession& sessionFor(const state::batch::BatchWorker& worker);
@@ -127,9 +127,10 @@
         const state::WorkerId& worker, const Allocation& lost, std::int64_t incarnation, RunLoss loss) const;
     void addCrashedRun(const state::WorkerId& worker, const Allocation& lost);
     void onWorkerCrashed(const state::WorkerId& worker);
-    static std::vector<CrashEvidence> evidenceAgainst(const std::vector<LostRun>& runs);
+    /// @return for each run, whether the crash is attributed to it.
+    static std::vector<bool> attributedRuns(const std::vector<LostRun>& runs);
     void countCrash(state::batch::BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost,
-        CrashEvidence evidence);
+        bool attributed);
     void addExpiredRun(const state::WorkerId& worker, const Allocation& lost);
     bool restartedSince(const state::WorkerId& worker, const ExpiredWorker& expired) const;
     /// Finds workers that have returned after their leases expired, and had thus crashed.
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -17,23 +17,6 @@
 using transport::writeLog;
 using TaskPhase = BatchTaskState::Phase;
 
-namespace {
-
-    const char* crashEvidenceName(CrashEvidence evidence)
-    {
-        switch (evidence) {
-        case CrashEvidence::None:
-            return "none";
-        case CrashEvidence::OnlyJob:
-            return "only_job";
-        case CrashEvidence::OnlyStartingJob:
-            return "only_starting_job";
-        }
-        return "unknown";
-    }
-
-} // namespace
-
 bool BatchScheduler::crashedUnder(
     const state::WorkerId& worker, const Allocation& lost, std::int64_t incarnation, RunLoss loss) const
 {
@@ -77,7 +60,7 @@
     });
 }
 
-std::vector<CrashEvidence> BatchScheduler::evidenceAgainst(const std::vector<LostRun>& runs)
+std::vector<bool> BatchScheduler::attributedRuns(const std::vector<LostRun>& runs)
 {
     std::vector<CrashedRun> crashedRuns;
     crashedRuns.reserve(runs.size());
@@ -87,16 +70,16 @@
 }
 
 void BatchScheduler::countCrash(
-    BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost, CrashEvidence evidence)
+    BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost, bool attributed)
 {
-    recordCrash(taskState, evidence);
-    if (evidence == CrashEvidence::OnlyStartingJob)
+    recordCrash(taskState, attributed);
+    if (attributed)
         m_failedOn[{ lost.task.job, lost.task.occurrence, lost.task.step }].insert(worker);
     writeLog(LogLevel::Warning, "scheduler", "worker crashed under a task",
         { { "job", lost.task.job.value() }, { "task", lost.task.toString() }, { "run", std::to_string(lost.run) },
             { "worker", worker.value() }, { "crashes", std::to_string(taskState.workerCrashes) },
-            { "attributed", std::to_string(taskState.attributedCrashes) },
-            { "evidence", crashEvidenceName(evidence) } });
+            { "attributed_crashes", std::to_string(taskState.attributedCrashes) },
+            { "attributed", attributed ? "true" : "false" } });
     if (!taskState.givenUp)
         return;
     m_metrics.increment("lentilsaddle_batch_tasks_given_up_total");
@@ -109,7 +92,7 @@
 {
     std::vector<LostRun> runs = std::move(m_crashedRuns.extract(worker).mapped());
     m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
-    std::vector<CrashEvidence> evidence = evidenceAgainst(runs);
+    std::vector<bool> attributed = attributedRuns(runs);
     TaskStates states;
     for (std::size_t index = 0; index < runs.size(); ++index) {
         const Allocation& lost = runs[index].allocation;
@@ -120,7 +103,7 @@
             requeue(*current, lost);
         else
             m_countedCrashes.insert({ lost.task, lost.run });
-        countCrash(*current, worker, lost, evidence[index]);
+        countCrash(*current, worker, lost, attributed[index]);
         states.emplace_back(lost.task, std::move(*current));
     }
     if (states.empty())
@@ -162,9 +145,9 @@
         bool restarted = restartedSince(worker, expired);
         if (restarted) {
             m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
-            std::vector<CrashEvidence> evidence = evidenceAgainst(expired.runs);
+            std::vector<bool> attributed = attributedRuns(expired.runs);
             for (std::size_t index = 0; index < expired.runs.size(); ++index)
-                m_lateCrashes.push_back({ worker, expired.runs[index].allocation, evidence[index] });
+                m_lateCrashes.push_back({ worker, expired.runs[index].allocation, attributed[index] });
         }
         bool obsolete = restarted || now - expired.since > m_options.crashReturnLimit;
         next = obsolete ? m_expiredWorkers.erase(next) : std::next(next);
@@ -184,7 +167,7 @@
             return false;
         m_claiming.insert(task);
         BatchTaskState current = entry->task(task);
-        countCrash(current, crash.worker, crash.allocation, crash.evidence);
+        countCrash(current, crash.worker, crash.allocation, crash.attributed);
         states.emplace_back(task, std::move(current));
         return true;
     });
--- a/coordination/decisions/batch/CrashAttribution.h
+++ b/coordination/decisions/batch/CrashAttribution.h
@@ -12,28 +12,19 @@
 /// A run that a worker had when it crashed.
 struct CrashedRun {
     state::JobId job;
-    /// The worker had listed the run as running before.
+    /// The worker had listed the run as running before, so it has survived its start.
     bool listed = false;
 };
 
-/// What a crash says about a run that the worker had.
-enum class CrashEvidence {
-    /// A run of another job may have caused the crash.
-    None,
-    /// No other job had a run on the worker; this one had survived its start.
-    OnlyJob,
-    /// No other job had a run on the worker that had not survived its start.
-    OnlyStartingJob,
-};
-
-/// Attributes the crash of a worker to one job if no other one is likely to have caused it. Runs of one job are not
-/// told apart, because the job fails as a whole.
+/// Attributes the crash of a worker to the runs that were starting, if they are all of one job. Runs of one job are not
+/// told apart, because the job fails as a whole. A run that has survived its start is more likely a victim.
 /// @param runs all runs that the worker had.
-/// @return the evidence against each run.
-std::vector<CrashEvidence> attributeCrash(const std::vector<CrashedRun>& runs);
+/// @return for each run, whether the crash is attributed to it.
+std::vector<bool> attributeCrash(const std::vector<CrashedRun>& runs);
 
 /// Adds a crash to the state of a task, and gives the task up if it crashes the workers that start it.
-void recordCrash(state::batch::BatchTaskState& taskState, CrashEvidence evidence);
+/// @param attributed whether the crash is attributed to the task's run.
+void recordCrash(state::batch::BatchTaskState& taskState, bool attributed);
 
 /// @return whether the next start of the task needs to show whether it is the cause of the crashes.
 bool mayCrashWorkers(const state::batch::BatchTaskState& taskState);
