--- /dev/null
+++ b/tests/coordination/batch/BatchLeaderTest.cpp
@@ -0,0 +1,199 @@
+#include "BatchTaskFixture.h"
+
+#include <set>
+#include <string>
+#include <thread>
+
+namespace lentilsaddle::coordination::batch {
+
+using state::batch::BatchJobEntry;
+using std::chrono::milliseconds;
+
+// Guards against requests of a leader whose entry instance was suspended for longer than its lease.
+TEST_F(BatchTaskTest, SuspendedLeaderSendsNoRequestBeforeTheStoreConfirmsItsTerm)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_clockOffset = milliseconds(10'000);
+    std::this_thread::sleep_for(milliseconds(150));
+    m_workers.resetObservations();
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(m_workers.observations(), 0);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.observations() > 0; }));
+}
+
+// Guards against two leaders when several instances start at the same time.
+TEST_F(BatchTaskTest, OneOfSeveralInstancesThatStartTogetherLeads)
+{
+    std::vector<std::unique_ptr<BatchTask>> tasks;
+    for (const char* name : { "e-1", "e-2", "e-3", "e-4" })
+        tasks.push_back(startInstance(name));
+    submit(*tasks.front(), makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    std::this_thread::sleep_for(milliseconds(600));
+    std::set<std::string> leaders;
+    for (const KeyedRecord& record : m_store.records(Stream::Journal)) {
+        if (record.key == leaderKey)
+            leaders.insert(*record.value);
+    }
+    EXPECT_EQ(leaders.size(), 1U);
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against a leader with too few processors for its work while another instance has announced more.
+TEST_F(BatchTaskTest, InstanceWithMostProcessorsLeads)
+{
+    // No instance may lead without a configuration, so all announce themselves before the first claim.
+    m_store.put(Stream::Configuration, "config", std::nullopt);
+    std::vector<std::unique_ptr<BatchTask>> tasks;
+    tasks.push_back(startInstance("e-1", 120));
+    tasks.push_back(startInstance("e-2", 500));
+    tasks.push_back(startInstance("e-3", 120));
+    ASSERT_TRUE(waitUntil([this] { return announcements() == 3; }));
+    EXPECT_TRUE(leaderRecords().empty());
+    m_store.put(Stream::Configuration, "config", "1");
+    submit(*tasks.front(), makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    EXPECT_FALSE(leaderRecords().empty());
+    for (const std::string& record : leaderRecords())
+        EXPECT_NE(record.find("e-2"), std::string::npos) << record;
+}
+
+// Guards against an instance with few processors that leads permanently because it claimed before another instance,
+// started at the same time, had announced more.
+TEST_F(BatchTaskTest, InstanceWithMostProcessorsLeadsInTheEndIfInstancesStartTogether)
+{
+    std::vector<std::unique_ptr<BatchTask>> tasks;
+    tasks.push_back(startInstance("e-1", 120));
+    tasks.push_back(startInstance("e-2", 500));
+    tasks.push_back(startInstance("e-3", 120));
+    submit(*tasks.front(), makeJob());
+    EXPECT_TRUE(waitUntil([this] {
+        std::vector<std::string> records = leaderRecords();
+        return !records.empty() && records.back().find("e-2") != std::string::npos;
+    }));
+    ASSERT_TRUE(waitUntilRunning());
+    std::size_t known = leaderRecords().size();
+    std::this_thread::sleep_for(shortOptions().failoverDelay);
+    std::vector<std::string> records = leaderRecords();
+    EXPECT_GT(records.size(), known);
+    for (std::size_t index = known; index < records.size(); ++index)
+        EXPECT_NE(records[index].find("e-2"), std::string::npos) << records[index];
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against an instance with few processors that leads permanently because those with more were not running when
+// it claimed.
+TEST_F(BatchTaskTest, LeaderStepsDownForAnInstanceWithMoreProcessors)
+{
+    auto small = startInstance("e-1", 120);
+    submit(*small, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    auto large = startInstance("e-2", 500);
+    EXPECT_TRUE(waitUntil([this] {
+        bool largeLeads = false;
+        for (const KeyedRecord& record : m_store.records(Stream::Journal))
+            largeLeads = largeLeads || (record.key == leaderKey && record.value->find("e-2") != std::string::npos);
+        return largeLeads;
+    }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against an instance with few processors that leads permanently because one with more announced itself before
+// the lease of the claimant was confirmed.
+TEST_F(BatchTaskTest, LeaderStepsDownForAnInstanceAnnouncedBeforeItsLeaseWasConfirmed)
+{
+    m_store.setAppendFault(FakeStore::AppendFault::LoseResponse);
+    auto small = startInstance("e-1", 120);
+    ASSERT_TRUE(waitUntil([this] { return !leaderRecords().empty(); }));
+    auto large = startInstance("e-2", 500);
+    // At its start, and as a request for the leadership of the term that it has read.
+    ASSERT_TRUE(waitUntil([this] { return announcements() >= 3; }));
+    std::this_thread::sleep_for(2 * shortOptions().appendTimeout);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([this] { return leaderRecords().back().find("e-2") != std::string::npos; }));
+}
+
+// Guards against a new leader that restarts a task although it still runs, or never observes it.
+TEST_F(BatchTaskTest, NewLeaderAdoptsRunningTasks)
+{
+    auto first = startInstance("e-1");
+    submit(*first, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    auto second = startInstance("e-2");
+    first.reset();
+    std::this_thread::sleep_for(milliseconds(700));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*second, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against a second run of a task whose start was executed by the next incarnation of its worker, which the
+// earlier leader did not know when it stored the claim.
+TEST_F(BatchTaskTest, NewLeaderAdoptsARunOfTheNextIncarnation)
+{
+    storeClaim();
+    m_workers.restart("w1");
+    m_workers.run("w1", taskName, 1);
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    m_store.put(Stream::Directory, "w2", "ready");
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Running; }));
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+    EXPECT_FALSE(m_workers.ranTwice());
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+}
+
+// Guards against a task that waits forever for a run that ended with an earlier incarnation of its worker.
+TEST_F(BatchTaskTest, NewLeaderStartsATaskOfARestartedWorkerAgain)
+{
+    storeClaim();
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    auto task = startInstance("e-1");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 1; }));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against a new leader that delays its next read as a follower does, and so starts jobs that other instances
+// accept late.
+TEST_F(BatchTaskTest, NewLeaderReadsTheJournalAtTheIntervalOfLeaders)
+{
+    auto task = startInstance("e-1");
+    // The claim and the record that confirms it.
+    ASSERT_TRUE(waitUntil([this] { return m_store.records(Stream::Journal).size() >= 2; }));
+    m_store.put(Stream::Journal, makeKey(jobKeyPrefix, jobId.value()), protocol::batch::encodeJob(makeJob()));
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 1; }, shortOptions().followerReadInterval / 2));
+}
+
+// Guards against seconds without a leader after a planned stop of the leader.
+TEST_F(BatchTaskTest, DrainingLeaderIsReplacedBeforeTheFailoverDelay)
+{
+    auto first = startInstance("e-1");
+    submit(*first, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    auto second = startInstance("e-2");
+    ASSERT_TRUE(waitUntil([&] { return query(*second, jobId).phase.has_value(); }));
+    auto before = std::chrono::steady_clock::now();
+    first->post({ .body = BatchMessage::Drain {} });
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*second, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - before, shortOptions().failoverDelay);
+}
+
+// Guards against a new leader that starts nothing until a worker changes its entry or the first long poll ends.
+TEST_F(BatchTaskTest, NewLeaderReadsTheDirectoryAtOnce)
+{
+    m_options.directoryWait = milliseconds(3'000);
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 1; }, milliseconds(1'500)));
+}
+
+} // namespace lentilsaddle::coordination::batch
