--- a/tests/coordination/batch/BatchTaskFixture.h
+++ b/tests/coordination/batch/BatchTaskFixture.h
@@ -257,6 +257,27 @@
         m_store.put(Stream::Journal, makeKey(taskKeyPrefix, taskName), protocol::batch::encodeTaskState(claimed));
     }
 
+    /// @return the stored state of a task.
+    state::batch::BatchTaskState stateOf(const std::string& task)
+    {
+        state::batch::BatchTaskState result;
+        for (const KeyedRecord& record : m_store.records(Stream::Journal)) {
+            if (record.key == makeKey(taskKeyPrefix, task) && record.value)
+                result = protocol::batch::decodeTaskState(*record.value);
+        }
+        return result;
+    }
+
+    /// @return the worker that runs a task; empty if there is none.
+    std::string workerOf(const std::string& task)
+    {
+        for (const std::string& run : m_workers.running()) {
+            if (run.find(task) != std::string::npos)
+                return run.substr(0, run.find(' '));
+        }
+        return "";
+    }
+
     /// Options of the instances that are started next.
     BatchOptions m_options = shortOptions();
     transport::Metrics m_metrics;
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -242,4 +242,24 @@
     EXPECT_TRUE(query(*second, jobId).phase.has_value());
 }
 
+// Guards against a claim behind a completion that the store refuses at first, so that the table shows the task as
+// queued.
+TEST_F(BatchTaskTest, QueuedTaskIsNotClaimedWhileItsCompletionIsRefused)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.makeUnreachable("w1");
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    // The run is lost and its task queued then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace + milliseconds(700));
+    ASSERT_EQ(stateOf(taskName).phase, state::batch::BatchTaskState::Phase::Queued);
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_workers.makeReachable("w1");
+    std::this_thread::sleep_for(milliseconds(150));
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
 } // namespace lentilsaddle::coordination::batch
