Report all runs of a replaced worker as lost together

What callers could see: an innocent job that failed, because it was given up.

Cause: a worker that returned under a new identity could be noticed by the response to a stop, which declared only that one run lost. The crash was then attributed to its job alone, and the next observation made a second crash of the other runs.

The response shows that the worker has ended, so all of its runs are lost at once, as after such a response to an observation.

--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -301,8 +301,8 @@
             observeNow();
         return;
     case Status::OtherIncarnation:
-        // The incarnation that the request was for has ended.
-        declareLost(key, RunLoss::WorkerReplaced);
+        // The worker has ended with all its runs, so that they are reported as lost together.
+        declareAllLost(RunLoss::WorkerReplaced);
         return;
     default:
         m_loop.startTimer(m_options.requestRetryDelay, [this, key, alive = std::weak_ptr(m_alive)] {
--- a/tests/coordination/batch/BatchCrashTest.cpp
+++ b/tests/coordination/batch/BatchCrashTest.cpp
@@ -8,6 +8,7 @@
 
 using state::batch::BatchJob;
 using state::batch::BatchJobEntry;
+using state::batch::BatchTaskState;
 using std::chrono::milliseconds;
 
 // Guards against a task that crashes one worker after the other without end.
@@ -149,4 +150,23 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against one crash that counts as several, each attributed to one job, if a stop request shows it first.
+TEST_F(BatchTaskTest, CrashOfAReplacedWorkerIsOneCrash)
+{
+    auto task = startInstance("e-1");
+    runFirstJob(*task);
+    BatchJob other = makeJob();
+    other.id = state::JobId("00000000000000bb");
+    m_workers.crashOnStart("00000000000000bb.0.0.0", FakeWorkers::Return::AsAnotherWorker, milliseconds(300));
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 1; }));
+    m_workers.loseNextStart();
+    submit(*task, other);
+    std::this_thread::sleep_for(milliseconds(900));
+    EXPECT_EQ(stateOf(taskName).workerCrashes, 1);
+    EXPECT_EQ(stateOf(taskName).attributedCrashes, 0);
+    EXPECT_EQ(stateOf("00000000000000bb.0.0.0").workerCrashes, 1);
+    EXPECT_EQ(stateOf("00000000000000bb.0.0.0").attributedCrashes, 0);
+}
+
 } // namespace lentilsaddle::coordination::batch
