Include starts without a response when a crash is attributed

What callers could see: an innocent job that was blamed for a crash. Found by a review.

Cause: runs whose start had no response were looked for in a phase that they leave at once, so the crash was attributed without them. They stay allocated until their stop is acknowledged, also after the restart of their worker.

Such runs now count as evidence. Their own crash is counted when they are lost.

--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -87,19 +87,12 @@
         std::int64_t highest = 0;
     };
 
-    /// Run that a worker had when it crashed.
-    struct LostRun {
-        Allocation allocation;
-        /// The run has certainly ended; its task is queued again.
-        bool ended = false;
-    };
-
     /// Worker that did not respond until its lease expired, with its runs.
     struct ExpiredWorker {
         std::string address;
         std::int64_t incarnation = 0;
         state::MonotonicTime since {};
-        std::vector<LostRun> runs;
+        std::vector<Allocation> runs;
     };
 
     /// Crash that became known after the task had been queued again.
@@ -123,12 +116,11 @@
     static void requeue(state::batch::BatchTaskState& taskState, const Allocation& lost);
     /// @return whether the loss shows that the worker crashed while it had the run, or while it may have had it.
     /// @param incarnation incarnation of the worker that the run was claimed for; 0 if unknown.
-    bool crashedUnder(
-        const state::WorkerId& worker, const Allocation& lost, std::int64_t incarnation, RunLoss loss) const;
+    bool crashedUnder(const state::WorkerId& worker, std::int64_t incarnation, RunLoss loss) const;
     void addCrashedRun(const state::WorkerId& worker, const Allocation& lost);
     void onWorkerCrashed(const state::WorkerId& worker);
     /// @return for each run, whether the crash is attributed to it.
-    static std::vector<bool> attributedRuns(const std::vector<LostRun>& runs);
+    std::vector<bool> attributedRuns(const state::WorkerId& worker, const std::vector<Allocation>& runs) const;
     void countCrash(state::batch::BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost,
         bool attributed);
     void addExpiredRun(const state::WorkerId& worker, const Allocation& lost);
@@ -201,11 +193,9 @@
     std::map<StepKey, state::MonotonicTime> m_readySince;
     std::map<StepKey, std::set<state::WorkerId>> m_failedOn;
     /// Runs of workers that have crashed, until the session has reported all of them.
-    std::map<state::WorkerId, std::vector<LostRun>> m_crashedRuns;
+    std::map<state::WorkerId, std::vector<Allocation>> m_crashedRuns;
     std::map<state::WorkerId, ExpiredWorker> m_expiredWorkers;
     std::vector<LateCrash> m_lateCrashes;
-    /// Runs that are not known to have ended, although a crash of their worker is stored.
-    std::set<WorkerSession::AllocationKey> m_countedCrashes;
     /// Incarnations that have announced their shutdown.
     std::map<state::WorkerId, std::int64_t> m_drainingIncarnations;
     /// Since when a step has waited for workers on which its start shows whether it crashes them.
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -17,13 +17,11 @@
 using transport::writeLog;
 using TaskPhase = BatchTaskState::Phase;
 
-bool BatchScheduler::crashedUnder(
-    const state::WorkerId& worker, const Allocation& lost, std::int64_t incarnation, RunLoss loss) const
+bool BatchScheduler::crashedUnder(const state::WorkerId& worker, std::int64_t incarnation, RunLoss loss) const
 {
     // A worker that shuts down as announced ends its runs without a fault of theirs.
     auto draining = m_drainingIncarnations.find(worker);
-    bool announced = draining != m_drainingIncarnations.end() && draining->second == incarnation;
-    if (announced || m_countedCrashes.contains({ lost.task, lost.run }))
+    if (draining != m_drainingIncarnations.end() && draining->second == incarnation)
         return false;
     switch (loss) {
     case RunLoss::WorkerReplaced:
@@ -43,16 +41,10 @@
 
 void BatchScheduler::addCrashedRun(const state::WorkerId& worker, const Allocation& lost)
 {
-    std::vector<LostRun>& runs = m_crashedRuns[worker];
-    bool first = runs.empty();
-    runs.push_back({ .allocation = lost, .ended = true });
-    if (!first)
+    std::vector<Allocation>& runs = m_crashedRuns[worker];
+    runs.push_back(lost);
+    if (runs.size() > 1)
         return;
-    for (const auto& [key, allocation] : m_sessions.at(worker)->allocations()) {
-        // The start may have crashed the worker, and may still be executed by the next incarnation.
-        if (allocation.phase == Allocation::Phase::Uncertain && !allocation.inherited)
-            runs.push_back({ .allocation = allocation, .ended = false });
-    }
     // The session reports the other lost runs of the worker before it returns to the event loop.
     m_loop.startTimer(std::chrono::microseconds(0), [this, worker, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
@@ -60,13 +52,23 @@
     });
 }
 
-std::vector<bool> BatchScheduler::attributedRuns(const std::vector<LostRun>& runs)
+std::vector<bool> BatchScheduler::attributedRuns(
+    const state::WorkerId& worker, const std::vector<Allocation>& runs) const
 {
     std::vector<CrashedRun> crashedRuns;
     crashedRuns.reserve(runs.size());
-    for (const LostRun& run : runs)
-        crashedRuns.push_back({ .job = run.allocation.task.job, .listed = run.allocation.listed });
-    return attributeCrash(crashedRuns);
+    for (const Allocation& run : runs)
+        crashedRuns.push_back({ .job = run.task.job, .listed = run.listed });
+    // A run whose start had no response is lost only after its stop, but it may have crashed the worker as well.
+    if (auto session = m_sessions.find(worker); session != m_sessions.end()) {
+        for (const auto& [key, allocation] : session->second->allocations()) {
+            if (allocation.startOutstanding() && allocation.incarnation < session->second->incarnation())
+                crashedRuns.push_back({ .job = allocation.task.job, .listed = allocation.listed });
+        }
+    }
+    std::vector<bool> attributed = attributeCrash(crashedRuns);
+    attributed.resize(runs.size());
+    return attributed;
 }
 
 void BatchScheduler::countCrash(
@@ -90,19 +92,16 @@
 
 void BatchScheduler::onWorkerCrashed(const state::WorkerId& worker)
 {
-    std::vector<LostRun> runs = std::move(m_crashedRuns.extract(worker).mapped());
+    std::vector<Allocation> runs = std::move(m_crashedRuns.extract(worker).mapped());
     m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
-    std::vector<bool> attributed = attributedRuns(runs);
+    std::vector<bool> attributed = attributedRuns(worker, runs);
     TaskStates states;
     for (std::size_t index = 0; index < runs.size(); ++index) {
-        const Allocation& lost = runs[index].allocation;
+        const Allocation& lost = runs[index];
         std::optional<BatchTaskState> current = claimedState(worker, lost);
         if (!current)
             continue;
-        if (runs[index].ended)
-            requeue(*current, lost);
-        else
-            m_countedCrashes.insert({ lost.task, lost.run });
+        requeue(*current, lost);
         countCrash(*current, worker, lost, attributed[index]);
         states.emplace_back(lost.task, std::move(*current));
     }
@@ -121,7 +120,7 @@
     expired.address = session.description().address;
     expired.incarnation = session.incarnation();
     expired.since = m_hooks.clock();
-    expired.runs.push_back({ .allocation = lost, .ended = true });
+    expired.runs.push_back(lost);
 }
 
 bool BatchScheduler::restartedSince(const state::WorkerId& worker, const ExpiredWorker& expired) const
@@ -145,9 +144,9 @@
         bool restarted = restartedSince(worker, expired);
         if (restarted) {
             m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
-            std::vector<bool> attributed = attributedRuns(expired.runs);
+            std::vector<bool> attributed = attributedRuns(worker, expired.runs);
             for (std::size_t index = 0; index < expired.runs.size(); ++index)
-                m_lateCrashes.push_back({ worker, expired.runs[index].allocation, attributed[index] });
+                m_lateCrashes.push_back({ worker, expired.runs[index], attributed[index] });
         }
         bool obsolete = restarted || now - expired.since > m_options.crashReturnLimit;
         next = obsolete ? m_expiredWorkers.erase(next) : std::next(next);
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -189,11 +189,10 @@
     m_quarantine.probeAbandoned(worker, lost.task.job);
     m_metrics.increment("lentilsaddle_batch_runs_lost_total");
     std::optional<BatchTaskState> current = claimedState(worker, lost);
-    if (crashedUnder(worker, lost, current ? current->workerIncarnation : 0, loss)) {
+    if (crashedUnder(worker, current ? current->workerIncarnation : 0, loss)) {
         addCrashedRun(worker, lost);
         return;
     }
-    m_countedCrashes.erase({ lost.task, lost.run });
     if (!current)
         return;
     if (loss == RunLoss::LeaseExpired)
--- a/tests/coordination/batch/BatchCrashTest.cpp
+++ b/tests/coordination/batch/BatchCrashTest.cpp
@@ -169,4 +169,24 @@
     EXPECT_EQ(stateOf("00000000000000bb.0.0.0").attributedCrashes, 0);
 }
 
+// Guards against blaming a job that was starting beside another one whose start had no response.
+TEST_F(BatchTaskTest, CrashIsNotAttributedToAJobWhileAnotherOneMayHaveBeenStarting)
+{
+    auto task = startInstance("e-1");
+    runFirstJob(*task);
+    BatchJob other = makeJob();
+    other.id = state::JobId("00000000000000bb");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 1; }));
+    m_workers.delayNextStart(milliseconds(20'000));
+    submit(*task, other);
+    ASSERT_TRUE(waitUntil([&] { return stateOf("00000000000000bb.0.0.0").phase == BatchTaskState::Phase::Claimed; }));
+    // The start request is in flight then.
+    std::this_thread::sleep_for(milliseconds(10));
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    ASSERT_TRUE(waitUntil([&] { return stateOf(taskName).workerCrashes == 1; }));
+    EXPECT_EQ(stateOf(taskName).attributedCrashes, 0);
+}
+
 } // namespace lentilsaddle::coordination::batch
