Do not count announced shutdowns that are found late as crashes

What callers could see: a task that was taken for one that crashes workers.

Cause: the check for announced shutdowns was made for losses that show a crash at once, but not for runs whose lease expires before another worker has the address.

--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -125,6 +125,10 @@
 
 bool BatchScheduler::restartedSince(const state::WorkerId& worker, const ExpiredWorker& expired) const
 {
+    // A worker that shuts down as announced ends its runs without a fault of theirs.
+    auto draining = m_drainingIncarnations.find(worker);
+    if (draining != m_drainingIncarnations.end() && draining->second == expired.incarnation)
+        return false;
     if (auto session = m_sessions.find(worker); session != m_sessions.end()) {
         if (expired.incarnation != 0 && session->second->incarnation() > expired.incarnation)
             return true;
--- a/tests/coordination/batch/BatchCrashTest.cpp
+++ b/tests/coordination/batch/BatchCrashTest.cpp
@@ -189,4 +189,26 @@
     EXPECT_EQ(stateOf(taskName).attributedCrashes, 0);
 }
 
+// Guards against a crash under a run on a worker that had announced its shutdown, when its address is used again.
+TEST_F(BatchTaskTest, AnnouncedShutdownIsNotCountedWhenTheAddressIsUsedAgain)
+{
+    m_store.put(Stream::Directory, "w2", "ready");
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    std::this_thread::sleep_for(milliseconds(300));
+    std::string first = workerOf(taskName);
+    m_store.put(Stream::Directory, first, "draining");
+    std::this_thread::sleep_for(milliseconds(300));
+    m_workers.makeUnreachable(first);
+    m_store.put(Stream::Directory, first, std::nullopt);
+    ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 2; }));
+    m_store.put(Stream::Directory, "w3", "ready address=" + first);
+    std::this_thread::sleep_for(milliseconds(300));
+    m_workers.finish(workerOf(taskName), taskName, EndedTask::Reason::Stopped);
+    ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 3; }));
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_EQ(stateOf(taskName).workerCrashes, 0);
+}
+
 } // namespace lentilsaddle::coordination::batch
