Forget the runs lost in a cut when their worker responds again

What callers could see: a task that was taken for one that crashes workers. Found by a review.

Cause: a worker whose lease had expired was remembered for 30 s, also after it had responded under the same incarnation. If it crashed in that time, the runs that the cut had ended were counted as crashed.

--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -124,6 +124,8 @@
     void countCrash(state::batch::BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost,
         bool attributed);
     void addExpiredRun(const state::WorkerId& worker, const Allocation& lost);
+    /// @return whether the worker was only cut off.
+    bool respondsAgain(const state::WorkerId& worker, const ExpiredWorker& expired) const;
     bool restartedSince(const state::WorkerId& worker, const ExpiredWorker& expired) const;
     /// Finds workers that have returned after their leases expired, and had thus crashed.
     void checkExpiredWorkers();
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -123,6 +123,13 @@
     expired.runs.push_back(lost);
 }
 
+bool BatchScheduler::respondsAgain(const state::WorkerId& worker, const ExpiredWorker& expired) const
+{
+    auto session = m_sessions.find(worker);
+    return session != m_sessions.end() && session->second->usable()
+        && session->second->incarnation() == expired.incarnation;
+}
+
 bool BatchScheduler::restartedSince(const state::WorkerId& worker, const ExpiredWorker& expired) const
 {
     // A worker that shuts down as announced ends its runs without a fault of theirs.
@@ -152,7 +159,7 @@
             for (std::size_t index = 0; index < expired.runs.size(); ++index)
                 m_lateCrashes.push_back({ worker, expired.runs[index], attributed[index] });
         }
-        bool obsolete = restarted || now - expired.since > m_options.crashReturnLimit;
+        bool obsolete = restarted || respondsAgain(worker, expired) || now - expired.since > m_options.crashReturnLimit;
         next = obsolete ? m_expiredWorkers.erase(next) : std::next(next);
     }
 }
--- a/tests/coordination/batch/BatchCrashTest.cpp
+++ b/tests/coordination/batch/BatchCrashTest.cpp
@@ -189,6 +189,28 @@
     EXPECT_EQ(stateOf(taskName).attributedCrashes, 0);
 }
 
+// Guards against a crash under a run that a cut had ended before.
+TEST_F(BatchTaskTest, RunLostByACutIsNotCountedWhenTheHealedWorkerCrashesLater)
+{
+    m_store.put(Stream::Directory, "w2", "ready");
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    std::this_thread::sleep_for(milliseconds(300));
+    std::string first = workerOf(taskName);
+    m_workers.makeUnreachable(first);
+    ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 2; }));
+    m_workers.makeReachable(first);
+    std::this_thread::sleep_for(milliseconds(600));
+    m_workers.restart(first);
+    m_store.put(Stream::Directory, first, "ready incarnation=2");
+    std::this_thread::sleep_for(milliseconds(300));
+    m_workers.finish(workerOf(taskName), taskName, EndedTask::Reason::Stopped);
+    ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 3; }));
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_EQ(stateOf(taskName).workerCrashes, 0);
+}
+
 // Guards against a crash under a run on a worker that had announced its shutdown, when its address is used again.
 TEST_F(BatchTaskTest, AnnouncedShutdownIsNotCountedWhenTheAddressIsUsedAgain)
 {
