--- a/review/support/Runner.cpp
+++ b/review/support/Runner.cpp
@@ -106,6 +106,19 @@
     m_changed.notify_all();
 }
 
+void Runner::restartAfterSilence()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_silent = false;
+        m_ends.clear();
+        beginLifetime();
+        m_changed.notify_all();
+    }
+    m_server.stop();
+    m_server.start();
+}
+
 std::vector<Runner::Run> Runner::runs() const
 {
     std::lock_guard lock(m_mutex);
@@ -129,7 +142,8 @@
 {
     std::unique_lock lock(m_mutex);
     if (m_silent) {
-        m_changed.wait(lock, [this] { return m_ending; });
+        m_log(m_id + ": receives " + request.path + " while it is down; no effect, no response");
+        m_changed.wait(lock, [this] { return m_ending || !m_silent; });
         return { .reset = true };
     }
     if (!m_up)
--- a/review/support/Runner.h
+++ b/review/support/Runner.h
@@ -57,8 +57,11 @@
     void crash();
     /// Begins a new lifetime under the same id.
     void restart();
-    /// Receives and executes nothing until the end of the process, as a machine that has lost power: connections hang.
+    /// Crashes without closing connections, as a machine that loses power: nothing is executed or answered until
+    /// restartAfterSilence().
     void loseSilently();
+    /// Resets the old connections and begins a new lifetime under the same id.
+    void restartAfterSilence();
 
     /// @return all runs of all lifetimes, in the order of their starts.
     std::vector<Run> runs() const;
