--- a/review/support/Cluster.cpp
+++ b/review/support/Cluster.cpp
@@ -4,6 +4,7 @@
 #include "tests/process/TemporaryFolder.h"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -64,17 +65,22 @@
         return { std::istreambuf_iterator<char>(file), {} };
     }
 
-    /// Ends the daemons and this process when a case takes too long.
+    // Must run before any thread starts, so that only the watchdog receives the signals.
+    sigset_t blockEndSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        return signals;
+    }
+
+    /// Ends the daemons and this process when a case takes too long or is terminated.
     class Watchdog {
     public:
-        explicit Watchdog(Cluster& cluster)
-            : m_thread([this, &cluster] {
-                if (Cluster::waitUntil(longestCase, [this] { return m_done.load(); }))
-                    return;
-                std::cerr << "the case took too long\n";
-                cluster.endDaemons();
-                std::_Exit(2);
-            })
+        Watchdog(Cluster& cluster, const sigset_t& signals)
+            : m_thread([this, &cluster, signals] { watch(cluster, signals); })
         {
         }
 
@@ -88,6 +94,20 @@
         Watchdog& operator=(const Watchdog&) = delete;
 
     private:
+        void watch(Cluster& cluster, const sigset_t& signals) const
+        {
+            auto deadline = Cluster::Clock::now() + longestCase;
+            timespec interval { .tv_sec = 0, .tv_nsec = 50'000'000 };
+            bool terminated = false;
+            while (!m_done && !terminated && Cluster::Clock::now() < deadline)
+                terminated = sigtimedwait(&signals, nullptr, &interval) > 0;
+            if (m_done)
+                return;
+            std::cerr << (terminated ? "the case was terminated\n" : "the case took too long\n");
+            cluster.endDaemons();
+            std::_Exit(2);
+        }
+
         std::atomic<bool> m_done = false;
         std::thread m_thread;
     };
@@ -102,6 +122,10 @@
     , m_readyPorts(freePorts(m_options.daemons))
     , m_metricsPorts(freePorts(m_options.daemons))
     , m_storePorts(freePorts(m_options.daemons))
+{
+}
+
+void Cluster::start()
 {
     m_store = std::make_unique<Store>(m_storePorts, [this](const std::string& text) { note(text); });
     std::vector<std::uint16_t> runnerPorts = freePorts(m_options.runners);
@@ -128,7 +152,8 @@
 Cluster::~Cluster()
 {
     m_ending = true;
-    m_announcer.join();
+    if (m_announcer.joinable())
+        m_announcer.join();
     m_daemons.clear();
     writeRecord();
     m_runners.clear();
@@ -332,8 +357,10 @@
         }
         const char* setting = std::getenv("TROUBLE");
         bool trouble = !setting || std::string(setting) != "0";
+        sigset_t signals = blockEndSignals();
         Cluster cluster({ .folder = argv[1], .runners = runners });
-        Watchdog watchdog(cluster);
+        Watchdog watchdog(cluster, signals);
+        cluster.start();
         bool held = body(cluster, trouble);
         cluster.note(held ? "the rule held" : "the rule was broken");
         std::cout << (held ? "the rule held\n" : "the rule was broken\n");
--- a/review/support/Cluster.h
+++ b/review/support/Cluster.h
@@ -44,10 +44,12 @@
         int runners = 8;
     };
 
-    /// Starts everything and waits until all daemons are ready.
     explicit Cluster(Options options);
     ~Cluster();
 
+    /// Starts everything and waits until all daemons are ready.
+    void start();
+
     Store& store() { return *m_store; }
     Runner& runner(int index) { return *m_runners.at(static_cast<std::size_t>(index)); }
     int runnerCount() const { return m_options.runners; }
