--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -11,7 +11,7 @@
 
 constexpr int daemonCount = 3;
 constexpr int runnerCount = 4;
-constexpr auto outage = 4'500ms;
+constexpr auto outage = 4'200ms;
 constexpr auto retryDelay = 700ms;
 constexpr int attempts = 4;
 const std::string job = "00000000000000b1";
--- a/review/support/Cluster.cpp
+++ b/review/support/Cluster.cpp
@@ -336,7 +336,7 @@
 
 void Cluster::writeRecord()
 {
-    std::ofstream file(m_options.folder + "/record.txt");
+    std::ofstream file(m_options.recordPath);
     for (const std::string& line : m_record)
         file << line << '\n';
     file << "runs on the runners:\n";
@@ -352,13 +352,13 @@
 {
     try {
         if (argc != 2) {
-            std::cerr << "usage: " << argv[0] << " FOLDER\n";
+            std::cerr << "usage: " << argv[0] << " RECORD\n";
             return 2;
         }
         const char* setting = std::getenv("TROUBLE");
         bool trouble = !setting || std::string(setting) != "0";
         sigset_t signals = blockEndSignals();
-        Cluster cluster({ .folder = argv[1], .runners = runners });
+        Cluster cluster({ .recordPath = argv[1], .runners = runners });
         Watchdog watchdog(cluster, signals);
         cluster.start();
         bool held = body(cluster, trouble);
--- a/review/support/Cluster.h
+++ b/review/support/Cluster.h
@@ -39,7 +39,8 @@
     using Clock = std::chrono::steady_clock;
 
     struct Options {
-        std::string folder;
+        /// File that gets the record of what was sent, answered and run.
+        std::string recordPath;
         int daemons = 3;
         int runners = 8;
     };
@@ -104,7 +105,7 @@
     std::vector<std::string> m_record;
 };
 
-/// Runs a case: `run.sh` passes the folder of the case as the argument and TROUBLE in the environment.
+/// Runs a case: `run.sh` passes the path of record.txt as the argument and TROUBLE in the environment.
 /// @param body returns whether the rule held.
 /// @return exit code: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 int runCase(
