Send each HTTP request once unless the call is repeatable (REFUSED)

Cause: libcurl repeats a request on a new connection, without notice, if a reused connection is closed before the first byte of the response. The store had stored the submission; the refusal of the second request was reported as the outcome of the only one. The option that avoids this, freshConnection, was set by two callers only.

Change: HttpClient refuses libcurl the second sending; such a call ends with ResponseLost, at once and without opening a connection. Reads mark themselves as repeatable. BatchTask repeats a shared append once by itself within its timeout, and a refusal of the second attempt leaves the outcome unknown. A request of which no byte was sent is still reported as not sent.

Ruled out: gRPC between instances, which repeats only calls that the server has not processed; the log appender and the request policy, which judge all attempts together.

--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -19,6 +19,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds readinessInterval { 200 };
+    constexpr int maximumSharedAttempts = 2;
 
     const char* streamName(Stream stream)
     {
@@ -273,23 +274,37 @@
         return;
     }
     AppendRequest request { .records = { std::move(record) }, .timeout = m_options.submitTimeout };
-    m_platform.journal.append(
-        request, [this, key = request.records.front().key, reply = std::move(reply)](const AppendResult& result) {
-            AppendResult::Status status = result.status;
+    sendShared(request, maximumSharedAttempts, std::move(reply));
+}
+
+void BatchTask::sendShared(const AppendRequest& request, int attempts, std::function<void(AppendResult::Status)> reply)
+{
+    m_platform.journal.append(request,
+        [this, request, attempts, sent = m_environment.monotonicClock(), reply = std::move(reply)](
+            const AppendResult& result) {
+            const std::string& key = request.records.front().key;
             if (result.status == AppendResult::Status::Stored) {
                 m_unconfirmed.erase(key);
                 m_storeSuspectedUntil.reset();
-            } else {
-                if (result.status == AppendResult::Status::Unknown)
-                    m_unconfirmed.insert(key);
-                // A refusal of this attempt does not show that an earlier one had no effect.
-                else if (m_unconfirmed.contains(key))
-                    status = AppendResult::Status::Unknown;
-                m_storeSuspectedUntil = m_environment.monotonicClock() + m_options.storeSuspicionTime;
-                writeLog(LogLevel::Warning, "store", "append not confirmed",
-                    { { "key", key }, { "status", outcomeName(result.status) }, { "error", result.error } });
+                reply(result.status);
+                return;
+            }
+            writeLog(LogLevel::Warning, "store", "append not confirmed",
+                { { "key", key }, { "status", outcomeName(result.status) }, { "error", result.error } });
+            if (result.status == AppendResult::Status::Unknown)
+                m_unconfirmed.insert(key);
+            AppendRequest repetition = request;
+            repetition.timeout -= std::chrono::ceil<std::chrono::milliseconds>(m_environment.monotonicClock() - sent);
+            // A connection that the store has closed leaves time for another attempt, an unresponsive store does not.
+            bool repeat = result.status == AppendResult::Status::Unknown && attempts > 1
+                && repetition.timeout >= request.timeout / 2;
+            if (repeat) {
+                sendShared(repetition, attempts - 1, reply);
+                return;
             }
-            reply(status);
+            m_storeSuspectedUntil = m_environment.monotonicClock() + m_options.storeSuspicionTime;
+            // A refusal of this attempt does not show that an earlier one had no effect.
+            reply(m_unconfirmed.contains(key) ? AppendResult::Status::Unknown : result.status);
         });
 }
 
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -72,8 +72,12 @@
     void storeJob(BatchMessage::Submit submit);
     /// @return whether the last read failed, or the store has not confirmed a recent change.
     bool storeSuspected() const;
-    /// Appends a record that any instance may write.
+    /// Appends a record that any instance may write, and whose repeated append has no further effect.
     void appendShared(KeyedRecord record, std::function<void(AppendResult::Status)> reply);
+    /// @param request append of one record.
+    /// @param attempts how often the request may be sent within its timeout.
+    /// @param reply is called with the outcome of all attempts to append the record.
+    void sendShared(const AppendRequest& request, int attempts, std::function<void(AppendResult::Status)> reply);
     /// Calls back at once if the job has ended, otherwise when the journal has been read up to now or a timeout passes.
     void afterLookup(const state::JobId& job, const std::function<void()>& callback);
     /// Announces the processors of this instance in the journal, unless the announcement is already there.
--- a/protocol/InstanceListClient.cpp
+++ b/protocol/InstanceListClient.cpp
@@ -88,6 +88,7 @@
         .body = {},
         .timeout = timeout,
         .stallTimeout = timeout,
+        .repeatable = true,
     };
     m_implementation->http.send(call,
         [callback = std::move(callback)](const transport::HttpResult& result) { callback(decodeResponse(result)); });
--- a/protocol/LogClient.cpp
+++ b/protocol/LogClient.cpp
@@ -137,6 +137,7 @@
         .body = {},
         .timeout = wait + timeout,
         .stallTimeout = timeout,
+        .repeatable = true,
     };
     m_implementation->http.send(call, [callback = std::move(callback)](const transport::HttpResult& httpResult) {
         callback(toReadResult(httpResult));
--- a/protocol/WorkerDirectory.cpp
+++ b/protocol/WorkerDirectory.cpp
@@ -61,6 +61,7 @@
         .url = m_platformUrl + "/workers?data_centre=" + dataCentre.value(),
         .timeout = m_timeout,
         .stallTimeout = m_timeout,
+        .repeatable = true,
     };
     m_http.send(call, [callback = std::move(callback)](const transport::HttpResult& result) {
         if (result.failure != transport::HttpFailure::None || result.response.status != 200) {
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -74,6 +74,31 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
+// Guards against a submission that fails because the store has closed an idle connection.
+TEST_F(BatchTaskTest, SubmissionIsRepeatedAfterAClosedConnection)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.closeConnectionOfNextAppend(makeKey(jobKeyPrefix, ""));
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
+// Guards against reporting "not run" for a stored submission because only the repeated append was refused.
+TEST_F(BatchTaskTest, RefusalOfARepeatedSubmissionIsReportedAsUnknown)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.closeConnectionOfNextAppend(makeKey(jobKeyPrefix, ""));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Unknown);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntilRunning());
+}
+
 // Guards against a job that runs although its submission was refused.
 TEST_F(BatchTaskTest, RefusedSubmissionNeverRuns)
 {
--- a/tests/coordination/batch/FakeStore.h
+++ b/tests/coordination/batch/FakeStore.h
@@ -58,6 +58,14 @@
         m_appendFault = fault;
     }
 
+    /// Does the next append of a key with this prefix and closes its connection without a response. Other appends have
+    /// the fault that is set.
+    void closeConnectionOfNextAppend(const std::string& prefix)
+    {
+        std::lock_guard lock(m_mutex);
+        m_closedConnectionPrefix = prefix;
+    }
+
     /// Sets the time after which the responses to later appends arrive.
     void setAppendDelay(std::chrono::milliseconds delay)
     {
@@ -173,6 +181,12 @@
         transport::EventLoop& loop, const AppendRequest& request, const std::function<void(AppendResult)>& reply)
     {
         std::lock_guard lock(m_mutex);
+        if (m_closedConnectionPrefix && request.records.front().key.starts_with(*m_closedConnectionPrefix)) {
+            m_closedConnectionPrefix.reset();
+            perform(request);
+            respond(loop, reply, AppendResult { .status = AppendResult::Status::Unknown });
+            return;
+        }
         if (m_appendFault == AppendFault::Refuse) {
             for (const KeyedRecord& record : request.records)
                 m_refusedKeys.insert(record.key);
@@ -249,6 +263,7 @@
     std::optional<Writer> m_writer;
     AppendResult m_lastResult;
     AppendFault m_appendFault = AppendFault::None;
+    std::optional<std::string> m_closedConnectionPrefix;
     std::set<std::string> m_refusedKeys;
     std::chrono::milliseconds m_appendDelay { 0 };
     bool m_unresponsive = false;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -3,6 +3,7 @@
 
 #include "tests/transport/DrippingServer.h"
 #include "tests/transport/LoopbackListener.h"
+#include "tests/transport/ScriptedServer.h"
 #include "transport/EventLoop.h"
 #include "transport/TransportError.h"
 
@@ -16,6 +17,8 @@
 
 namespace lentilsaddle::transport {
 
+using testing_support::ScriptedServer;
+
 namespace {
 
     // Server and client on one event loop; run() returns when all calls made with send() have completed.
@@ -148,6 +151,69 @@
     EXPECT_EQ(server.requests(), 1);
 }
 
+// Guards against a request that is sent again without notice when its reused connection is closed, so that the response
+// to the second request hides that the first one was executed.
+TEST_F(HttpTest, RequestOnAReusedConnectionIsSentOnce)
+{
+    ScriptedServer server([](int number) -> std::optional<ScriptedServer::Response> {
+        if (number == 2)
+            return std::nullopt;
+        return ScriptedServer::Response { .status = number == 1 ? 200 : 503 };
+    });
+    HttpCall request { .method = "POST", .url = server.url(), .body = "x" };
+    send(request);
+    m_loop.run();
+    ASSERT_EQ(m_results[0].response.status, 200);
+    send(request);
+    m_loop.run();
+    EXPECT_EQ(m_results[1].failure, HttpFailure::ResponseLost);
+    EXPECT_FALSE(m_results[1].timedOut);
+    EXPECT_EQ(server.requests(), 2);
+    // The next call is not affected.
+    send(request);
+    m_loop.run();
+    EXPECT_EQ(m_results[2].response.status, 503);
+    EXPECT_LE(server.connections(), 2) << "a connection was opened for a request that was not sent";
+}
+
+// Guards against a read that fails although only an idle connection was closed, and against endless repetition.
+TEST_F(HttpTest, RepeatableRequestIsSentTwiceAtMost)
+{
+    ScriptedServer server([](int number) -> std::optional<ScriptedServer::Response> {
+        if (number == 2 || number == 4 || number == 5)
+            return std::nullopt;
+        return ScriptedServer::Response { .body = std::to_string(number) };
+    });
+    HttpCall request { .url = server.url(), .repeatable = true };
+    for (int call = 0; call < 3; ++call) {
+        send(request);
+        m_loop.run();
+    }
+    EXPECT_EQ(m_results[0].response.body, "1");
+    EXPECT_EQ(m_results[1].response.body, "3");
+    EXPECT_EQ(m_results[2].failure, HttpFailure::ResponseLost);
+    EXPECT_EQ(server.requests(), 5);
+}
+
+// Guards against NotSent being reported for a request that was sent on a reused connection, if the server then refuses
+// a new connection.
+TEST_F(HttpTest, LostResponseBeforeARefusedConnectionIsResponseLost)
+{
+    ScriptedServer server([](int number) -> std::optional<ScriptedServer::Response> {
+        if (number == 2)
+            return std::nullopt;
+        return ScriptedServer::Response { .stopListening = true };
+    });
+    HttpCall request { .method = "POST", .url = server.url(), .body = "x" };
+    send(request);
+    m_loop.run();
+    ASSERT_EQ(m_results[0].response.status, 200);
+    send(request);
+    m_loop.run();
+    EXPECT_EQ(m_results[1].failure, HttpFailure::ResponseLost);
+    EXPECT_EQ(server.requests(), 2);
+}
+
 TEST_F(HttpTest, RefusedConnectionIsNotSent)
 {
     std::uint16_t port = 0;
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include "transport/TransportError.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
@@ -15,6 +16,8 @@
 
 namespace {
 
+    constexpr int maximumSendingsOfRepeatableCall = 2;
+
     struct Call {
         HttpClient::CallId id = 0;
         CURL* easy = nullptr;
@@ -22,6 +25,13 @@
         std::string body;
         HttpResponse response;
         HttpClient::Callback callback;
+        int maximumSendings = 1;
+        /// Number of connections on which at least a part of the request was sent.
+        int sendings = 0;
+        /// Bytes that were sent on these connections together.
+        long requestBytes = 0;
+        /// A reused connection was closed before the response, and the request may not be sent again.
+        bool connectionClosed = false;
         std::chrono::milliseconds stallTimeout { 0 };
         /// When the response must have begun; valid with a stall timeout.
         std::chrono::steady_clock::time_point responseDeadline;
@@ -42,6 +52,38 @@
         }
     };
 
+    void recordSending(Call& call)
+    {
+        long requestBytes = 0;
+        curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        if (requestBytes > call.requestBytes)
+            ++call.sendings;
+        call.requestBytes = requestBytes;
+    }
+
+    // libcurl sends a request again, without notice, if a reused connection is closed before the first byte of the
+    // response.
+    bool maySend(Call& call)
+    {
+        recordSending(call);
+        call.connectionClosed = call.sendings >= call.maximumSendings;
+        return !call.connectionClosed;
+    }
+
+    // Called before each sending of the request.
+    int onSending(void* context, char*, char*, int, int)
+    {
+        return maySend(*static_cast<Call*>(context)) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    }
+
+    // Called before a connection is opened, which a request that may not be sent again does not need.
+    curl_socket_t onOpenSocket(void* context, curlsocktype, curl_sockaddr* address)
+    {
+        if (!maySend(*static_cast<Call*>(context)))
+            return CURL_SOCKET_BAD;
+        return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    }
+
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* context)
     {
         auto* call = static_cast<Call*>(context);
@@ -91,10 +133,9 @@
             result.response = std::move(call.response);
             return result;
         }
-        long requestBytes = 0;
-        curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-        result.failure = requestBytes > 0 ? HttpFailure::ResponseLost : HttpFailure::NotSent;
-        result.error = curl_easy_strerror(code);
+        recordSending(call);
+        result.failure = call.sendings > 0 ? HttpFailure::ResponseLost : HttpFailure::NotSent;
+        result.error = call.connectionClosed ? "connection closed without a response" : curl_easy_strerror(code);
         result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         return result;
     }
@@ -241,6 +282,11 @@
     CURL* easy = entry->easy;
     curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, entry.get());
+    entry->maximumSendings = call.repeatable ? maximumSendingsOfRepeatableCall : 1;
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onSending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, entry.get());
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &onOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, entry.get());
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, entry.get());
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
--- a/transport/HttpClient.h
+++ b/transport/HttpClient.h
@@ -27,8 +27,11 @@
     /// If positive, a response that has begun may take any time, and fails when no byte of it arrives for this long.
     /// For responses of unbounded size, whose transfer time no fixed limit of the call covers.
     std::chrono::milliseconds stallTimeout { 0 };
-    /// Opens a new connection for the call. libcurl retries a request without notice when a reused connection turns out
-    /// to be closed, which would execute a non-repeatable request twice.
+    /// Sends the request again, once, if a reused connection is closed before the first byte of the response. The
+    /// server may have executed both requests, so this is only for requests whose second execution has no further
+    /// effect, and whose response does not show what became of the first. Other requests fail with ResponseLost.
+    bool repeatable = false;
+    /// Opens a new connection for the call, so that a server that closes idle connections cannot lose its response.
     bool freshConnection = false;
 };
 
@@ -56,7 +59,8 @@
     std::size_t maximumConnections = 4096;
 };
 
-/// Asynchronous HTTP client that reuses connections. All methods must be called on the loop's thread.
+/// Asynchronous HTTP client that reuses connections. A request is sent once unless the call is repeatable. All methods
+/// must be called on the loop's thread.
 class HttpClient {
 public:
     using CallId = std::uint64_t;
