--- a/tests/platform/LostResponseTest.cpp
+++ b/tests/platform/LostResponseTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/BatchPlatformFactory.h"
 
 #include "coordination/batch/JournalHooks.h"
+#include "coordination/batch/WorkerHooks.h"
 #include "tests/transport/ScriptedServer.h"
 #include "transport/EventLoop.h"
 
@@ -13,13 +14,15 @@
 
 using coordination::batch::AppendResult;
 using coordination::batch::BatchPlatform;
+using coordination::batch::Observation;
+using coordination::batch::WorkerCallResult;
 using std::chrono::milliseconds;
 using testing_support::ScriptedServer;
 
 namespace {
 
     constexpr milliseconds callTimeout { 2'000 };
-    constexpr const char* acceptedBody = R"({"offset":0,"end_offset":1})";
+    constexpr const char* acceptedBody = R"({"offset":0,"end_offset":1,"clock_ms":1,"running":[],"ended":[]})";
 
     // A server that executes the second request and closes its connection without a response, and refuses all later
     // requests.
@@ -32,7 +35,7 @@
         return ScriptedServer::Response { .status = 503, .body = "{}" };
     }
 
-    // Calls to such a server, as the store, over connections that stay open.
+    // Calls to such a server, as the store and as a worker, over connections that stay open.
     class LostResponseTest : public testing::Test {
     protected:
         AppendResult append()
@@ -47,9 +50,33 @@
             return received;
         }
 
+        WorkerCallResult start()
+        {
+            WorkerCallResult received;
+            m_platform.worker.start(m_worker, { .run = 1, .payload = "x", .leaseEnd = callTimeout, .term = 1 },
+                callTimeout, [&](WorkerCallResult result) {
+                    received = std::move(result);
+                    m_loop.requestStop();
+                });
+            m_loop.run();
+            return received;
+        }
+
+        Observation observe()
+        {
+            Observation received;
+            m_platform.worker.observe(m_worker, { .term = 1 }, callTimeout, [&](Observation observation) {
+                received = std::move(observation);
+                m_loop.requestStop();
+            });
+            m_loop.run();
+            return received;
+        }
+
         ScriptedServer m_server { executeAndClose };
         transport::EventLoop m_loop { [] {} };
         BatchPlatform m_platform = createBatchPlatform(m_loop, m_server.url());
+        state::batch::BatchWorker m_worker { .id = state::WorkerId("w1"), .address = m_server.address() };
     };
 
 } // namespace
@@ -63,4 +90,21 @@
     EXPECT_EQ(m_server.requests(), 2);
 }
 
+// Guards against a task that runs twice: the worker has executed the start, its response was lost, and the refusal of
+// an unnoticed second request lets the task start on another worker.
+TEST_F(LostResponseTest, StartIsUnknownWhenARefusalWouldFollow)
+{
+    ASSERT_EQ(start().status, WorkerCallResult::Status::Done);
+    EXPECT_EQ(start().status, WorkerCallResult::Status::Unknown);
+    EXPECT_EQ(m_server.requests(), 2);
+}
+
+// Guards against a worker that counts as unresponsive because one of its connections was closed.
+TEST_F(LostResponseTest, ObservationIsRepeatedOnce)
+{
+    ASSERT_EQ(observe().result.status, WorkerCallResult::Status::Done);
+    EXPECT_EQ(observe().result.status, WorkerCallResult::Status::NotDelivered);
+    EXPECT_EQ(m_server.requests(), 3);
+}
+
 } // namespace lentilsaddle::platform
