--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "bench/BatchBypassBench.h"
 #include "bench/BatchPlanBench.h"
 #include "bench/OwnershipBench.h"
 #include "bench/PlacementBench.h"
@@ -24,7 +25,8 @@
 int main(int argc, char** argv)
 {
     using namespace lentilsaddle::bench; // NOLINT(google-build-using-namespace): local to main
-    gflags::SetUsageMessage("[flags] placement|ownership|scale|batch\nWrites Markdown tables to standard output.");
+    gflags::SetUsageMessage(
+        "[flags] placement|ownership|scale|batch|bypass\nWrites Markdown tables to standard output.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string command = argc == 2 ? argv[1] : "";
     if (FLAGS_seeds < 1 || FLAGS_load <= 0)
@@ -41,9 +43,11 @@
         runScaleBench(std::cout);
     } else if (command == "batch") {
         runBatchPlanBench(std::cout);
+    } else if (command == "bypass") {
+        runBatchBypassBench(FLAGS_seed, FLAGS_seeds, FLAGS_load, std::cout);
     } else {
-        std::cerr
-            << "lentilsaddle_bench: expected one of placement, ownership, scale, batch; --seeds >= 1, --load > 0\n";
+        std::cerr << "lentilsaddle_bench: expected one of placement, ownership, scale, batch, bypass; --seeds >= 1, "
+                     "--load > 0\n";
         return usageExitCode;
     }
     return 0;
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -224,14 +224,23 @@
     return true;
 }
 
-const std::vector<std::size_t>& BatchPlanner::reservationCandidates(const BatchUnit& unit) const
+BatchPlanner::Assignment BatchPlanner::selectReservationAmong(
+    const BatchUnit& unit, const std::vector<std::size_t>& candidates) const
+{
+    Assignment assignment = m_capacity.selectForReservation(unit, candidates);
+    if (unit.gang && assignment.size() < unit.indices.size())
+        return {};
+    return assignment;
+}
+
+BatchPlanner::Assignment BatchPlanner::selectLocalReservation(const BatchUnit& unit) const
 {
     if (!unit.preferredRack.empty())
-        return m_capacity.workersInRack(unit.preferredRack);
+        return selectReservationAmong(unit, m_capacity.workersInRack(unit.preferredRack));
     if (!unit.gang || !unit.sameRack)
-        return m_capacity.allWorkers();
+        return selectReservationAmong(unit, m_capacity.allWorkers());
     // The rack that will first have the most free accelerators, counting pending stops.
-    const CapacityIndex::Rack* best = nullptr;
+    Assignment best;
     std::int64_t bestFree = -1;
     for (const CapacityIndex::Rack& rack : m_capacity.racks()) {
         std::int64_t free = 0;
@@ -239,36 +248,34 @@
             if (m_capacity.eligible(unit, worker))
                 free += std::max<std::int64_t>(0, m_capacity.workers()[worker].freeAfterStops.accelerators);
         }
-        if (free > bestFree) {
+        if (free <= bestFree)
+            continue;
+        if (Assignment assignment = selectReservationAmong(unit, rack.workers); !assignment.empty()) {
+            best = std::move(assignment);
             bestFree = free;
-            best = &rack;
         }
     }
-    return best ? best->workers : m_capacity.allWorkers();
+    return best;
+}
+
+BatchPlanner::Assignment BatchPlanner::selectReservation(const BatchUnit& unit) const
+{
+    Assignment assignment = selectLocalReservation(unit);
+    if (assignment.empty() && nonLocalAllowed(unit))
+        assignment = selectReservationAmong(unit, m_capacity.allWorkers());
+    return assignment;
 }
 
 void BatchPlanner::reserveForBlocked(const BatchUnit& unit)
 {
     if (m_reservations >= m_options.maximumReservations)
         return;
+    Assignment assignment = selectReservation(unit);
+    if (assignment.empty())
+        return;
     ++m_reservations;
-    const std::vector<std::size_t>& candidates = reservationCandidates(unit);
-    for (std::size_t task = 0; task < unit.indices.size(); ++task) {
-        const WorkerView* best = nullptr;
-        std::size_t bestWorker = 0;
-        for (std::size_t worker : candidates) {
-            const WorkerView& view = m_capacity.workers()[worker];
-            if (!unit.resources.fitsInto(view.worker.capacity) || !m_capacity.eligible(unit, worker))
-                continue;
-            if (!best || view.freeAfterStops.accelerators > best->freeAfterStops.accelerators) {
-                best = &view;
-                bestWorker = worker;
-            }
-        }
-        if (!best)
-            return;
-        m_capacity.allocate(bestWorker, unit.resources);
-    }
+    for (std::size_t worker : assignment)
+        m_capacity.reserve(worker, unit.resources);
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -83,8 +83,13 @@
     bool preempt(std::size_t index, const BatchUnit& unit, bool ignoreLocality);
     void place(std::size_t index, const Assignment& assignment);
     void reserveWorkers(const BatchUnit& unit, const Assignment& assignment);
+    /// Reserves capacity for a unit that cannot start yet, unless the workers could not hold it even when idle.
     void reserveForBlocked(const BatchUnit& unit);
-    const std::vector<std::size_t>& reservationCandidates(const BatchUnit& unit) const;
+    /// @return workers to reserve; for a gang, one for each task or none.
+    Assignment selectReservation(const BatchUnit& unit) const;
+    /// The same among the workers of the preferred rack, or of one rack for a gang that requires it.
+    Assignment selectLocalReservation(const BatchUnit& unit) const;
+    Assignment selectReservationAmong(const BatchUnit& unit, const std::vector<std::size_t>& candidates) const;
 
     PlannerOptions m_options;
     std::vector<BatchUnit> m_units;
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -80,6 +80,7 @@
         rack.workers.push_back(worker);
         rack.freeAccelerators += usableAccelerators(view);
         m_rackOf[worker] = position->second;
+        m_unreserved.push_back(view.worker.capacity);
         total += view.worker.capacity.accelerators;
         free += usableAccelerators(view);
     }
@@ -169,6 +170,60 @@
     return {};
 }
 
+int CapacityIndex::reservableTasks(const BatchUnit& unit, std::size_t worker) const
+{
+    if (!eligible(unit, worker))
+        return 0;
+    int limit = std::min(tasksAllowed(unit, m_workers[worker]), static_cast<int>(unit.indices.size()));
+    Resources left = m_unreserved[worker];
+    int tasks = 0;
+    for (; tasks < limit && unit.resources.fitsInto(left); ++tasks)
+        left -= unit.resources;
+    return tasks;
+}
+
+CapacityIndex::Assignment CapacityIndex::selectForReservation(
+    const BatchUnit& unit, const std::vector<std::size_t>& candidates) const
+{
+    struct Slots {
+        std::int64_t freeAccelerators = 0;
+        /// Position among the candidates, negated so that the first of equal workers is the greatest.
+        std::ptrdiff_t order = 0;
+        std::size_t worker = 0;
+        int tasks = 0;
+
+        bool operator<(const Slots& other) const
+        {
+            return std::pair(freeAccelerators, order) < std::pair(other.freeAccelerators, other.order);
+        }
+    };
+    std::priority_queue<Slots> heap;
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
+        std::size_t worker = candidates[position];
+        if (int tasks = reservableTasks(unit, worker); tasks > 0)
+            heap.push({ .freeAccelerators = m_workers[worker].freeAfterStops.accelerators,
+                .order = -static_cast<std::ptrdiff_t>(position),
+                .worker = worker,
+                .tasks = tasks });
+    }
+    Assignment assignment;
+    while (assignment.size() < unit.indices.size() && !heap.empty()) {
+        Slots best = heap.top();
+        heap.pop();
+        assignment.push_back(best.worker);
+        best.freeAccelerators -= unit.resources.accelerators;
+        if (--best.tasks > 0)
+            heap.push(best);
+    }
+    return assignment;
+}
+
+void CapacityIndex::reserve(std::size_t worker, const Resources& resources)
+{
+    m_unreserved[worker] -= resources;
+    allocate(worker, resources);
+}
+
 void CapacityIndex::allocate(std::size_t worker, const Resources& resources)
 {
     WorkerView& view = m_workers[worker];
--- a/coordination/decisions/batch/CapacityIndex.h
+++ b/coordination/decisions/batch/CapacityIndex.h
@@ -57,9 +57,18 @@
     /// Selects workers for the whole unit in the fullest rack that fits it; empty if none does.
     Assignment selectRack(const BatchUnit& unit, Free free) const;
 
+    /// Selects workers for tasks of the unit that have to wait for runs to end. The workers that have the most free
+    /// accelerators after the pending stops come first. Together with the earlier reservations of the round, no worker
+    /// is reserved beyond its whole capacity.
+    /// @return at most one worker for each task of the unit; fewer if they could not hold more even when idle.
+    Assignment selectForReservation(const BatchUnit& unit, const std::vector<std::size_t>& candidates) const;
+
     /// Allocates capacity of a worker for the rest of the round.
     void allocate(std::size_t worker, const state::batch::Resources& resources);
 
+    /// The same for a task that has to wait for runs to end.
+    void reserve(std::size_t worker, const state::batch::Resources& resources);
+
     /// Marks a worker on which a task of the unit starts in this round.
     void markStarting(std::size_t worker, const BatchUnit& unit);
 
@@ -67,7 +76,12 @@
     void markStopping(std::size_t worker, std::size_t run);
 
 private:
+    /// @return how many tasks of the unit the worker could hold beside its reservations if nothing ran there.
+    int reservableTasks(const BatchUnit& unit, std::size_t worker) const;
+
     std::vector<WorkerView> m_workers;
+    /// Whole capacity of each worker without the reservations of this round.
+    std::vector<state::batch::Resources> m_unreserved;
     std::vector<Rack> m_racks;
     std::vector<std::size_t> m_rackOf;
     std::vector<std::size_t> m_allWorkers;
--- /dev/null
+++ b/tests/bench/BatchBypassRegressionTest.cpp
@@ -0,0 +1,22 @@
+#include "bench/BatchBypassBench.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilsaddle::bench {
+
+// Guards against a gang that exceeds all workers and holds back other jobs, and against a remedy that lets small jobs
+// bypass the gangs that can start: on the same arrivals, all waits are the same with and without it.
+TEST(BatchBypassRegressionTest, OversizedGangChangesNoWait)
+{
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+        BatchBypassResult without = simulateBatchBypass({ .seed = seed });
+        BatchBypassResult with = simulateBatchBypass({ .seed = seed, .oversizedGang = true });
+        EXPECT_EQ(with.started, with.arrived) << "seed " << seed;
+        EXPECT_EQ(with.longestGangWait, without.longestGangWait) << "seed " << seed;
+        EXPECT_EQ(with.largestBypass, without.largestBypass) << "seed " << seed;
+        EXPECT_EQ(with.meanSmallWait, without.meanSmallWait) << "seed " << seed;
+        EXPECT_EQ(with.longestSmallWait, without.longestSmallWait) << "seed " << seed;
+    }
+}
+
+} // namespace lentilsaddle::bench
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -1,4 +1,5 @@
 #include "BatchTaskFixture.h"
+#include "coordination/decisions/batch/BatchPlanner.h"
 
 #include <string>
 #include <thread>
@@ -206,6 +207,27 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(50));
 }
 
+// Guards against a gang that exceeds all workers and holds back other jobs, and against one that does not start when
+// workers come.
+TEST_F(BatchTaskTest, GangThatExceedsAllWorkersWaitsWithoutHoldingOthersBack)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    BatchJob gang = makeJob(2);
+    gang.steps.front().resources.accelerators = 8;
+    gang.steps.front().gang = true;
+    ASSERT_EQ(submit(*task, gang), ChangeOutcome::Done);
+    std::this_thread::sleep_for(PlannerOptions().reservationDelay + milliseconds(100));
+    BatchJob small = makeJob();
+    small.id = state::JobId("00000000000000bb");
+    ASSERT_EQ(submit(*task, small), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts("00000000000000bb.0.0.0") == 1; }));
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+    addWorkers(3);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 1; }));
+    EXPECT_EQ(m_workers.starts("00000000000000aa.0.0.1"), 1);
+}
+
 // Guards against a job that keeps running after its cancellation was acknowledged.
 TEST_F(BatchTaskTest, CancelledJobIsStopped)
 {
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -47,6 +47,14 @@
         return unit;
     }
 
+    // A gang whose members each need a whole worker.
+    BatchUnit makeGang(const std::string& job, int tasks)
+    {
+        BatchUnit unit = makeUnit(job, tasks, wholeWorker.accelerators);
+        unit.gang = true;
+        return unit;
+    }
+
     // Adds a run of a group to a worker.
     void addRun(PlanInput& input, std::size_t worker, std::size_t group, std::int64_t accelerators)
     {
@@ -242,6 +250,142 @@
     EXPECT_TRUE(plan(input).placements.empty());
 }
 
+// Guards against the same for a gang, and against a reservation on more workers than it needs.
+TEST(BatchPlanner, ReservesCapacityForAWaitingGang)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2"), makeWorker("w3") } };
+    input.groups = { { .priority = 2, .loss = 5 } };
+    addRun(input, 0, 0, 2);
+    addRun(input, 1, 0, 2);
+    input.units = { makeGang("large", 2), makeUnit("small", 10, 1, 2) };
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    BatchPlan result = plan(input);
+    std::map<std::size_t, int> startsOn;
+    for (const Placement& placement : result.placements)
+        ++startsOn[placement.worker];
+    EXPECT_EQ(startsOn, (std::map<std::size_t, int> { { 1, 6 } })) << "the emptiest workers were not reserved";
+}
+
+// Guards against a gang that exceeds all workers and holds back other jobs on idle workers.
+TEST(BatchPlanner, GangLargerThanAllWorkersHoldsNothingBack)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.units = { makeGang("hopeless", 3), makeUnit("small", 2, 8, 2) };
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+    // It starts as soon as the workers suffice.
+    input.workers.push_back(makeWorker("w3"));
+    BatchPlan result = plan(input);
+    ASSERT_EQ(result.placements.size(), 3U);
+    EXPECT_EQ(result.placements.front().unit, 0U);
+}
+
+// Guards against the same for a gang that must be in one rack and exceeds each of them.
+TEST(BatchPlanner, GangLargerThanEachRackHoldsNothingBack)
+{
+    PlanInput input { .workers = { makeWorker("w1", "r1"), makeWorker("w2", "r2"), makeWorker("w3", "r2") } };
+    input.groups = { { .priority = 1, .loss = 5 } };
+    addRun(input, 0, 0, 8);
+    BatchUnit gang = makeGang("hopeless", 3);
+    gang.sameRack = true;
+    input.units = { gang, makeUnit("small", 2, 8, 2) };
+    // Long enough for a reservation, too short for a gang that is spread over racks.
+    input.now = state::MonotonicTime(milliseconds(11'100));
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+    // After that it may be spread, so its workers are reserved.
+    input.now = state::MonotonicTime(milliseconds(21'000));
+    EXPECT_TRUE(plan(input).placements.empty());
+}
+
+// Guards against the same for a gang whose preferred rack has lost workers, and against a gang that gets no reservation
+// at all since then.
+TEST(BatchPlanner, GangLargerThanItsPreferredRackHoldsNothingBackThere)
+{
+    PlanInput input { .workers = { makeWorker("w1", "r1"), makeWorker("w2", "r2") } };
+    input.groups = { { .priority = 1, .loss = 5 } };
+    addRun(input, 1, 0, 8);
+    BatchUnit gang = makeGang("large", 2);
+    gang.preferredRack = "r1";
+    input.units = { gang, makeUnit("small", 1, 8, 2) };
+    input.now = state::MonotonicTime(milliseconds(11'100));
+    EXPECT_EQ(plan(input).placements.size(), 1U);
+    input.now = state::MonotonicTime(milliseconds(21'000));
+    EXPECT_TRUE(plan(input).placements.empty()) << "nothing was reserved for the gang outside its rack";
+}
+
+// Guards against the same for a gang that exceeds all workers only by its limit for each.
+TEST(BatchPlanner, GangLargerThanItsLimitPerWorkerAllowsHoldsNothingBack)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    BatchUnit gang = makeGang("hopeless", 3);
+    gang.resources.accelerators = 1;
+    gang.maximumPerWorker = 1;
+    input.units = { gang, makeUnit("small", 16, 1, 2) };
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_EQ(plan(input).placements.size(), 16U);
+}
+
+// Guards against units that cannot start and use up the reservations of those that can.
+TEST(BatchPlanner, UnitsThatCannotStartUseUpNoReservations)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2, .loss = 5 } };
+    addRun(input, 0, 0, 2);
+    for (std::size_t number = 0; number < PlannerOptions().maximumReservations; ++number)
+        input.units.push_back(makeGang("hopeless-" + std::to_string(number), 2));
+    input.units.push_back(makeUnit("large", 1, 8, 1));
+    input.units.push_back(makeUnit("small", 1, 1, 2));
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_TRUE(plan(input).placements.empty());
+}
+
+// Guards against two reservations that cannot both come true, of which the second only keeps workers idle.
+TEST(BatchPlanner, ReservationsTogetherDoNotExceedTheWorkers)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2"), makeWorker("w3") } };
+    input.groups = { { .priority = 2, .loss = 5 } };
+    for (std::size_t worker = 0; worker < 3; ++worker)
+        addRun(input, worker, 0, 2);
+    BatchUnit second = makeGang("second", 2);
+    second.deadline += milliseconds(1'000);
+    input.units = { makeGang("first", 2), second, makeUnit("small", 24, 1, 2) };
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_EQ(plan(input).placements.size(), 6U) << "the worker that the first gang does not need is not used";
+    // With a fourth worker both can be served.
+    input.workers.push_back(makeWorker("w4"));
+    addRun(input, 3, 0, 2);
+    EXPECT_TRUE(plan(input).placements.empty());
+}
+
+// Guards against a unit that no worker can hold and that changes what else starts, whatever the mix of units.
+RC_GTEST_PROP(BatchPlanner, UnitThatCannotStartHoldsNothingBack, ())
+{
+    int workers = *rc::gen::inRange(1, 6);
+    PlanInput input;
+    for (int number = 0; number < workers; ++number)
+        input.workers.push_back(makeWorker("w" + std::to_string(number), "r" + std::to_string(number % 2)));
+    input.groups = { { .priority = 1, .loss = 1 } };
+    for (int worker = 0; worker < workers; ++worker)
+        addRun(input, static_cast<std::size_t>(worker), 0, *rc::gen::inRange(0, 9));
+    int units = *rc::gen::inRange(1, 6);
+    for (int number = 0; number < units; ++number) {
+        BatchUnit unit = makeUnit("unit-" + std::to_string(number), *rc::gen::inRange(1, 5), *rc::gen::inRange(1, 9),
+            *rc::gen::inRange(1, 3));
+        unit.gang = *rc::gen::arbitrary<bool>();
+        input.units.push_back(unit);
+    }
+    input.now = state::MonotonicTime(milliseconds(*rc::gen::inRange(10'000, 25'000)));
+    std::size_t undisturbed = plan(input).placements.size();
+    BatchUnit hopeless = makeGang("hopeless", workers + 1);
+    hopeless.priority = *rc::gen::inRange(0, 3);
+    hopeless.sameRack = *rc::gen::arbitrary<bool>();
+    hopeless.preferredRack = *rc::gen::element<std::string>("", "r0", "r7");
+    input.units.push_back(hopeless);
+    BatchPlan disturbed = plan(input);
+    RC_ASSERT(disturbed.placements.size() == undisturbed);
+    RC_ASSERT(disturbed.preemptions.empty());
+}
+
 // Guards against allocating more than a worker has, whatever the mix of units.
 RC_GTEST_PROP(BatchPlanner, NeverExceedsAWorkersCapacity, ())
 {
