--- a/bench/BatchBypassBench.cpp
+++ b/bench/BatchBypassBench.cpp
@@ -238,9 +238,8 @@
 
 void runBatchBypassBench(std::uint32_t firstSeed, int seeds, double load, std::ostream& output)
 {
-    output << "| seed | oversized gang | started, of | utilisation | longest wait of a gang, s | largest bypass | mean "
-              "wait "
-              "of a small job, s | longest, s |\n|---|---|---|---|---|---|---|---|\n";
+    output << "| seed | oversized gang | started, of | utilisation | longest wait of a gang, s | largest bypass "
+              "| mean wait of a small job, s | longest, s |\n|---|---|---|---|---|---|---|---|\n";
     auto seconds = [](milliseconds duration) { return std::chrono::duration<double>(duration).count(); };
     for (std::uint32_t seed = firstSeed; seed < firstSeed + static_cast<std::uint32_t>(seeds); ++seed) {
         for (bool oversized : { false, true }) {
