--- a/transport/HttpClient.h
+++ b/transport/HttpClient.h
@@ -27,9 +27,9 @@
     /// If positive, a response that has begun may take any time, and fails when no byte of it arrives for this long.
     /// For responses of unbounded size, whose transfer time no fixed limit of the call covers.
     std::chrono::milliseconds stallTimeout { 0 };
-    /// Sends the request again, once, if a reused connection is closed before the first byte of the response. The
-    /// server may have executed both requests, so this is only for requests whose second execution has no further
-    /// effect, and whose response does not show what became of the first. Other requests fail with ResponseLost.
+    /// Sends the request again, once, if a reused connection is closed before the first byte of the response; other
+    /// calls fail with ResponseLost. The server may have executed both requests, so this is only for requests whose
+    /// second execution has no further effect. A refusal may be that of the second request only.
     bool repeatable = false;
     /// Opens a new connection for the call, so that a server that closes idle connections cannot lose its response.
     bool freshConnection = false;
