--- a/coordination/jobs/SchedulerTask.cpp
+++ b/coordination/jobs/SchedulerTask.cpp
@@ -158,6 +158,9 @@
         return;
     }
     if (auto refused = checkSubmission(specification)) {
+        // The refusal of this attempt does not show that an earlier one had no effect.
+        if (m_submissions.submissionUnresolved(specification.id))
+            refused->status = Response::Status::Unknown;
         m_environment.metrics->increment("lentilsaddle_jobs_refused_total");
         message.reply(std::move(*refused));
         return;
@@ -196,7 +199,8 @@
         response.status = Response::Status::Refused;
         response.reason = "job_ended";
     } else if (job && !m_logReachable) {
-        response.status = Response::Status::Refused;
+        bool unresolved = m_submissions.cancellationUnresolved(message.id);
+        response.status = unresolved ? Response::Status::Unknown : Response::Status::Refused;
         response.reason = "log_unavailable";
     } else if (job) {
         if (m_submissions.cancel(message.id, std::move(message.reply), now() + m_options.responseTimeout))
--- a/coordination/jobs/SubmissionTracker.h
+++ b/coordination/jobs/SubmissionTracker.h
@@ -36,10 +36,15 @@
     /// Responds to the callers of a cancellation whose JobCancelled record was read.
     void cancellationRead(const state::JobId& job);
 
-    /// Refuses the callers if the record was certainly not appended.
+    /// Responds to the callers if the record was certainly not appended: with Refused, or with Unknown if an earlier
+    /// append of it may have taken effect.
     void submissionAppended(const state::JobId& job, LogMessage::AppendStatus status);
     void cancellationAppended(const state::JobId& job, LogMessage::AppendStatus status);
 
+    /// @return whether the record may be in the log although it has not been read.
+    bool submissionUnresolved(const state::JobId& job) const { return unresolved(m_submissions, job); }
+    bool cancellationUnresolved(const state::JobId& job) const { return unresolved(m_cancellations, job); }
+
     /// Responds to callers whose deadline has passed with the status Unknown.
     void expire(state::MonotonicTime now);
     std::optional<state::MonotonicTime> nextDeadline() const;
@@ -50,13 +55,24 @@
         Reply reply;
         state::MonotonicTime deadline;
     };
-    using WaitersByJob = std::map<state::JobId, std::vector<Waiter>>;
+    /// Record that has not been read.
+    struct PendingRecord {
+        std::vector<Waiter> waiters;
+        int appendsInFlight = 0;
+        /// An append has ended, and may have taken effect.
+        bool unresolved = false;
+        state::MonotonicTime latestDeadline {};
+    };
+    using RecordsByJob = std::map<state::JobId, PendingRecord>;
 
-    static void appended(WaitersByJob& jobs, const state::JobId& job, LogMessage::AppendStatus status);
-    static void expire(WaitersByJob& jobs, state::MonotonicTime now);
+    /// @return whether the record must be appended.
+    static bool addWaiter(PendingRecord& record, Waiter waiter);
+    static void appended(RecordsByJob& jobs, const state::JobId& job, LogMessage::AppendStatus status);
+    static void expire(RecordsByJob& jobs, state::MonotonicTime now);
+    static bool unresolved(const RecordsByJob& jobs, const state::JobId& job);
 
-    WaitersByJob m_submissions;
-    WaitersByJob m_cancellations;
+    RecordsByJob m_submissions;
+    RecordsByJob m_cancellations;
 };
 
 } // namespace lentilsaddle::coordination
