Keep a patch unresolved when only its repetition is refused

What callers saw: a configuration patch that ended as unknown was submitted again, the second append was refused, and the answer was "not appended", although the first append could still take effect.

The result of one append removed the patch from the set of unresolved ones, whichever attempt it belonged to.

Change: each append is counted by itself.

Evidence: ConfigurationTaskTest.RefusalOfARepeatedPatchIsReportedAsUnknown failed before (NotAppended instead of Unknown, twice); all 9 tests of ConfigurationTaskTest pass.

--- a/coordination/configuration/ConfigurationTask.cpp
+++ b/coordination/configuration/ConfigurationTask.cpp
@@ -137,7 +137,8 @@
     // Only replay determines the outcome of an append that succeeded or may have succeeded.
     if (message.status != LogMessage::AppendStatus::NotAppended)
         return;
-    m_unresolved.erase(message.id);
+    if (auto appended = m_unresolved.find(message.id); appended != m_unresolved.end())
+        m_unresolved.erase(appended);
     respond(message.id, refusal(message.id, "log_unavailable"));
 }
 
--- a/coordination/configuration/ConfigurationTask.h
+++ b/coordination/configuration/ConfigurationTask.h
@@ -91,8 +91,8 @@
     bool m_caughtUpOnce = false;
     std::optional<bool> m_logReachable;
     std::map<state::PatchId, PendingPatch> m_pendingPatches;
-    /// Patches whose append may still take effect.
-    std::set<state::PatchId> m_unresolved;
+    /// Appends of patches that may still take effect; a repeated submission of a patch adds another one.
+    std::multiset<state::PatchId> m_unresolved;
     SnapshotPolicy m_snapshotPolicy;
     transport::EventLoop::TimerId m_snapshotTimer = 0;
     std::vector<std::function<void(ConfigurationMessage::View)>> m_watchers;
--- a/tests/coordination/configuration/ConfigurationTaskTest.cpp
+++ b/tests/coordination/configuration/ConfigurationTaskTest.cpp
@@ -115,6 +115,21 @@
     EXPECT_TRUE(m_responses.take().outcome.accepted);
 }
 
+// Guards against the same because only the append of a repeated submission was refused.
+TEST_F(ConfigurationTaskTest, RefusalOfARepeatedPatchIsReportedAsUnknown)
+{
+    replay(0, {});
+    submit(patch("p", 0));
+    m_appends.take().onResult({ .status = LogMessage::AppendStatus::Unresolved, .origin = {} });
+    ASSERT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
+    submit(patch("p", 0));
+    m_appends.take().onResult({ .status = LogMessage::AppendStatus::NotAppended, .origin = {} });
+    EXPECT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
+    setLogReachable(false);
+    submit(patch("p", 0));
+    EXPECT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
+}
+
 // Guards against a patch hanging, or being queued for later, while the log is unavailable.
 TEST_F(ConfigurationTaskTest, PatchIsRefusedDuringAnOutage)
 {
