--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -5,6 +5,7 @@
 #include "coordination/batch/KeyedReader.h"
 #include "coordination/batch/Leadership.h"
 #include "coordination/batch/MeasuredPlatform.h"
+#include "coordination/batch/SharedAppender.h"
 #include "protocol/batch/BatchRecordCodec.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
@@ -19,7 +20,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds readinessInterval { 200 };
-    constexpr int maximumSharedAttempts = 2;
 
     const char* streamName(Stream stream)
     {
@@ -34,25 +34,6 @@
         return "unknown";
     }
 
-    const char* outcomeName(AppendResult::Status status)
-    {
-        switch (status) {
-        case AppendResult::Status::Stored:
-            return "stored";
-        case AppendResult::Status::NotStored:
-            return "not_stored";
-        case AppendResult::Status::Unknown:
-            return "unknown";
-        case AppendResult::Status::Fenced:
-            return "fenced";
-        case AppendResult::Status::ConditionFailed:
-            return "condition_failed";
-        case AppendResult::Status::OutOfSequence:
-            return "out_of_sequence";
-        }
-        return "unknown";
-    }
-
     // Steps as TASKSxACCELERATORS, followed by g for a gang, r if it requires one rack, @RACK and #LABEL.
     std::string describeShape(const state::batch::BatchJob& job)
     {
@@ -98,6 +79,11 @@
 void BatchTask::onStart()
 {
     m_platform = measuredPlatform(m_hooks.connect(loop()), *m_environment.metrics, m_environment.monotonicClock);
+    m_sharedAppender = std::make_unique<SharedAppender>(m_platform.journal, m_options,
+        SharedAppender::Hooks {
+            .clock = m_environment.monotonicClock,
+            .journalReachable = [this] { return m_journalReader->reachable(); },
+        });
     createReaders();
     createLeadership();
     m_configurationReader->start();
@@ -112,6 +98,7 @@
     m_journalReader.reset();
     m_directoryReader.reset();
     m_configurationReader.reset();
+    m_sharedAppender.reset();
     m_platform = {};
 }
 
@@ -145,7 +132,7 @@
         [this](const std::vector<KeyedRecord>& records) { applyJournal(records, true); },
         [this](const std::vector<KeyedRecord>& records) { applyJournal(records, false); },
         [this] {
-            m_storeSuspectedUntil.reset();
+            m_sharedAppender->onStoreResponse();
             updateReadiness();
             m_leadership->onJournalRead();
             requestLeadership();
@@ -262,61 +249,9 @@
     std::visit([this](auto&& body) { handle(std::forward<decltype(body)>(body)); }, std::move(message.body));
 }
 
-void BatchTask::appendShared(KeyedRecord record, std::function<void(AppendResult::Status)> reply)
-{
-    // While the store is unresponsive, an append would only delay its caller.
-    if (storeSuspected()) {
-        auto status
-            = m_unconfirmed.contains(record.key) ? AppendResult::Status::Unknown : AppendResult::Status::NotStored;
-        writeLog(LogLevel::Warning, "store", "append skipped because the store is unresponsive",
-            { { "key", record.key }, { "status", outcomeName(status) } });
-        reply(status);
-        return;
-    }
-    AppendRequest request { .records = { std::move(record) }, .timeout = m_options.submitTimeout };
-    sendShared(request, maximumSharedAttempts, std::move(reply));
-}
-
-void BatchTask::sendShared(const AppendRequest& request, int attempts, std::function<void(AppendResult::Status)> reply)
-{
-    m_platform.journal.append(request,
-        [this, request, attempts, sent = m_environment.monotonicClock(), reply = std::move(reply)](
-            const AppendResult& result) {
-            const std::string& key = request.records.front().key;
-            if (result.status == AppendResult::Status::Stored) {
-                m_unconfirmed.erase(key);
-                m_storeSuspectedUntil.reset();
-                reply(result.status);
-                return;
-            }
-            writeLog(LogLevel::Warning, "store", "append not confirmed",
-                { { "key", key }, { "status", outcomeName(result.status) }, { "error", result.error } });
-            if (result.status == AppendResult::Status::Unknown)
-                m_unconfirmed.insert(key);
-            AppendRequest repetition = request;
-            repetition.timeout -= std::chrono::ceil<std::chrono::milliseconds>(m_environment.monotonicClock() - sent);
-            // A connection that the store has closed leaves time for another attempt, an unresponsive store does not.
-            bool repeat = result.status == AppendResult::Status::Unknown && attempts > 1
-                && repetition.timeout >= request.timeout / 2;
-            if (repeat) {
-                sendShared(repetition, attempts - 1, reply);
-                return;
-            }
-            m_storeSuspectedUntil = m_environment.monotonicClock() + m_options.storeSuspicionTime;
-            // A refusal of this attempt does not show that an earlier one had no effect.
-            reply(m_unconfirmed.contains(key) ? AppendResult::Status::Unknown : result.status);
-        });
-}
-
-bool BatchTask::storeSuspected() const
-{
-    bool unconfirmedChange = m_storeSuspectedUntil && m_environment.monotonicClock() < *m_storeSuspectedUntil;
-    return unconfirmedChange || !m_journalReader->reachable();
-}
-
 void BatchTask::handle(BatchMessage::Submit submit)
 {
-    if (!storeSuspected() || m_table.find(submit.job.id)) {
+    if (!m_sharedAppender->storeSuspected() || m_table.find(submit.job.id)) {
         storeJob(std::move(submit));
         return;
     }
@@ -336,20 +271,21 @@
         .key = makeKey(jobKeyPrefix, id.value()),
         .value = protocol::batch::encodeJob(submit.job),
     };
-    appendShared(std::move(record), [this, submit = std::move(submit)](AppendResult::Status status) {
+    auto reply = [this, submit = std::move(submit)](AppendResult::Status status) {
         m_environment.metrics->increment(
-            "lentilsaddle_batch_submissions_total", { { "outcome", outcomeName(status) } });
+            "lentilsaddle_batch_submissions_total", { { "outcome", appendStatusName(status) } });
         writeLog(LogLevel::Info, "api", "job submitted",
             { { "job", submit.job.id.value() }, { "queue", submit.job.queue.name },
                 { "account", submit.job.account.value() }, { "shape", describeShape(submit.job) },
-                { "outcome", outcomeName(status) } });
+                { "outcome", appendStatusName(status) } });
         if (status == AppendResult::Status::Stored) {
             m_table.applyJob(submit.job);
             if (m_scheduler)
                 m_scheduler->onTableChanged();
         }
         submit.reply(toChangeOutcome(status));
-    });
+    };
+    m_sharedAppender->append({ .record = std::move(record), .reply = std::move(reply) });
 }
 
 void BatchTask::afterLookup(const state::JobId& job, const std::function<void()>& callback)
@@ -374,17 +310,18 @@
 
 void BatchTask::cancelKnown(const state::JobId& job, const std::function<void(ChangeOutcome)>& reply)
 {
-    appendShared({ .key = makeKey(cancellationKeyPrefix, job.value()), .value = "1" },
-        [this, job, reply](AppendResult::Status status) {
-            writeLog(
-                LogLevel::Info, "api", "job cancelled", { { "job", job.value() }, { "outcome", outcomeName(status) } });
-            if (status == AppendResult::Status::Stored) {
-                m_table.applyCancellation(job);
-                if (m_scheduler)
-                    m_scheduler->onTableChanged();
-            }
-            reply(toChangeOutcome(status));
-        });
+    auto onResult = [this, job, reply](AppendResult::Status status) {
+        writeLog(LogLevel::Info, "api", "job cancelled",
+            { { "job", job.value() }, { "outcome", appendStatusName(status) } });
+        if (status == AppendResult::Status::Stored) {
+            m_table.applyCancellation(job);
+            if (m_scheduler)
+                m_scheduler->onTableChanged();
+        }
+        reply(toChangeOutcome(status));
+    };
+    m_sharedAppender->append({ .record = { .key = makeKey(cancellationKeyPrefix, job.value()), .value = "1" },
+        .reply = std::move(onResult) });
 }
 
 void BatchTask::handle(const BatchMessage::Query& query)
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -15,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +24,7 @@
 class BatchScheduler;
 class KeyedReader;
 class Leadership;
+class SharedAppender;
 
 class BatchTask : public transport::Task<BatchMessage> {
 public:
@@ -70,14 +70,6 @@
 
     /// Confirms the submission of a known job and stores an unknown one.
     void storeJob(BatchMessage::Submit submit);
-    /// @return whether the last read failed, or the store has not confirmed a recent change.
-    bool storeSuspected() const;
-    /// Appends a record that any instance may write, and whose repeated append has no further effect.
-    void appendShared(KeyedRecord record, std::function<void(AppendResult::Status)> reply);
-    /// @param request append of one record.
-    /// @param attempts how often the request may be sent within its timeout.
-    /// @param reply is called with the outcome of all attempts to append the record.
-    void sendShared(const AppendRequest& request, int attempts, std::function<void(AppendResult::Status)> reply);
     /// Calls back at once if the job has ended, otherwise when the journal has been read up to now or a timeout passes.
     void afterLookup(const state::JobId& job, const std::function<void()>& callback);
     /// Announces the processors of this instance in the journal, unless the announcement is already there.
@@ -106,6 +98,7 @@
     state::batch::BatchTable m_table;
     std::map<state::WorkerId, state::batch::BatchWorker> m_workers;
     std::shared_ptr<const state::batch::BatchConfiguration> m_configuration;
+    std::unique_ptr<SharedAppender> m_sharedAppender;
     std::unique_ptr<KeyedReader> m_journalReader;
     std::unique_ptr<KeyedReader> m_directoryReader;
     std::unique_ptr<KeyedReader> m_configurationReader;
@@ -122,10 +115,6 @@
     std::optional<state::batch::LeaderRecord> m_listedLeader;
     bool m_journalListed = false;
     bool m_draining = false;
-    /// Set while the last change was not confirmed by the store.
-    std::optional<state::MonotonicTime> m_storeSuspectedUntil;
-    /// Keys of appends of this instance that may still take effect.
-    std::set<std::string> m_unconfirmed;
     std::optional<bool> m_ready;
 };
 
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -3,6 +3,7 @@
 #include "coordination/batch/BatchScheduler.h"
 #include "coordination/batch/JournalKeys.h"
 #include "coordination/batch/Leadership.h"
+#include "coordination/batch/SharedAppender.h"
 #include "protocol/ProtocolError.h"
 #include "protocol/batch/BatchRecordCodec.h"
 #include "transport/Logger.h"
@@ -55,10 +56,10 @@
         } else if (record.key.starts_with(jobKeyPrefix)) {
             state::JobId id { std::string(withoutPrefix(record.key, jobKeyPrefix)) };
             m_table.applyJob(protocol::batch::decodeJob(id, *record.value));
-            m_unconfirmed.erase(record.key);
+            m_sharedAppender->onRecordRead(record.key);
         } else if (record.key.starts_with(cancellationKeyPrefix)) {
             m_table.applyCancellation(state::JobId(std::string(withoutPrefix(record.key, cancellationKeyPrefix))));
-            m_unconfirmed.erase(record.key);
+            m_sharedAppender->onRecordRead(record.key);
         } else if (record.key.starts_with(instanceKeyPrefix)) {
             state::InstanceId id { std::string(withoutPrefix(record.key, instanceKeyPrefix)) };
             int processors = protocol::batch::decodeInstance(*record.value);
@@ -151,13 +152,14 @@
 
 void BatchTask::storeAnnouncement()
 {
-    KeyedRecord record {
-        .key = makeKey(instanceKeyPrefix, m_environment.instance.value()),
-        .value = protocol::batch::encodeInstance(m_options.processors),
-    };
-    appendShared(std::move(record), [this](AppendResult::Status status) {
+    auto reply = [this](AppendResult::Status status) {
         if (status != AppendResult::Status::Stored)
             loop().startTimer(m_options.announceRetryDelay, [this] { announceInstance(); });
+    };
+    m_sharedAppender->append({
+        .record = { .key = makeKey(instanceKeyPrefix, m_environment.instance.value()),
+            .value = protocol::batch::encodeInstance(m_options.processors) },
+        .reply = std::move(reply),
     });
 }
 
--- a/coordination/batch/JournalHooks.h
+++ b/coordination/batch/JournalHooks.h
@@ -62,6 +62,26 @@
     std::string error;
 };
 
+/// @return the status as a log value and metric label.
+constexpr const char* appendStatusName(AppendResult::Status status)
+{
+    switch (status) {
+    case AppendResult::Status::Stored:
+        return "stored";
+    case AppendResult::Status::NotStored:
+        return "not_stored";
+    case AppendResult::Status::Unknown:
+        return "unknown";
+    case AppendResult::Status::Fenced:
+        return "fenced";
+    case AppendResult::Status::ConditionFailed:
+        return "condition_failed";
+    case AppendResult::Status::OutOfSequence:
+        return "out_of_sequence";
+    }
+    return "unknown";
+}
+
 struct ReadResult {
     enum class Status {
         Ok,
