--- a/coordination/batch/SharedAppender.cpp
+++ b/coordination/batch/SharedAppender.cpp
@@ -28,14 +28,21 @@
 
 void SharedAppender::append(Append append)
 {
-    if (!storeSuspected()) {
-        send(append, m_options.submitTimeout, maximumAttempts);
+    const std::string key = append.record.key;
+    if (auto inFlight = m_inFlight.find(key); inFlight != m_inFlight.end()) {
+        writeLog(LogLevel::Info, "store", "append joins one in flight", { { "key", key } });
+        inFlight->second.push_back(std::move(append));
         return;
     }
-    Status status = m_unconfirmed.contains(append.record.key) ? Status::Unknown : Status::NotStored;
-    writeLog(LogLevel::Warning, "store", "append skipped because the store is unresponsive",
-        { { "key", append.record.key }, { "status", appendStatusName(status) } });
-    append.reply(status);
+    if (storeSuspected()) {
+        Status status = m_unconfirmed.contains(key) ? Status::Unknown : Status::NotStored;
+        writeLog(LogLevel::Warning, "store", "append skipped because the store is unresponsive",
+            { { "key", key }, { "status", appendStatusName(status) } });
+        append.reply(status);
+        return;
+    }
+    m_inFlight[key].push_back(std::move(append));
+    send(key, m_options.submitTimeout, maximumAttempts);
 }
 
 bool SharedAppender::storeSuspected() const
@@ -54,26 +61,25 @@
     m_unconfirmed.erase(key);
 }
 
-void SharedAppender::send(const Append& append, milliseconds timeout, int attempts)
+void SharedAppender::send(const std::string& key, milliseconds timeout, int attempts)
 {
-    AppendRequest request { .records = { append.record }, .timeout = timeout };
+    AppendRequest request { .records = { m_inFlight.at(key).front().record }, .timeout = timeout };
     m_journal.append(request,
-        [this, append, timeout, attempts, sent = m_hooks.clock(), alive = std::weak_ptr(m_alive)](
+        [this, key, timeout, attempts, sent = m_hooks.clock(), alive = std::weak_ptr(m_alive)](
             const AppendResult& result) {
             if (alive.expired())
                 return;
             auto elapsed = std::chrono::ceil<milliseconds>(m_hooks.clock() - sent);
-            onResult(append, result, timeout - elapsed, attempts);
+            onResult(key, result, timeout - elapsed, attempts);
         });
 }
 
-void SharedAppender::onResult(const Append& append, const AppendResult& result, milliseconds remaining, int attempts)
+void SharedAppender::onResult(const std::string& key, const AppendResult& result, milliseconds remaining, int attempts)
 {
-    const std::string& key = append.record.key;
     if (result.status == Status::Stored) {
         m_unconfirmed.erase(key);
         m_suspectedUntil.reset();
-        append.reply(Status::Stored);
+        finish(key, Status::Stored);
         return;
     }
     writeLog(LogLevel::Warning, "store", "append not confirmed",
@@ -83,11 +89,18 @@
     // A connection that the store has closed leaves time for another attempt, an unresponsive store does not.
     bool repeat = result.status == Status::Unknown && attempts > 1 && remaining >= m_options.submitTimeout / 2;
     if (repeat) {
-        send(append, remaining, attempts - 1);
+        send(key, remaining, attempts - 1);
         return;
     }
     m_suspectedUntil = m_hooks.clock() + m_options.storeSuspicionTime;
-    append.reply(m_unconfirmed.contains(key) ? Status::Unknown : result.status);
+    finish(key, m_unconfirmed.contains(key) ? Status::Unknown : result.status);
+}
+
+void SharedAppender::finish(const std::string& key, Status status)
+{
+    auto finished = m_inFlight.extract(key);
+    for (const Append& append : finished.mapped())
+        append.reply(status);
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/SharedAppender.h
+++ b/coordination/batch/SharedAppender.h
@@ -8,10 +8,12 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace lentilsaddle::coordination::batch {
 
@@ -34,7 +36,8 @@
     SharedAppender(const JournalHooks& journal, const BatchOptions& options, Hooks hooks);
     ~SharedAppender();
 
-    /// While the store is suspected, replies at once without an attempt, which would only delay the caller.
+    /// While the store is suspected, replies at once without an attempt, which would only delay the caller. While an
+    /// append of the same key is in flight, its outcome is that of both.
     void append(Append append);
 
     /// @return whether the last read failed, or the store has not confirmed a recent append.
@@ -46,16 +49,24 @@
     void onRecordRead(const std::string& key);
 
 private:
+    /// Sends the record of a key in flight.
     /// @param attempts how often the record may be sent within the timeout.
-    void send(const Append& append, std::chrono::milliseconds timeout, int attempts);
-    void onResult(const Append& append, const AppendResult& result, std::chrono::milliseconds remaining, int attempts);
+    void send(const std::string& key, std::chrono::milliseconds timeout, int attempts);
+    /// @param remaining what is left of the timeout.
+    /// @param attempts how often the record may have been sent, including this time.
+    void onResult(
+        const std::string& key, const AppendResult& result, std::chrono::milliseconds remaining, int attempts);
+    /// Passes the outcome of the attempts to all callers that wait for a key.
+    void finish(const std::string& key, AppendResult::Status status);
 
     const JournalHooks& m_journal;
     const BatchOptions& m_options;
     Hooks m_hooks;
     /// Set while the last append was not confirmed.
     std::optional<state::MonotonicTime> m_suspectedUntil;
-    /// Keys of appends that may still take effect.
+    /// Appends by key whose outcome is awaited; the record of the first one has been sent.
+    std::map<std::string, std::vector<Append>> m_inFlight;
+    /// Keys of appends that have ended without a response and may still take effect.
     std::set<std::string> m_unconfirmed;
     /// Calls in flight hold a weak reference, so that a response after the destruction is dropped.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/tests/coordination/batch/BatchTaskFixture.h
+++ b/tests/coordination/batch/BatchTaskFixture.h
@@ -155,22 +155,29 @@
         };
     }
 
-    static ChangeOutcome submit(BatchTask& task, const state::batch::BatchJob& job)
+    static std::future<ChangeOutcome> beginSubmission(BatchTask& task, const state::batch::BatchJob& job)
     {
         auto outcome = std::make_shared<std::promise<ChangeOutcome>>();
         task.post({ .body = BatchMessage::Submit {
                         .job = job, .reply = [outcome](ChangeOutcome value) { outcome->set_value(value); } } });
-        return outcome->get_future().get();
+        return outcome->get_future();
+    }
+
+    static ChangeOutcome submit(BatchTask& task, const state::batch::BatchJob& job)
+    {
+        return beginSubmission(task, job).get();
     }
 
-    static ChangeOutcome cancel(BatchTask& task, const state::JobId& job)
+    static std::future<ChangeOutcome> beginCancellation(BatchTask& task, const state::JobId& job)
     {
         auto outcome = std::make_shared<std::promise<ChangeOutcome>>();
         task.post({ .body = BatchMessage::Cancel {
                         .job = job, .reply = [outcome](ChangeOutcome value) { outcome->set_value(value); } } });
-        return outcome->get_future().get();
+        return outcome->get_future();
     }
 
+    static ChangeOutcome cancel(BatchTask& task, const state::JobId& job) { return beginCancellation(task, job).get(); }
+
     static BatchMessage::QueryResult query(BatchTask& task, const state::JobId& job)
     {
         auto result = std::make_shared<std::promise<BatchMessage::QueryResult>>();
@@ -220,6 +227,14 @@
         ASSERT_TRUE(waitUntil([&] { return m_store.refused(prefix); }));
     }
 
+    bool waitUntilStored(const std::string& key)
+    {
+        return waitUntil([&] {
+            return std::ranges::any_of(
+                m_store.records(Stream::Journal), [&](const KeyedRecord& record) { return record.key == key; });
+        });
+    }
+
     // Longer than the leader needs to read the directory and to plan.
     static void letTheLeaderAct() { std::this_thread::sleep_for(std::chrono::milliseconds(250)); }
 
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -100,6 +100,52 @@
     EXPECT_TRUE(waitUntilRunning());
 }
 
+// Guards against a job that runs although its repeated submission was refused: an earlier append of it, which may be
+// stored, is still in flight.
+TEST_F(BatchTaskTest, SubmissionIsNotRefusedWhileAnEarlierAttemptIsInFlight)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.setUnresponsive(true);
+    m_store.setAppendFault(FakeStore::AppendFault::LoseResponse);
+    std::future<ChangeOutcome> first = beginSubmission(*task, makeJob());
+    ASSERT_TRUE(waitUntilStored(makeKey(jobKeyPrefix, jobId.value())));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Unknown);
+    EXPECT_EQ(first.get(), ChangeOutcome::Unknown);
+}
+
+// Guards against the same while the instance skips appends because another one was not confirmed.
+TEST_F(BatchTaskTest, SubmissionIsNotSkippedWhileAnEarlierAttemptIsInFlight)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.setUnresponsive(true);
+    m_store.setAppendFault(FakeStore::AppendFault::LoseResponse);
+    std::future<ChangeOutcome> first = beginSubmission(*task, makeJob());
+    ASSERT_TRUE(waitUntilStored(makeKey(jobKeyPrefix, jobId.value())));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    BatchJob other = makeJob();
+    other.id = state::JobId("00000000000000bb");
+    EXPECT_EQ(submit(*task, other), ChangeOutcome::Refused);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Unknown);
+    EXPECT_EQ(first.get(), ChangeOutcome::Unknown);
+}
+
+// Guards against a cancellation that takes effect although its repetition was refused.
+TEST_F(BatchTaskTest, CancellationIsNotRefusedWhileAnEarlierAttemptIsInFlight)
+{
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    m_store.setUnresponsive(true);
+    m_store.setAppendFault(FakeStore::AppendFault::LoseResponse);
+    std::future<ChangeOutcome> first = beginCancellation(*task, jobId);
+    ASSERT_TRUE(waitUntilStored(makeKey(cancellationKeyPrefix, jobId.value())));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::Unknown);
+    EXPECT_EQ(first.get(), ChangeOutcome::Unknown);
+}
+
 // Guards against a job that runs although its submission was refused.
 TEST_F(BatchTaskTest, RefusedSubmissionNeverRuns)
 {
