--- a/coordination/batch/SharedAppender.cpp
+++ b/coordination/batch/SharedAppender.cpp
@@ -31,7 +31,7 @@
     const std::string key = append.record.key;
     if (auto inFlight = m_inFlight.find(key); inFlight != m_inFlight.end()) {
         writeLog(LogLevel::Info, "store", "append joins one in flight", { { "key", key } });
-        inFlight->second.push_back(std::move(append));
+        inFlight->second.appends.push_back(std::move(append));
         return;
     }
     if (storeSuspected()) {
@@ -41,7 +41,7 @@
         append.reply(status);
         return;
     }
-    m_inFlight[key].push_back(std::move(append));
+    m_inFlight[key].appends.push_back(std::move(append));
     send(key, m_options.submitTimeout, maximumAttempts);
 }
 
@@ -59,11 +59,13 @@
 void SharedAppender::onRecordRead(const std::string& key)
 {
     m_unconfirmed.erase(key);
+    if (auto inFlight = m_inFlight.find(key); inFlight != m_inFlight.end())
+        inFlight->second.read = true;
 }
 
 void SharedAppender::send(const std::string& key, milliseconds timeout, int attempts)
 {
-    AppendRequest request { .records = { m_inFlight.at(key).front().record }, .timeout = timeout };
+    AppendRequest request { .records = { m_inFlight.at(key).appends.front().record }, .timeout = timeout };
     m_journal.append(request,
         [this, key, timeout, attempts, sent = m_hooks.clock(), alive = std::weak_ptr(m_alive)](
             const AppendResult& result) {
@@ -84,6 +86,11 @@
     }
     writeLog(LogLevel::Warning, "store", "append not confirmed",
         { { "key", key }, { "status", appendStatusName(result.status) }, { "error", result.error } });
+    // An earlier attempt has taken effect, so this refusal is not the outcome.
+    if (result.status != Status::Unknown && m_inFlight.at(key).read) {
+        finish(key, Status::Stored);
+        return;
+    }
     if (result.status == Status::Unknown)
         m_unconfirmed.insert(key);
     // A connection that the store has closed leaves time for another attempt, an unresponsive store does not.
@@ -99,7 +106,7 @@
 void SharedAppender::finish(const std::string& key, Status status)
 {
     auto finished = m_inFlight.extract(key);
-    for (const Append& append : finished.mapped())
+    for (const Append& append : finished.mapped().appends)
         append.reply(status);
 }
 
--- a/coordination/batch/SharedAppender.h
+++ b/coordination/batch/SharedAppender.h
@@ -49,6 +49,13 @@
     void onRecordRead(const std::string& key);
 
 private:
+    struct InFlight {
+        /// The record of the first one has been sent.
+        std::vector<Append> appends;
+        /// The journal has shown the record.
+        bool read = false;
+    };
+
     /// Sends the record of a key in flight.
     /// @param attempts how often the record may be sent within the timeout.
     void send(const std::string& key, std::chrono::milliseconds timeout, int attempts);
@@ -64,8 +71,8 @@
     Hooks m_hooks;
     /// Set while the last append was not confirmed.
     std::optional<state::MonotonicTime> m_suspectedUntil;
-    /// Appends by key whose outcome is awaited; the record of the first one has been sent.
-    std::map<std::string, std::vector<Append>> m_inFlight;
+    /// Appends by key whose outcome is awaited.
+    std::map<std::string, InFlight> m_inFlight;
     /// Keys of appends that have ended without a response and may still take effect.
     std::set<std::string> m_unconfirmed;
     /// Calls in flight hold a weak reference, so that a response after the destruction is dropped.
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -93,9 +93,12 @@
 {
     auto task = startInstance("e-1");
     ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    // The journal does not show the stored append before the repeated one is refused.
+    m_store.setUnresponsive(Stream::Journal, true);
     m_store.closeConnectionOfNextAppend(makeKey(jobKeyPrefix, ""));
     m_store.setAppendFault(FakeStore::AppendFault::Refuse);
     EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Unknown);
+    m_store.setUnresponsive(Stream::Journal, false);
     m_store.setAppendFault(FakeStore::AppendFault::None);
     EXPECT_TRUE(waitUntilRunning());
 }
@@ -146,6 +149,29 @@
     EXPECT_EQ(first.get(), ChangeOutcome::Unknown);
 }
 
+// Guards against a job that runs although its submission was refused: the journal shows the stored append, whose
+// connection was closed, before the repeated one is refused.
+TEST_F(BatchTaskTest, SubmissionThatIsReadBeforeItsRefusalIsDone)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.closeConnectionOfNextAppend(makeKey(jobKeyPrefix, ""));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_store.setAppendDelay(m_options.submitTimeout * 3 / 4);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+}
+
+// Guards against the same for a cancellation.
+TEST_F(BatchTaskTest, CancellationThatIsReadBeforeItsRefusalIsDone)
+{
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    m_store.closeConnectionOfNextAppend(makeKey(cancellationKeyPrefix, ""));
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_store.setAppendDelay(m_options.submitTimeout * 3 / 4);
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::Done);
+}
+
 // Guards against a job that runs although its submission was refused.
 TEST_F(BatchTaskTest, RefusedSubmissionNeverRuns)
 {
--- a/tests/coordination/batch/FakeStore.h
+++ b/tests/coordination/batch/FakeStore.h
@@ -190,7 +190,7 @@
         if (m_appendFault == AppendFault::Refuse) {
             for (const KeyedRecord& record : request.records)
                 m_refusedKeys.insert(record.key);
-            respond(loop, reply, AppendResult { .status = AppendResult::Status::NotStored });
+            loop.startTimer(m_appendDelay, [reply] { reply({ .status = AppendResult::Status::NotStored }); });
             return;
         }
         if (m_appendFault == AppendFault::Drop) {
