End the runs of a worker that returns with a lower incarnation (LOST)

Callers saw: a job whose worker was restarted after its time of day had been set back stayed "running", and the leader sent observations to that worker without a pause.

Cause: an incarnation is the time of day at which a worker started, and the session took each lower one for a delayed response of an earlier incarnation. So the runs of the last incarnation neither ended nor expired, because the worker was reachable, and each discarded response was followed by the next request at once.

Change: an incarnation that responds to a request which was sent when another was known has followed that one, whatever its number, since a process cannot respond after its successor has started. The session keeps the incarnations that have ended, so that neither a delayed response nor an old directory entry brings one back. The directory alone still shows only higher ones, because its entries may lag. Crash accounting compares for difference instead of order.

--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -12,6 +12,13 @@
 
 namespace lentilsaddle::coordination::batch {
 
+/// @return whether two incarnations of a worker are both known and differ. A later one may have the lower number, if
+/// the worker's time of day was set back.
+constexpr bool incarnationsDiffer(std::int64_t first, std::int64_t second)
+{
+    return first != 0 && second != 0 && first != second;
+}
+
 /// A run of a task on a worker. It holds capacity from its claim until its end is certain.
 struct Allocation {
     enum class Phase {
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -30,7 +30,7 @@
     case RunLoss::NotListed:
     case RunLoss::StaleRun:
         // The start had no response before the worker was restarted.
-        return incarnation != 0 && incarnation < m_sessions.at(worker)->incarnation();
+        return incarnationsDiffer(incarnation, m_sessions.at(worker)->incarnation());
     case RunLoss::NotSent:
     case RunLoss::Refused:
     case RunLoss::LeaseExpired:
@@ -62,7 +62,8 @@
     // A run whose start had no response is lost only after its stop, but it may have crashed the worker as well.
     if (auto session = m_sessions.find(worker); session != m_sessions.end()) {
         for (const auto& [key, allocation] : session->second->allocations()) {
-            if (allocation.startOutstanding() && allocation.incarnation < session->second->incarnation())
+            if (allocation.startOutstanding()
+                && incarnationsDiffer(allocation.incarnation, session->second->incarnation()))
                 crashedRuns.push_back({ .job = allocation.task.job, .listed = allocation.listed });
         }
     }
@@ -137,7 +138,7 @@
     if (draining != m_drainingIncarnations.end() && draining->second == expired.incarnation)
         return false;
     if (auto session = m_sessions.find(worker); session != m_sessions.end()) {
-        if (expired.incarnation != 0 && session->second->incarnation() > expired.incarnation)
+        if (incarnationsDiffer(expired.incarnation, session->second->incarnation()))
             return true;
     }
     // An address is used again only after the process that had it has ended.
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -155,7 +155,7 @@
 
 void WorkerSession::updateFromResponse(std::int64_t incarnation, const WorkerCallResult& result)
 {
-    if (result.incarnation != 0)
+    if (result.incarnation != 0 && !fromEarlierIncarnation(incarnation, result))
         updateIncarnation(result.incarnation);
     // A late response without an incarnation may carry the clock of an earlier one, which bounds no lease.
     std::int64_t responder = result.incarnation != 0 ? result.incarnation : incarnation;
@@ -315,12 +315,12 @@
 
 void WorkerSession::updateIncarnation(std::int64_t incarnation)
 {
-    if (incarnation <= m_incarnation) {
+    if (incarnation == m_incarnation || m_endedIncarnations.contains(incarnation))
         return;
-    }
     std::int64_t previous = std::exchange(m_incarnation, incarnation);
     if (previous == 0)
         return;
+    m_endedIncarnations.insert(previous);
     writeLog(LogLevel::Warning, "worker", "worker restarted",
         { { "worker", m_description.id.value() }, { "incarnation", std::to_string(incarnation) },
             { "previous", std::to_string(previous) }, { "allocations", std::to_string(m_allocations.size()) } });
@@ -335,6 +335,14 @@
     observeNow();
 }
 
+bool WorkerSession::fromEarlierIncarnation(std::int64_t incarnation, const WorkerCallResult& result) const
+{
+    if (m_endedIncarnations.contains(result.incarnation))
+        return true;
+    // The known incarnation had followed all lower ones when a request was sent for it.
+    return result.incarnation < m_incarnation && incarnation != m_incarnation;
+}
+
 void WorkerSession::repeatStops()
 {
     std::vector<AllocationKey> keys;
@@ -350,7 +358,7 @@
 
 bool WorkerSession::startedOnEarlierIncarnation(const Allocation& allocation) const
 {
-    return allocation.incarnation != 0 && allocation.incarnation < m_incarnation;
+    return incarnationsDiffer(allocation.incarnation, m_incarnation);
 }
 
 bool WorkerSession::endedWithIncarnation(const Allocation& allocation) const
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -115,6 +116,9 @@
     /// Stops a run that an observation does not list, if a start request without a response may still be executed.
     void stopOutstandingStart(const AllocationKey& key, state::MonotonicTime sent);
     void updateIncarnation(std::int64_t incarnation);
+    /// @param incarnation incarnation of the worker that was known when the request was sent.
+    /// @return whether an incarnation that has ended may have sent the response.
+    bool fromEarlierIncarnation(std::int64_t incarnation, const WorkerCallResult& result) const;
     /// Sends the stops again that an earlier incarnation may have acknowledged.
     void repeatStops();
     bool startedOnEarlierIncarnation(const Allocation& allocation) const;
@@ -150,6 +154,8 @@
     Hooks m_hooks;
     bool m_listed = true;
     std::int64_t m_incarnation = 0;
+    /// Incarnations that another one has followed.
+    std::set<std::int64_t> m_endedIncarnations;
     WorkerClock m_clock;
     /// Highest lease end ever sent under this term, on the worker's clock.
     std::chrono::milliseconds m_latestLeaseEnd { 0 };
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -84,7 +84,7 @@
         onUnresponsive(observation.result.error);
         return;
     }
-    if (observation.result.incarnation != 0 && observation.result.incarnation < m_incarnation) {
+    if (observation.result.incarnation != 0 && fromEarlierIncarnation(incarnation, observation.result)) {
         // A delayed response of an earlier incarnation does not describe this one.
         scheduleObservation(milliseconds(0));
         return;
--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -243,6 +243,67 @@
     EXPECT_EQ(m_workers.running().size(), 1U);
 }
 
+// Guards against a job that never ends because its worker returns with a lower incarnation than it had, as after its
+// time of day was set back: the leader would wait for the end of a run that has ended with the last incarnation.
+TEST_F(BatchTaskTest, TaskOfAWorkerThatReturnsWithALowerIncarnationStartsAgain)
+{
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    // Longer than an observation, so that a list has shown the run.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.restartAfterClockStep("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=1");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_EQ(m_workers.starts(taskName), 2);
+    EXPECT_FALSE(m_workers.ranTwice());
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+}
+
+// Guards against the same while the directory still shows the last incarnation, and against a second run because its
+// entry is taken for one of a later incarnation.
+TEST_F(BatchTaskTest, EntryOfTheLastIncarnationDoesNotEndARunOfALowerOne)
+{
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    // Longer than an observation, so that a list has shown the run.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.restartAfterClockStep("w1");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    std::this_thread::sleep_for(milliseconds(200));
+    // Each change of the directory passes all of its entries to the sessions.
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_EQ(m_workers.starts(taskName), 2);
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against requests without a pause to a worker that has returned with a lower incarnation.
+TEST_F(BatchTaskTest, WorkerWithALowerIncarnationIsNotObservedWithoutAPause)
+{
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.restartAfterClockStep("w1");
+    // An end stays listed until it is acknowledged, so that no observation waits.
+    m_workers.run("w1", "00000000000000bb.0.0.0", 1);
+    m_workers.finish("w1", "00000000000000bb.0.0.0", EndedTask::Reason::Done);
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.resetObservations();
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_LE(m_workers.observations(), 20);
+}
+
 // Guards against leases of a new incarnation that end on the clock of an earlier one, far too late.
 TEST_F(BatchTaskTest, LateResponseOfAnEarlierIncarnationDoesNotExtendLeases)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -88,10 +88,14 @@
     void restart(const std::string& worker)
     {
         std::lock_guard lock(m_mutex);
-        std::int64_t incarnation = m_workers[worker].incarnation;
-        m_workers[worker] = {};
-        m_workers[worker].incarnation = incarnation + 1;
-        m_workers[worker].begin = steadyNow();
+        restartAs(m_workers[worker], m_workers[worker].incarnation + 1);
+    }
+
+    /// Restarts a worker whose time of day was set back before, so that its incarnation is lower than the last one.
+    void restartAfterClockStep(const std::string& worker)
+    {
+        std::lock_guard lock(m_mutex);
+        restartAs(m_workers[worker], m_workers[worker].incarnation - 1);
     }
 
     /// How a worker returns after a crash.
@@ -251,6 +255,13 @@
         return std::chrono::duration_cast<WorkerTime>(std::chrono::steady_clock::now().time_since_epoch());
     }
 
+    static void restartAs(Worker& worker, std::int64_t incarnation)
+    {
+        worker = {};
+        worker.incarnation = incarnation;
+        worker.begin = steadyNow();
+    }
+
     static WorkerTime clockOf(const Worker& worker) { return steadyNow() - worker.begin; }
 
     template <typename Result>
