--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -75,6 +75,11 @@
     case Status::Done:
         break;
     case Status::OtherIncarnation:
+        if (incarnation != m_incarnation) {
+            // The response shows only that the incarnation has ended that the request was meant for.
+            scheduleObservation(milliseconds(0));
+            return;
+        }
         declareAllLost(RunLoss::WorkerReplaced);
         m_reachable = false;
         if (m_listed)
--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -304,6 +304,31 @@
     EXPECT_LE(m_workers.observations(), 20);
 }
 
+// Guards against a second run beside a late start that the next incarnation of a worker executes, when another worker
+// answers an observation of the last incarnation late.
+TEST_F(BatchTaskTest, LateResponseOfAnotherWorkerDoesNotEndARunOfTheNextIncarnation)
+{
+    m_store.put(Stream::Directory, "w2", "draining");
+    m_options.startRetryLimit = milliseconds(0);
+    auto task = startInstance("e-1");
+    runFirstJob(*task);
+    m_workers.delayNextStart(milliseconds(250));
+    m_workers.answerNextObservationAsAnotherWorker(milliseconds(350));
+    m_workers.dropStops(true);
+    submit(*task, makeJob());
+    // The first observation after the start is in flight then.
+    ASSERT_TRUE(waitUntil([this] { return m_workers.answeredAsAnotherWorker(); }));
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    m_store.put(Stream::Directory, "w2", "ready");
+    ASSERT_TRUE(waitUntilRunning());
+    std::this_thread::sleep_for(milliseconds(400));
+    m_workers.dropStops(false);
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_FALSE(m_workers.ranTwice());
+    EXPECT_EQ(m_workers.running().size(), 1U);
+}
+
 // Guards against leases of a new incarnation that end on the clock of an earlier one, far too late.
 TEST_F(BatchTaskTest, LateResponseOfAnEarlierIncarnationDoesNotExtendLeases)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -98,6 +98,20 @@
         restartAs(m_workers[worker], m_workers[worker].incarnation - 1);
     }
 
+    /// The next observe request to any worker is answered by another worker, after the delay.
+    void answerNextObservationAsAnotherWorker(std::chrono::milliseconds delay)
+    {
+        std::lock_guard lock(m_mutex);
+        m_otherWorkersResponseDelay = delay;
+    }
+
+    /// @return whether that observe request has arrived.
+    bool answeredAsAnotherWorker()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_otherWorkersResponseDelay.count() == 0;
+    }
+
     /// How a worker returns after a crash.
     enum class Return {
         UnderItsIdentity,
@@ -425,6 +439,11 @@
     {
         std::lock_guard lock(m_mutex);
         Worker& target = m_workers[worker.id.value()];
+        if (auto delay = std::exchange(m_otherWorkersResponseDelay, {}); delay.count() > 0) {
+            loop.startTimer(
+                delay, [reply] { reply({ .result = { .status = WorkerCallResult::Status::OtherIncarnation } }); });
+            return;
+        }
         if (respondAfterCrash(loop, worker, target, reply, WorkerCallResult::Status::Unknown))
             return;
         if (target.unreachable) {
@@ -470,6 +489,7 @@
     std::map<std::string, Crash> m_crashing;
     std::chrono::milliseconds m_nextStartDelay { 0 };
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
+    std::chrono::milliseconds m_otherWorkersResponseDelay { 0 };
     bool m_ranTwice = false;
     int m_observations = 0;
     bool m_listsCut = false;
