Do not answer the cancellation of a job with "not found" while the job may be in the log

What callers saw: a submission of the product's own interface ended as unknown (504), its cancellation was answered with 404, "no such job", and the job ran after its record had been read.

Cause: the absence of the job from the table was taken for the absence of the job, also while an append of its submission was unresolved, and while the instance had not read the log to its end.

Change: such a cancellation ends as unknown (504) if a submission at this instance is unresolved, and is refused (503, log_unavailable) if the log is unreachable or not read to its end.

--- a/coordination/jobs/SchedulerTask.cpp
+++ b/coordination/jobs/SchedulerTask.cpp
@@ -189,20 +189,36 @@
     });
 }
 
+Response SchedulerTask::cancellationOfAbsentJob(const state::JobId& id) const
+{
+    Response response { .status = Response::Status::NotFound, .id = id, .field = {}, .reason = {} };
+    if (m_submissions.submissionUnresolved(id)) {
+        response.status = Response::Status::Unknown;
+        response.reason = "the submission of the job may be in the log";
+    } else if (!m_logReachable || !m_replay.caughtUp()) {
+        response.status = Response::Status::Refused;
+        response.reason = "log_unavailable";
+    }
+    return response;
+}
+
 void SchedulerTask::handle(SchedulerMessage::Cancel message)
 {
     const JobTable::Job* job = m_table.find(message.id);
-    Response response { .status = Response::Status::NotFound, .id = message.id, .field = {}, .reason = {} };
-    if (job && (job->cancelRequested || job->state == state::JobState::Cancelled)) {
+    if (!job) {
+        message.reply(cancellationOfAbsentJob(message.id));
+        return;
+    }
+    Response response { .status = Response::Status::Refused, .id = message.id, .field = {}, .reason = {} };
+    if (job->cancelRequested || job->state == state::JobState::Cancelled) {
         response.status = Response::Status::Accepted;
-    } else if (job && (isFinal(job->state) || job->lastOutcome == "succeeded")) {
-        response.status = Response::Status::Refused;
+    } else if (isFinal(job->state) || job->lastOutcome == "succeeded") {
         response.reason = "job_ended";
-    } else if (job && !m_logReachable) {
-        bool unresolved = m_submissions.cancellationUnresolved(message.id);
-        response.status = unresolved ? Response::Status::Unknown : Response::Status::Refused;
+    } else if (!m_logReachable) {
+        if (m_submissions.cancellationUnresolved(message.id))
+            response.status = Response::Status::Unknown;
         response.reason = "log_unavailable";
-    } else if (job) {
+    } else {
         if (m_submissions.cancel(message.id, std::move(message.reply), now() + m_options.responseTimeout))
             append(cancelPrefix + message.id.value(), Record::JobCancelled { message.id });
         return;
--- a/coordination/jobs/SchedulerTask.h
+++ b/coordination/jobs/SchedulerTask.h
@@ -58,6 +58,8 @@
     void armTimer();
     void append(const std::string& key, const state::Record::Body& body);
     std::optional<SchedulerMessage::JobResponse> checkSubmission(const state::JobSpecification& specification) const;
+    /// @return the response to the cancellation of a job that the table does not hold.
+    SchedulerMessage::JobResponse cancellationOfAbsentJob(const state::JobId& id) const;
     SchedulerElection::View electionView() const;
     void elect(state::MonotonicTime now);
     void appendSchedulerClaim(bool vacant);
--- a/tests/coordination/jobs/SchedulerTaskTest.cpp
+++ b/tests/coordination/jobs/SchedulerTaskTest.cpp
@@ -229,6 +229,19 @@
     EXPECT_EQ(cancel(task, "j").status, Response::Status::Unknown);
 }
 
+// Guards against a caller who is told that there is no such job, when the job may still be read from the log and run.
+TEST_F(SchedulerTaskTest, CancellationOfAJobThatMayBeInTheLogIsNotAnsweredWithNotFound)
+{
+    SchedulerTask& task = start("e1");
+    EXPECT_EQ(cancel(task, "open").status, Response::Status::NotFound);
+    m_log.setStatus(FakeJobStream::Status::Unresolved);
+    ASSERT_EQ(submit(task, job("open")).status, Response::Status::Unknown);
+    EXPECT_EQ(cancel(task, "open").status, Response::Status::Unknown);
+    task.post({ .body = SchedulerMessage::LogReachability { false } });
+    EXPECT_EQ(cancel(task, "open").status, Response::Status::Unknown);
+    EXPECT_EQ(cancel(task, "other").status, Response::Status::Refused);
+}
+
 // Guards against accepting jobs that can never run or whose account is unknown.
 TEST_F(SchedulerTaskTest, ImpossibleJobIsRefusedWithItsField)
 {
