Test repeated submissions beside an append in flight in the product's own interface

Two faults are possible where a submission is repeated: a refusal although an earlier append of it is in flight, and a refusal that is taken for the outcome although the log already shows an earlier submission. SubmissionTracker and ConfigurationTask have neither: they count each append and resolve a record when it is read.

--- a/tests/coordination/configuration/ConfigurationTaskTest.cpp
+++ b/tests/coordination/configuration/ConfigurationTaskTest.cpp
@@ -130,6 +130,43 @@
     EXPECT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
 }
 
+// Guards against the same while the append of the first submission has no result yet.
+TEST_F(ConfigurationTaskTest, RefusalOfARepeatedPatchBesideAnAppendInFlightIsReportedAsUnknown)
+{
+    replay(0, {});
+    submit(patch("p", 0));
+    LogMessage::Append first = m_appends.take();
+    ASSERT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
+    submit(patch("p", 0));
+    m_appends.take().onResult({ .status = LogMessage::AppendStatus::NotAppended, .origin = {} });
+    EXPECT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
+    setLogReachable(false);
+    submit(patch("p", 0));
+    EXPECT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
+    first.onResult({ .status = LogMessage::AppendStatus::NotAppended, .origin = {} });
+    submit(patch("p", 0));
+    EXPECT_EQ(m_responses.take().status, PatchResponse::Status::NotAppended);
+}
+
+// Guards against reporting that a patch will not come into force because its repetition was refused after the log had
+// shown the first submission.
+TEST_F(ConfigurationTaskTest, RefusalOfARepeatedPatchDoesNotHideItsOutcome)
+{
+    replay(0, {});
+    submit(patch("p", 0));
+    m_appends.take().onResult({ .status = LogMessage::AppendStatus::Unresolved, .origin = {} });
+    ASSERT_EQ(m_responses.take().status, PatchResponse::Status::Unknown);
+    submit(patch("p", 0));
+    LogMessage::Append second = m_appends.take();
+    replay(0, { patch("p", 0) });
+    EXPECT_TRUE(m_responses.take().outcome.accepted);
+    second.onResult({ .status = LogMessage::AppendStatus::NotAppended, .origin = {} });
+    submit(patch("p", 0));
+    PatchResponse response = m_responses.take();
+    EXPECT_EQ(response.status, PatchResponse::Status::Decided);
+    EXPECT_TRUE(response.outcome.accepted);
+}
+
 // Guards against a patch hanging, or being queued for later, while the log is unavailable.
 TEST_F(ConfigurationTaskTest, PatchIsRefusedDuringAnOutage)
 {
