Test that a gang starts again only after all of its runs have ended

A member of a gang is lost with its worker, or has ended before a new leader begins, while the stops of another member have no response. Both tests pass without a change of the code; the second case had no test.

--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -135,6 +135,32 @@
     EXPECT_EQ(m_workers.running().size(), 3U);
 }
 
+// Guards against a second run of a gang beside a member of the first one, whose stops have no response after another
+// member was lost with its worker.
+TEST_F(BatchTaskTest, GangStartsAgainOnlyAfterAllOfItsRunsHaveEnded)
+{
+    setAccelerators("w1", 1);
+    setAccelerators("w2", 1);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    BatchJob job = makeJob(2);
+    job.steps[0].gang = true;
+    submit(*task, job);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().size() == 2; }));
+    // Longer than an observation, so that a list has shown the runs.
+    std::this_thread::sleep_for(milliseconds(200));
+    m_workers.dropStops(true);
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w3", "ready");
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_EQ(m_workers.running().size(), 1U);
+    m_workers.dropStops(false);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 2; }));
+    for (int index = 0; index < 2; ++index)
+        EXPECT_EQ(m_workers.starts("00000000000000aa.0.0." + std::to_string(index)), 2);
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 // Guards against waiting for the tasks of a restarted worker, and against a second run of them at the same time.
 TEST_F(BatchTaskTest, TaskOfARestartedWorkerStartsAgain)
 {
--- a/tests/coordination/batch/BatchLeaderTest.cpp
+++ b/tests/coordination/batch/BatchLeaderTest.cpp
@@ -161,6 +161,39 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against a new leader that starts a gang of which one member has ended while the run of another one still
+// lasts.
+TEST_F(BatchTaskTest, NewLeaderStartsAGangAgainOnlyAfterAllOfItsRunsHaveEnded)
+{
+    setAccelerators("w1", 1);
+    setAccelerators("w2", 1);
+    m_store.put(Stream::Directory, "w3", "ready");
+    state::batch::BatchJob job = makeJob(2);
+    job.steps[0].gang = true;
+    m_store.put(Stream::Journal, makeKey(jobKeyPrefix, jobId.value()), protocol::batch::encodeJob(job));
+    for (int index = 0; index < 2; ++index) {
+        state::batch::BatchTaskState claimed {
+            .phase = state::batch::BatchTaskState::Phase::Claimed,
+            .run = 1,
+            .worker = state::WorkerId("w" + std::to_string(index + 1)),
+            .workerIncarnation = 1,
+        };
+        m_store.put(Stream::Journal, makeKey(taskKeyPrefix, "00000000000000aa.0.0." + std::to_string(index)),
+            protocol::batch::encodeTaskState(claimed));
+    }
+    m_workers.run("w2", "00000000000000aa.0.0.1", 1);
+    m_workers.dropStops(true);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_EQ(m_workers.running(), std::vector<std::string> { "w2 00000000000000aa.0.0.1 1" });
+    m_workers.dropStops(false);
+    EXPECT_TRUE(waitUntil([this] { return m_workers.running().size() == 2; }));
+    EXPECT_EQ(m_workers.starts("00000000000000aa.0.0.0"), 1);
+    EXPECT_EQ(m_workers.starts("00000000000000aa.0.0.1"), 2);
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 // Guards against a new leader that delays its next read as a follower does, and so starts jobs that other instances
 // accept late.
 TEST_F(BatchTaskTest, NewLeaderReadsTheJournalAtTheIntervalOfLeaders)
