Report a response whose header is cut as lost

Callers saw nothing yet; the case was found by ending connections at each point of a request and its response. If a connection is closed after the status line or within the header of a response, libcurl reports success with that status and an empty body. A 409 of a worker then has no reason and counts as a malformed request.

HttpClient now takes a response for complete only if the empty line after its header has arrived. Interim responses and trailers do not change that.

--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -30,6 +30,8 @@
         int sendings = 0;
         /// Bytes that were sent on these connections together.
         long requestBytes = 0;
+        /// The empty line after the header of the final response has arrived.
+        bool headerComplete = false;
         /// A reused connection was closed before the response, and the request may not be sent again.
         bool connectionClosed = false;
         std::chrono::milliseconds stallTimeout { 0 };
@@ -94,8 +96,14 @@
 
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* context)
     {
-        static_cast<Call*>(context)->lastProgress = std::chrono::steady_clock::now();
+        auto* call = static_cast<Call*>(context);
+        call->lastProgress = std::chrono::steady_clock::now();
         std::string line(data, size * count);
+        // An interim response has a header of its own; trailers belong to none.
+        if (line.starts_with("HTTP/"))
+            call->headerComplete = false;
+        else if (line == "\r\n" || line == "\n")
+            call->headerComplete = true;
         auto colon = line.find(':');
         if (colon == std::string::npos)
             return size * count;
@@ -103,7 +111,7 @@
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
         auto first = line.find_first_not_of(" \t", colon + 1);
         auto last = line.find_last_not_of(" \t\r\n");
-        static_cast<Call*>(context)->response.headers[name]
+        call->response.headers[name]
             = first == std::string::npos || first > last ? "" : line.substr(first, last - first + 1);
         return size * count;
     }
@@ -126,7 +134,8 @@
     {
         HttpResult result;
         result.receivedBytes = call.response.body.size();
-        if (code == CURLE_OK) {
+        // libcurl accepts a response whose header is cut by the end of the connection.
+        if (code == CURLE_OK && call.headerComplete) {
             long status = 0;
             curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
             call.response.status = static_cast<int>(status);
@@ -135,7 +144,10 @@
         }
         recordSending(call);
         result.failure = call.sendings > 0 ? HttpFailure::ResponseLost : HttpFailure::NotSent;
-        result.error = call.connectionClosed ? "connection closed without a response" : curl_easy_strerror(code);
+        if (call.connectionClosed)
+            result.error = "connection closed without a response";
+        else
+            result.error = code == CURLE_OK ? "connection closed within the response" : curl_easy_strerror(code);
         result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         return result;
     }
