Test runs whose stops are refused while they live

FakeWorkers can be unhealthy: it executes a start without confirming it, refuses starts, stops and observations with a given status, or loses the responses to observations, and its runs end with their lease.

--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <type_traits>
@@ -56,6 +57,37 @@
         m_loseNextStart = true;
     }
 
+    /// The next start request to any worker is executed, and its response does not say so.
+    void executeNextStartUnconfirmed()
+    {
+        std::lock_guard lock(m_mutex);
+        m_executeNextStartUnconfirmed = true;
+    }
+
+    /// Responses of an unhealthy worker. Requests that have one are not executed.
+    struct Refusals {
+        std::optional<WorkerCallResult::Status> start;
+        std::optional<WorkerCallResult::Status> stop;
+        std::optional<WorkerCallResult::Status> observation;
+        /// Observe requests extend the lease, and their responses are lost.
+        bool loseObservations = false;
+    };
+
+    /// Makes a worker unhealthy until the next call. Its tasks keep running until their lease expires.
+    void refuse(const std::string& worker, const Refusals& refusals)
+    {
+        std::lock_guard lock(m_mutex);
+        expireLeases();
+        m_refusals[worker] = refusals;
+    }
+
+    /// @return stop requests that unhealthy workers have refused.
+    int refusedStops()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_refusedStops;
+    }
+
     /// The next stop request to any worker is executed, and its response arrives after the delay.
     void delayNextStopResponse(std::chrono::milliseconds delay)
     {
@@ -295,6 +327,12 @@
         });
     }
 
+    Refusals refusalsOf(const state::batch::BatchWorker& worker) const
+    {
+        auto found = m_refusals.find(worker.id.value());
+        return found == m_refusals.end() ? Refusals {} : found->second;
+    }
+
     void countObservation()
     {
         std::lock_guard lock(m_mutex);
@@ -306,11 +344,11 @@
         worker.leaseEnd = std::max(worker.leaseEnd, std::min(end, clockOf(worker) + longestLease));
     }
 
-    // Ends the runs on unreachable workers whose lease has expired.
+    // Ends the runs on unreachable and on unhealthy workers whose lease has expired.
     void expireLeases()
     {
         for (auto& [id, worker] : m_workers) {
-            if (worker.unreachable && clockOf(worker) > worker.leaseEnd)
+            if ((worker.unreachable || m_refusals.contains(id)) && clockOf(worker) > worker.leaseEnd)
                 worker.running.clear();
         }
     }
@@ -381,6 +419,15 @@
             loop.startTimer(timeout, [reply] { reply({ .status = WorkerCallResult::Status::Unknown }); });
             return;
         }
+        if (std::exchange(m_executeNextStartUnconfirmed, false)) {
+            executeStart(worker.id.value(), request);
+            respond(loop, reply, WorkerCallResult {});
+            return;
+        }
+        if (auto refused = refusalsOf(worker).start) {
+            respond(loop, reply, WorkerCallResult { .status = *refused });
+            return;
+        }
         if (std::exchange(m_refuseNextStart, false)) {
             respond(loop, reply, WorkerCallResult { .status = WorkerCallResult::Status::NotDelivered });
             return;
@@ -413,6 +460,11 @@
             loop.startTimer(std::chrono::milliseconds(50), [reply] { reply({}); });
             return;
         }
+        if (auto refused = refusalsOf(worker).stop) {
+            ++m_refusedStops;
+            respond(loop, reply, WorkerCallResult { .status = *refused });
+            return;
+        }
         std::string task = request.task.toString();
         WorkerCallResult result { .status = WorkerCallResult::Status::Done, .clock = clockOf(target) };
         if (request.term < target.term) {
@@ -454,8 +506,16 @@
             respond(loop, reply, Observation {});
             return;
         }
+        if (auto refused = refusalsOf(worker).observation) {
+            respond(loop, reply, Observation { .result = { .status = *refused } });
+            return;
+        }
         if (request.leaseEnd)
             extendLease(target, *request.leaseEnd);
+        if (refusalsOf(worker).loseObservations) {
+            loop.startTimer(timeout, [reply] { reply({}); });
+            return;
+        }
         Observation observation;
         observation.result
             = { .status = WorkerCallResult::Status::Done, .clock = clockOf(target), .incarnation = target.incarnation };
@@ -487,6 +547,9 @@
     std::map<std::string, Worker> m_workers;
     std::map<std::string, int> m_starts;
     std::map<std::string, Crash> m_crashing;
+    std::map<std::string, Refusals> m_refusals;
+    int m_refusedStops = 0;
+    bool m_executeNextStartUnconfirmed = false;
     std::chrono::milliseconds m_nextStartDelay { 0 };
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     std::chrono::milliseconds m_otherWorkersResponseDelay { 0 };
