Soak: let the store fail for single daemons, and store faults overlap

The soak made the store fail for all daemons alike, and the end of one store fault ended the others.

The store stand-in serves each daemon on a port of its own. A fault has a name and, optionally, the ports that it is limited to; the end of one fault leaves the others in force. New faults: status 503 on some ports; an append that takes effect, whose connection closes and whose repetition gets 503; a proxy that refuses connections; and a proxy that delivers the requests of open connections, closes these instead of responding and refuses new ones.

--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -52,6 +52,13 @@
 
 void FaultProxy::onStart()
 {
+    openListener();
+}
+
+void FaultProxy::openListener()
+{
+    if (m_listener >= 0)
+        return;
     m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     int enabled = 1;
     setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
@@ -66,8 +73,15 @@
 {
     while (!m_connections.empty())
         closeConnection(m_connections.begin()->second, false);
+    closeListener();
+}
+
+void FaultProxy::closeListener()
+{
+    if (m_listener < 0)
+        return;
     loop().unwatchDescriptor(m_listener);
-    close(m_listener);
+    close(std::exchange(m_listener, -1));
 }
 
 void FaultProxy::onMessage(FaultProxyMode mode)
@@ -76,9 +90,15 @@
     loop().cancelTimer(std::exchange(m_throttleTimer, 0));
     if (mode.kind == FaultProxyMode::Kind::Throttle)
         forwardThrottled();
+    bool refusesConnections
+        = mode.kind == FaultProxyMode::Kind::Refuse || mode.kind == FaultProxyMode::Kind::CutResponses;
+    if (refusesConnections)
+        closeListener();
+    else
+        openListener();
     std::map<int, std::shared_ptr<Connection>> connections = m_connections;
     for (const auto& [descriptor, connection] : connections) {
-        if (mode.kind == FaultProxyMode::Kind::Reset)
+        if (mode.kind == FaultProxyMode::Kind::Reset || mode.kind == FaultProxyMode::Kind::Refuse)
             closeConnection(connection, true);
         else
             flush(connection);
@@ -143,7 +163,7 @@
     if (size < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     bool fromClient = descriptor == connection->client;
-    if (size <= 0) {
+    if (size <= 0 || (!fromClient && m_mode.kind == FaultProxyMode::Kind::CutResponses)) {
         closeConnection(connection, false);
         return;
     }
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -25,6 +25,11 @@
         StallResponses,
         /// Open connections and new ones are reset.
         Reset,
+        /// Open connections are reset, and new ones are refused because nothing listens on the port.
+        Refuse,
+        /// Requests on open connections are forwarded, and the connection closes in place of their response. New
+        /// connections are refused.
+        CutResponses,
         /// All connections together forward at most FaultProxyMode::bytesPerSecond to their clients.
         Throttle,
     };
@@ -48,6 +53,9 @@
 private:
     struct Connection;
 
+    /// Opens the listening socket; no effect while it is open.
+    void openListener();
+    void closeListener();
     void acceptConnection();
     void onReadable(int descriptor);
     void forward(const std::shared_ptr<Connection>& connection, bool fromClient, const std::string& bytes);
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -44,7 +44,7 @@
     : m_options(std::move(options))
     , m_accelerators(static_cast<std::size_t>(m_options.workers), m_options.accelerators)
     , m_listed(static_cast<std::size_t>(m_options.workers), false)
-    , m_storePort(testing_support::findFreePorts(1))
+    , m_storePort(testing_support::findFreePorts(m_options.daemons))
     , m_firstWorkerPort(testing_support::findFreePorts(m_options.workers))
     , m_firstFrontPort(testing_support::findFreePorts(m_options.daemons))
     , m_firstReadyPort(testing_support::findFreePorts(m_options.daemons))
@@ -54,7 +54,8 @@
 {
     std::filesystem::create_directories(m_options.folder);
     std::string seed = "--seed=" + std::to_string(m_options.seed);
-    launch(m_store, "tests/standin/standin_store", { "--port=" + std::to_string(m_storePort), seed }, "store.log");
+    launch(m_store, "tests/standin/standin_store",
+        { "--port=" + std::to_string(m_storePort), "--ports=" + std::to_string(m_options.daemons), seed }, "store.log");
     launch(m_workerProcess, "tests/standin/standin_batch_runner",
         { "--port=" + std::to_string(m_firstWorkerPort), "--workers=" + std::to_string(m_options.workers),
             "--accelerators=" + std::to_string(m_options.accelerators), seed },
@@ -69,7 +70,8 @@
     }
     writeConfiguration(1);
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
-        m_storeProxies.push_back(std::make_unique<FaultProxy>(portAt(m_firstStoreProxyPort, daemon), m_storePort));
+        m_storeProxies.push_back(
+            std::make_unique<FaultProxy>(portAt(m_firstStoreProxyPort, daemon), portAt(m_storePort, daemon)));
         m_storeProxies.back()->start();
         startDaemon(daemon);
     }
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -82,6 +82,7 @@
     std::vector<int> m_accelerators;
     /// By worker: whether the directory lists it.
     std::vector<bool> m_listed;
+    /// The store listens on one port for each daemon.
     std::uint16_t m_storePort = 0;
     std::uint16_t m_firstWorkerPort = 0;
     std::uint16_t m_firstFrontPort = 0;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/soak/SoakCluster.h"
 
+#include <nlohmann/json.hpp>
+
 #include <thread>
 #include <utility>
 
@@ -15,6 +17,7 @@
     : m_cluster(cluster)
     , m_random(seed)
     , m_capacityRandom(seed + 1)
+    , m_outageRandom(seed + 2)
     , m_startTime(steady_clock::now())
 {
 }
@@ -47,6 +50,7 @@
 {
     Time end = steady_clock::now() + duration;
     injectCapacityChange();
+    injectPartialStoreOutage();
     while (steady_clock::now() < end) {
         injectRandomFault();
         Time next = steady_clock::now() + drawDuration(150, 1'400);
@@ -92,8 +96,16 @@
         { { "late", 0.3 } }, { { "delay_ms", 150 } }, { { "forget", true } } };
     const json& faults = kinds.at(static_cast<std::size_t>(draw(static_cast<int>(kinds.size()))));
     recordFault("store " + faults.dump());
+    beginStoreFault(faults, drawDuration(300, 3'000));
+}
+
+void SoakFaults::beginStoreFault(json faults, milliseconds duration)
+{
+    // Named, so that the end of one fault leaves the others in force.
+    std::string name = "fault-" + std::to_string(++m_storeFaults);
+    faults["begin"] = name;
     m_cluster.controlStore(faults);
-    schedule(drawDuration(300, 3'000), [this] { m_cluster.controlStore(json::object()); });
+    schedule(duration, [this, name] { m_cluster.controlStore({ { "end", name } }); });
 }
 
 void SoakFaults::injectProxyFault()
@@ -197,6 +209,33 @@
     schedule(milliseconds(200 + draw(1'000)), [this] { injectCapacityChange(); });
 }
 
+void SoakFaults::injectPartialStoreOutage()
+{
+    for (int remaining = 1 + drawForOutage(2); remaining > 0; --remaining) {
+        int daemon = drawForOutage(m_cluster.options().daemons);
+        failStoreFor(daemon, milliseconds(200 + drawForOutage(2'300)));
+    }
+    schedule(milliseconds(300 + drawForOutage(1'500)), [this] { injectPartialStoreOutage(); });
+}
+
+void SoakFaults::failStoreFor(int daemon, milliseconds duration)
+{
+    static const std::vector<FaultProxyMode::Kind> modes { FaultProxyMode::Kind::Refuse, FaultProxyMode::Kind::Reset,
+        FaultProxyMode::Kind::CutResponses };
+    static const std::vector<json> faults { { { "refuse", true } }, { { "cut_then_refuse", true } } };
+    auto kind = static_cast<std::size_t>(drawForOutage(static_cast<int>(modes.size() + faults.size())));
+    if (kind < modes.size()) {
+        recordFault("store proxy " + std::to_string(daemon) + " outage mode " + std::to_string(kind));
+        m_cluster.setStoreProxy(daemon, { .kind = modes[kind] });
+        schedule(duration, [this, daemon] { m_cluster.setStoreProxy(daemon, {}); });
+        return;
+    }
+    json fault = faults.at(kind - modes.size());
+    fault["ports"] = json::array({ daemon });
+    recordFault("store " + fault.dump());
+    beginStoreFault(fault, duration);
+}
+
 void SoakFaults::injectConfigurationChanges()
 {
     int versions = 1 + draw(4);
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -2,6 +2,8 @@
 /// Random fault injection of the soak test.
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -39,6 +41,11 @@
     void injectConfigurationChanges();
     /// Changes the capacity of a worker and schedules the next change.
     void injectCapacityChange();
+    /// Makes the store fail for some of the daemons, each in its own way, and schedules the next such outage.
+    void injectPartialStoreOutage();
+    /// Makes the store fail for one daemon and schedules the end of the fault.
+    void failStoreFor(int daemon, std::chrono::milliseconds duration);
+    void beginStoreFault(nlohmann::json faults, std::chrono::milliseconds duration);
     void recordFault(const std::string& description);
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
     void runDueActions();
@@ -46,15 +53,19 @@
     /// @return a random number from 0 to limit - 1.
     int draw(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
     std::chrono::milliseconds drawDuration(int minMs, int maxMs);
+    /// Like draw(), for outages of single daemons.
+    int drawForOutage(int limit) { return static_cast<int>(m_outageRandom() % static_cast<std::uint64_t>(limit)); }
 
     SoakCluster& m_cluster;
     std::mt19937_64 m_random;
     /// Separate, so that a seed keeps its other faults.
     std::mt19937_64 m_capacityRandom;
+    std::mt19937_64 m_outageRandom;
     Time m_startTime;
     std::multimap<Time, std::function<void()>> m_scheduledActions;
     std::vector<std::string> m_history;
     int m_configurationVersion = 1;
+    int m_storeFaults = 0;
 };
 
 } // namespace lentilsaddle::soak
--- a/tests/standin/KeyedStoreTask.cpp
+++ b/tests/standin/KeyedStoreTask.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/standin/JsonHttp.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentilsaddle::standin {
@@ -44,7 +45,7 @@
     stop();
 }
 
-void KeyedStoreTask::onRequest(int, HttpRequest request, HttpResponder responder)
+void KeyedStoreTask::onRequest(int port, HttpRequest request, HttpResponder responder)
 {
     if (request.path == "/control") {
         applyControl(parseObject(request.body));
@@ -62,51 +63,90 @@
             jsonResponse(200, json(m_topics[queryText(request, "topic")].valueHistory(queryText(request, "key")))));
         return;
     }
-    if (m_faults.ignoreRequests) {
+    Faults faults = faultsAt(port);
+    if (faults.ignoreRequests) {
         closeWithoutResponse(responder);
         return;
     }
-    if (m_faults.refuseRequests) {
+    if (faults.refuseRequests) {
         responder(errorResponse(503, "down"));
         return;
     }
-    if (m_faults.delay.count() == 0) {
-        handleStoreCall(request, responder);
+    if (faults.delay.count() == 0) {
+        handleStoreCall(port, request, responder);
         return;
     }
-    loop().startTimer(m_faults.delay, [this, request = std::move(request), responder = std::move(responder)] {
-        handleStoreCall(request, responder);
+    loop().startTimer(faults.delay, [this, port, request = std::move(request), responder = std::move(responder)] {
+        handleStoreCall(port, request, responder);
     });
 }
 
 void KeyedStoreTask::applyControl(const json& body)
 {
-    m_faults = {
+    if (body.contains("end")) {
+        m_faults.erase(body.at("end").get<std::string>());
+        return;
+    }
+    if (!body.contains("begin"))
+        m_faults.clear();
+    m_faults[body.value("begin", "")] = parseFaults(body);
+    if (!body.value("forget", false))
+        return;
+    for (auto& [name, topic] : m_topics)
+        topic.discardRecords();
+}
+
+KeyedStoreTask::Faults KeyedStoreTask::parseFaults(const json& body)
+{
+    return {
         .refuseRequests = body.value("refuse", false),
         .ignoreRequests = body.value("silent", false),
         .lateAppendShare = body.value("late", 0.0),
         .lostResponseShare = body.value("lose", 0.0),
         .delay = millisecondsOr(body, "delay_ms", milliseconds(0)),
+        .cutThenRefuse = body.value("cut_then_refuse", false),
+        .ports = body.value("ports", std::set<int>()),
     };
-    if (!body.value("forget", false))
-        return;
-    for (auto& [name, topic] : m_topics)
-        topic.discardRecords();
 }
 
-void KeyedStoreTask::handleStoreCall(const HttpRequest& request, const HttpResponder& responder)
+KeyedStoreTask::Faults KeyedStoreTask::faultsAt(int port) const
+{
+    Faults combined;
+    for (const auto& [name, faults] : m_faults) {
+        if (!faults.ports.empty() && !faults.ports.contains(port))
+            continue;
+        bool wasCut = faults.cutPorts.contains(port);
+        combined.refuseRequests = combined.refuseRequests || faults.refuseRequests || wasCut;
+        combined.ignoreRequests = combined.ignoreRequests || faults.ignoreRequests;
+        combined.cutThenRefuse = combined.cutThenRefuse || (faults.cutThenRefuse && !wasCut);
+        combined.lateAppendShare = std::max(combined.lateAppendShare, faults.lateAppendShare);
+        combined.lostResponseShare = std::max(combined.lostResponseShare, faults.lostResponseShare);
+        combined.delay = std::max(combined.delay, faults.delay);
+    }
+    return combined;
+}
+
+void KeyedStoreTask::recordCut(int port)
+{
+    for (auto& [name, faults] : m_faults) {
+        if (faults.cutThenRefuse && (faults.ports.empty() || faults.ports.contains(port)))
+            faults.cutPorts.insert(port);
+    }
+}
+
+void KeyedStoreTask::handleStoreCall(int port, const HttpRequest& request, const HttpResponder& responder)
 {
     if (request.path == "/-/log-append")
-        append(request, responder);
+        append(port, request, responder);
     else if (request.path == "/-/log-read")
-        read(request, responder);
+        read(port, request, responder);
     else if (request.path == "/-/log-newest")
         responder(jsonResponse(200, m_topics[queryText(request, "topic")].newestByKey(queryText(request, "after"))));
     else
         responder(errorResponse(404, "unknown path"));
 }
 
-void KeyedStoreTask::append(const HttpRequest& request, const HttpResponder& responder)
+void KeyedStoreTask::append(int port, const HttpRequest& request, const HttpResponder& responder)
 {
     KeyedLog::AppendRequest call {
         .body = request.body,
@@ -117,7 +157,8 @@
     if (request.query.contains("at"))
         call.expectedEnd = queryNumber(request, "at", 0);
     std::string topic = queryText(request, "topic");
-    if (drawFault(m_faults.lateAppendShare)) {
+    Faults faults = faultsAt(port);
+    if (drawFault(faults.lateAppendShare)) {
         loop().startTimer(lateAppendDelay, [this, topic, call] {
             m_topics[topic].append(call);
             completeLongPolls();
@@ -127,7 +168,11 @@
     }
     KeyedLog::Response response = m_topics[topic].append(call);
     completeLongPolls();
-    if (drawFault(m_faults.lostResponseShare))
+    bool responseIsLost = drawFault(faults.lostResponseShare);
+    if (faults.cutThenRefuse) {
+        recordCut(port);
+        responder(droppedConnection());
+    } else if (responseIsLost)
         closeWithoutResponse(responder);
     else
         responder(jsonResponse(response.status, response.body));
@@ -138,7 +183,7 @@
     loop().startTimer(closeDelay, [responder] { responder(droppedConnection()); });
 }
 
-void KeyedStoreTask::read(const HttpRequest& request, const HttpResponder& responder)
+void KeyedStoreTask::read(int port, const HttpRequest& request, const HttpResponder& responder)
 {
     std::string topic = queryText(request, "topic");
     KeyedLog& log = m_topics[topic];
@@ -153,7 +198,8 @@
         responder({ .status = 200, .body = log.read(from, maximumBytes) });
         return;
     }
-    m_longPolls.push_back({ .topic = topic, .from = from, .maximumBytes = maximumBytes, .responder = responder });
+    m_longPolls.push_back(
+        { .topic = topic, .from = from, .maximumBytes = maximumBytes, .port = port, .responder = responder });
     auto poll = std::prev(m_longPolls.end());
     poll->timer = loop().startTimer(wait, [this, poll] {
         poll->responder({ .status = 200, .body = m_topics[poll->topic].read(poll->from, poll->maximumBytes) });
@@ -165,7 +211,7 @@
 {
     for (auto poll = m_longPolls.begin(); poll != m_longPolls.end();) {
         KeyedLog& log = m_topics[poll->topic];
-        if (poll->from >= log.endOffset() || m_faults.ignoreRequests) {
+        if (poll->from >= log.endOffset() || faultsAt(poll->port).ignoreRequests) {
             ++poll;
             continue;
         }
