Soak: let workers refuse requests and lose responses at the same time

The soak's workers answered each request that they executed at once.

A worker of the stand-in can answer a share of its requests with 429 or 503 without executing them, and close the connection without a response after executing a share of the others, so that the repetition of an executed start or stop is refused. Its proxy can also cut responses and refuse connections.

--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -137,6 +137,11 @@
     post(m_firstWorkerPort, "/control", faults.dump());
 }
 
+void SoakCluster::setWorkerRequestFaults(int worker, double refusedShare, double cutShare) const
+{
+    controlWorkers({ { "unhealthy", json::array({ worker, refusedShare, cutShare }) } });
+}
+
 void SoakCluster::setStoreProxy(int daemon, FaultProxyMode mode)
 {
     m_storeProxies.at(static_cast<std::size_t>(daemon))->post(mode);
@@ -209,8 +214,10 @@
     for (auto& proxy : m_workerProxies)
         proxy->post({});
     m_listed.assign(m_listed.size(), true);
-    for (int worker = 0; worker < m_options.workers; ++worker)
+    for (int worker = 0; worker < m_options.workers; ++worker) {
+        setWorkerRequestFaults(worker, 0, 0);
         setAccelerators(worker, m_options.accelerators);
+    }
     for (int daemon = 0; daemon < m_options.daemons; ++daemon)
         this->daemon(daemon).resume();
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -42,6 +42,8 @@
 
     void controlStore(const nlohmann::json& faults) const;
     void controlWorkers(const nlohmann::json& faults) const;
+    /// Makes a worker refuse a share of its requests, and close the connection after executing a share of the others.
+    void setWorkerRequestFaults(int worker, double refusedShare, double cutShare) const;
     void setStoreProxy(int daemon, FaultProxyMode mode);
     void setWorkerProxy(int worker, FaultProxyMode mode);
     /// Restarts a worker; its directory entry keeps the last incarnation until announceWorker() is called.
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -51,6 +51,7 @@
     Time end = steady_clock::now() + duration;
     injectCapacityChange();
     injectPartialStoreOutage();
+    injectUnhealthyWorker();
     while (steady_clock::now() < end) {
         injectRandomFault();
         Time next = steady_clock::now() + drawDuration(150, 1'400);
@@ -236,6 +237,26 @@
     beginStoreFault(fault, duration);
 }
 
+void SoakFaults::injectUnhealthyWorker()
+{
+    static const std::vector<double> shares { 0, 0.3, 0.7 };
+    int worker = drawForOutage(m_cluster.options().workers);
+    milliseconds duration(300 + drawForOutage(2'700));
+    if (drawForOutage(4) == 0) {
+        recordFault("worker proxy " + std::to_string(worker) + " cuts responses and refuses connections");
+        m_cluster.setWorkerProxy(worker, { .kind = FaultProxyMode::Kind::CutResponses });
+        schedule(duration, [this, worker] { m_cluster.setWorkerProxy(worker, {}); });
+    } else {
+        double refused = shares.at(static_cast<std::size_t>(drawForOutage(3)));
+        double cut = shares.at(static_cast<std::size_t>(drawForOutage(3)));
+        recordFault("worker " + std::to_string(worker) + " refuses " + std::to_string(refused) + " and cuts "
+            + std::to_string(cut) + " of its requests");
+        m_cluster.setWorkerRequestFaults(worker, refused, cut);
+        schedule(duration, [this, worker] { m_cluster.setWorkerRequestFaults(worker, 0, 0); });
+    }
+    schedule(milliseconds(200 + drawForOutage(1'000)), [this] { injectUnhealthyWorker(); });
+}
+
 void SoakFaults::injectConfigurationChanges()
 {
     int versions = 1 + draw(4);
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -45,6 +45,8 @@
     void injectPartialStoreOutage();
     /// Makes the store fail for one daemon and schedules the end of the fault.
     void failStoreFor(int daemon, std::chrono::milliseconds duration);
+    /// Makes a worker refuse requests and lose responses, or its proxy cut them, and schedules the next such fault.
+    void injectUnhealthyWorker();
     void beginStoreFault(nlohmann::json faults, std::chrono::milliseconds duration);
     void recordFault(const std::string& description);
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
@@ -53,7 +55,7 @@
     /// @return a random number from 0 to limit - 1.
     int draw(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
     std::chrono::milliseconds drawDuration(int minMs, int maxMs);
-    /// Like draw(), for outages of single daemons.
+    /// Like draw(), for outages of single daemons and workers.
     int drawForOutage(int limit) { return static_cast<int>(m_outageRandom() % static_cast<std::uint64_t>(limit)); }
 
     SoakCluster& m_cluster;
--- a/tests/soak/StandinFaultsTest.cpp
+++ b/tests/soak/StandinFaultsTest.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/BlockingHttp.h"
 #include "tests/process/FreePorts.h"
 #include "tests/soak/FaultProxy.h"
+#include "tests/standin/BatchRunnerHostTask.h"
 #include "tests/standin/KeyedStoreTask.h"
 
 #include <gtest/gtest.h>
@@ -61,6 +62,32 @@
         KeyedStoreTask m_store { { .firstPort = m_port, .count = 2 }, 1 };
     };
 
+    class WorkerFaultsTest : public testing::Test {
+    protected:
+        WorkerFaultsTest() { m_workers.start(); }
+
+        void control(double refusedShare, double cutShare) const
+        {
+            json faults { { "unhealthy", json::array({ 0, refusedShare, cutShare }) } };
+            ASSERT_EQ(post(m_port, "/control", faults.dump()).status, 200);
+        }
+
+        HttpReply start() const
+        {
+            json command { { "task", "a.0.0.0" }, { "run", 1 }, { "spec", R"({"work_ms":60000,"gpu":1})" },
+                { "deadline_ms", 60'000 } };
+            return post(m_port, "/-/run-start", command.dump());
+        }
+
+        std::size_t startedRuns() const
+        {
+            return callHttp({ .port = m_port, .path = "/journal", .timeout = callTimeout }).json().at("spans").size();
+        }
+
+        std::uint16_t m_port = testing_support::findFreePorts(1);
+        BatchRunnerHostTask m_workers { { .firstPort = m_port }, 8, 1 };
+    };
+
 } // namespace
 
 // Guards against a soak whose end of one store fault ends the others too, so that faults never overlap.
@@ -118,4 +145,21 @@
     EXPECT_EQ(callHttp(request).status, 200);
 }
 
+// Guards against a worker stand-in that executes what it refuses.
+TEST_F(WorkerFaultsTest, RefusedStartIsNotExecuted)
+{
+    control(1, 0);
+    int status = start().status;
+    EXPECT_TRUE(status == 429 || status == 503) << status;
+    EXPECT_EQ(startedRuns(), 0U);
+}
+
+// Guards against a worker stand-in that does not execute a start whose response is lost.
+TEST_F(WorkerFaultsTest, CutStartIsExecuted)
+{
+    control(0, 1);
+    EXPECT_EQ(start().status, 0);
+    EXPECT_EQ(startedRuns(), 1U);
+}
+
 } // namespace lentilsaddle::standin
--- a/tests/standin/BatchRunnerHostTask.cpp
+++ b/tests/standin/BatchRunnerHostTask.cpp
@@ -25,6 +25,8 @@
 BatchRunnerHostTask::BatchRunnerHostTask(Listeners listeners, int accelerators, std::uint64_t seed)
     : StandinTask(std::move(listeners))
     , m_random(seed)
+    , m_requestFaults(static_cast<std::size_t>(this->listeners().count))
+    , m_requestFaultRandom(seed + 1)
 {
     for (int index = 0; index < this->listeners().count; ++index)
         m_runners.emplace_back("w-" + std::to_string(index), accelerators);
@@ -121,6 +123,10 @@
         responder(errorResponse(421, "another instance"));
         return;
     }
+    if (drawRequestFault(m_requestFaults[runner].refusedShare)) {
+        responder(errorResponse(drawRequestFault(0.5) ? 429 : 503, "unhealthy"));
+        return;
+    }
     json command = parseObject(request.body);
     bool changesRuns = request.path != "/-/hold";
     if (changesRuns && std::uniform_real_distribution<>(0, 1)(m_random) < m_lateShare) {
@@ -136,6 +142,10 @@
         return;
     }
     BatchRunner::Response response = execute(runner, request.path, command, steady_clock::now());
+    if (drawRequestFault(m_requestFaults[runner].cutShare)) {
+        responder(droppedConnection());
+        return;
+    }
     milliseconds wait = millisecondsOr(command, "wait_ms", milliseconds(0));
     bool waitForEnds = !changesRuns && response.status == 200 && wait.count() > 0 && response.body.at("ended").empty();
     if (!waitForEnds) {
@@ -157,6 +167,11 @@
         const json& change = body.at("accelerators");
         m_runners.at(change.at(0).get<std::size_t>()).setAccelerators(change.at(1).get<int>(), steady_clock::now());
     }
+    if (body.contains("unhealthy")) {
+        const json& faults = body.at("unhealthy");
+        m_requestFaults.at(faults.at(0).get<std::size_t>())
+            = { .refusedShare = faults.at(1).get<double>(), .cutShare = faults.at(2).get<double>() };
+    }
     if (body.contains("restart")) {
         BatchRunner& runner = m_runners.at(body.at("restart").get<std::size_t>());
         runner.restart(steady_clock::now());
