Soak: repeat submissions while an earlier attempt is in flight

The soak's clients sent each attempt after the response to the one before, or after 2 s.

A quarter of the jobs is now submitted with a timeout of 250 ms and repeated at once at the same daemon, and a quarter with two attempts at the same daemon whose responses are both awaited. Only 429, 503 and 404 count as a rejection. The style is drawn from its own random stream.

--- a/tests/soak/SoakClient.cpp
+++ b/tests/soak/SoakClient.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
+#include <future>
 #include <utility>
 
 namespace lentilsaddle::soak {
@@ -14,6 +15,8 @@
 
     constexpr int maxAttempts = 4;
     constexpr milliseconds callTimeout { 2'000 };
+    // Shorter than an append whose response is lost.
+    constexpr milliseconds shortCallTimeout { 250 };
     constexpr milliseconds retryDelay { 100 };
 
 } // namespace
@@ -21,6 +24,7 @@
 SoakClient::SoakClient(Options options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_repetitionRandom(m_options.seed + 1'000'000)
     , m_thread([this] { run(); })
 {
 }
@@ -80,39 +84,81 @@
     return json { { "spec", job.payload }, { "steps", json::array({ step }) } }.dump();
 }
 
-int SoakClient::call(const std::string& method, const SoakJob& job, const std::string& body)
+testing_support::BlockingRequest SoakClient::makeRequest(
+    const std::string& method, const SoakJob& job, std::uint16_t port, const std::string& body)
 {
-    std::uint16_t port = m_options.ports.at(draw(m_options.ports.size()));
-    return m_sessions[port]
-        .call({ .method = method,
-            .port = port,
-            .path = "/" + job.queue + "/" + job.id,
-            .headers = { { "Host", "soak.example" }, { "Credential", "key" }, { "Content-Type", "application/json" } },
-            .body = body,
-            .timeout = callTimeout })
-        .status;
+    return { .method = method,
+        .port = port,
+        .path = "/" + job.queue + "/" + job.id,
+        .headers = { { "Host", "soak.example" }, { "Credential", "key" }, { "Content-Type", "application/json" } },
+        .body = body,
+        .timeout = callTimeout };
+}
+
+SoakClient::Outcome SoakClient::outcomeOf(int status)
+{
+    if (status == 200)
+        return Outcome::Accepted;
+    return status == 503 || status == 429 || status == 404 ? Outcome::Rejected : Outcome::Unknown;
+}
+
+SoakClient::Repetition SoakClient::drawRepetition()
+{
+    switch (m_repetitionRandom() % 4) {
+    case 0:
+        return Repetition::SameDaemon;
+    case 1:
+        return Repetition::Overlapping;
+    default:
+        return Repetition::AnyDaemon;
+    }
 }
 
 void SoakClient::submit(SoakJob& job)
 {
+    Repetition repetition = drawRepetition();
+    std::uint16_t port = 0;
     bool outcomeUnknown = false;
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
-        int status = call("POST", job, submissionBody(job));
-        if (status == 200) {
+        std::uint16_t drawnPort = drawPort();
+        if (attempt == 0 || repetition == Repetition::AnyDaemon)
+            port = drawnPort;
+        testing_support::BlockingRequest request = makeRequest("POST", job, port, submissionBody(job));
+        if (repetition == Repetition::SameDaemon)
+            request.timeout = shortCallTimeout;
+        Outcome outcome = repetition == Repetition::Overlapping ? submitOverlapping(job, port)
+                                                                : outcomeOf(m_sessions[port].call(request).status);
+        if (outcome == Outcome::Accepted) {
             job.accepted = true;
             return;
         }
-        outcomeUnknown = outcomeUnknown || (status != 503 && status != 429 && status != 404);
-        std::this_thread::sleep_for(retryDelay);
+        outcomeUnknown = outcomeUnknown || outcome == Outcome::Unknown;
+        // A request that timed out may still be in progress; repeat it at once.
+        if (repetition != Repetition::SameDaemon || outcome == Outcome::Rejected)
+            std::this_thread::sleep_for(retryDelay);
     }
     job.rejected = !outcomeUnknown;
 }
 
+SoakClient::Outcome SoakClient::submitOverlapping(const SoakJob& job, std::uint16_t port)
+{
+    testing_support::BlockingRequest request = makeRequest("POST", job, port, submissionBody(job));
+    milliseconds overlapDelay(m_repetitionRandom() % 100);
+    std::future<int> first = std::async(std::launch::async, [&] { return m_sessions[port].call(request).status; });
+    std::this_thread::sleep_for(overlapDelay);
+    Outcome second = outcomeOf(testing_support::callHttp(request).status);
+    Outcome outcome = outcomeOf(first.get());
+    if (outcome == second || outcome == Outcome::Accepted)
+        return outcome;
+    return second == Outcome::Accepted ? second : Outcome::Unknown;
+}
+
 void SoakClient::cancel(SoakJob& job)
 {
     job.cancelSent = true;
     for (int attempt = 0; attempt < maxAttempts && !job.cancelAcknowledged; ++attempt) {
-        job.cancelAcknowledged = call("DELETE", job, "") == 200;
+        std::uint16_t port = drawPort();
+        job.cancelAcknowledged = m_sessions[port].call(makeRequest("DELETE", job, port, "")).status == 200;
         if (!job.cancelAcknowledged)
             std::this_thread::sleep_for(retryDelay);
     }
--- a/tests/soak/SoakClient.h
+++ b/tests/soak/SoakClient.h
@@ -31,7 +31,8 @@
 };
 
 /// Submits jobs and cancels some of them from its own thread over persistent connections. Each attempt, including each
-/// retry, goes to a daemon drawn at random.
+/// retry, goes to a daemon drawn at random, but for jobs whose submission is repeated at the same daemon while an
+/// earlier attempt may be in flight.
 class SoakClient {
 public:
     struct Options {
@@ -50,16 +51,42 @@
     std::vector<SoakJob> stopSubmitting();
 
 private:
+    /// How the attempts to submit one job follow each other.
+    enum class Repetition {
+        /// At any daemon, after the response or a long timeout.
+        AnyDaemon,
+        /// At the same daemon, after the response or a short timeout.
+        SameDaemon,
+        /// At the same daemon, on another connection while the attempt before waits for its response.
+        Overlapping,
+    };
+
+    /// What a client may conclude from the status of an attempt.
+    enum class Outcome {
+        Accepted,
+        Rejected,
+        Unknown,
+    };
+
     void run();
     SoakJob makeJob();
     std::string submissionBody(const SoakJob& job) const;
     void submit(SoakJob& job);
     void cancel(SoakJob& job);
-    int call(const std::string& method, const SoakJob& job, const std::string& body);
+    /// Sends a submission twice, overlapping in time.
+    /// @return Accepted if one attempt was accepted, Rejected if both were rejected.
+    Outcome submitOverlapping(const SoakJob& job, std::uint16_t port);
+    Repetition drawRepetition();
+    std::uint16_t drawPort() { return m_options.ports.at(draw(m_options.ports.size())); }
+    static testing_support::BlockingRequest makeRequest(
+        const std::string& method, const SoakJob& job, std::uint16_t port, const std::string& body);
+    static Outcome outcomeOf(int status);
     std::uint64_t draw(std::uint64_t limit) { return m_random() % limit; }
 
     Options m_options;
     std::mt19937_64 m_random;
+    /// Separate, so that a seed keeps its jobs.
+    std::mt19937_64 m_repetitionRandom;
     std::map<std::uint16_t, testing_support::HttpSession> m_sessions;
     std::vector<SoakJob> m_jobs;
     std::atomic<bool> m_stopRequested { false };
