Count a late renewal from before a restart in the end of a lease (TWICE)

Callers may see a task run twice: a renewal is sent to a worker, which restarts under its identity before the request arrives. The task runs on the new incarnation, which then executes the renewal, seconds late. The lease end was meant for the clock of the last incarnation, far ahead of the new one, so the worker shortens it to the longest lease (6 s) from then on. If the worker becomes unreachable, the leader takes the run for lost after the lease that it requested itself (4.5 s), and starts the task elsewhere.

WorkerSession counted such a renewal from when it was sent. The protocol allows a call without a response to be executed seconds later, so it now counts from when the worker became unresponsive.

On a worker that has restarted under this leader and then becomes unresponsive, tasks are lost a longest lease after that, which is later than before. A renewal that is executed even later, while the worker does not respond, is not covered: the protocol gives no bound.

--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -161,9 +161,13 @@
     state::MonotonicTime end = latestRenewal + longestDuration(m_options.workerLease);
     if (m_clock.known() && m_latestLeaseEnd.count() > 0)
         end = std::max(end, m_clock.latestTimeOf(m_latestLeaseEnd));
-    // The new incarnation may have executed it, and shortened the lease only to the longest one.
-    if (m_earlierClockRequest)
-        end = std::max(end, *m_earlierClockRequest + longestDuration(m_options.longestWorkerLease));
+    // The new incarnation may have executed it, also long after it was sent, and shortened the lease only to the
+    // longest one.
+    if (m_earlierClockRequest) {
+        state::MonotonicTime latestExecution
+            = std::max(*m_earlierClockRequest, m_unresponsiveSince.value_or(m_hooks.clock()));
+        end = std::max(end, latestExecution + longestDuration(m_options.longestWorkerLease));
+    }
     bool restarted = startedOnEarlierIncarnation(allocation);
     if (allocation.listed && !restarted && !allocation.startOutstanding())
         return end;
--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -89,6 +89,30 @@
     EXPECT_FALSE(m_workers.ranTwice());
 }
 
+// Guards against a second run beside one on a new incarnation, whose lease a renewal without a response has extended
+// late: its end was meant for the clock of the last incarnation, so it is shortened there only to the longest lease.
+TEST_F(BatchTaskTest, RenewalExecutedLateByTheNextIncarnationExtendsTheLease)
+{
+    auto task = startInstance("e-1");
+    // The leases of an earlier leader would have expired then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace);
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    milliseconds delay { 1'500 };
+    auto executed = std::chrono::steady_clock::now() + delay;
+    m_workers.delayNextRenewal(delay);
+    ASSERT_TRUE(waitUntil([this] { return !m_workers.renewalDelayPending(); }));
+    m_workers.restart("w1");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    // The renewal may have been sent a little later.
+    std::this_thread::sleep_until(executed + milliseconds(200));
+    EXPECT_GT(m_workers.remainingLease("w1"), shortOptions().workerLease);
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 3; }, milliseconds(6'000)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 // Guards against waiting for a lease although the directory shows that the run has ended with its worker.
 TEST_F(BatchTaskTest, ListedRunIsLostWithItsIncarnationAlthoughTheNextOneIsUnresponsive)
 {
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -95,6 +95,21 @@
         m_nextStopResponseDelay = delay;
     }
 
+    /// The next observe request to any worker that extends the lease has no response, and is executed only after the
+    /// delay, by whichever incarnation the worker has then.
+    void delayNextRenewal(std::chrono::milliseconds delay)
+    {
+        std::lock_guard lock(m_mutex);
+        m_nextRenewalDelay = delay;
+    }
+
+    /// @return whether a renewal still has to be delayed.
+    bool renewalDelayPending()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_nextRenewalDelay.count() > 0;
+    }
+
     /// While set, stop requests are neither executed nor responded to.
     void dropStops(bool drop)
     {
@@ -510,6 +525,14 @@
             respond(loop, reply, Observation { .result = { .status = *refused } });
             return;
         }
+        if (request.leaseEnd && m_nextRenewalDelay.count() > 0) {
+            loop.startTimer(std::exchange(m_nextRenewalDelay, {}), [this, id = worker.id.value(), request] {
+                std::lock_guard innerLock(m_mutex);
+                extendLease(m_workers[id], *request.leaseEnd);
+            });
+            loop.startTimer(timeout, [reply] { reply({}); });
+            return;
+        }
         if (request.leaseEnd)
             extendLease(target, *request.leaseEnd);
         if (refusalsOf(worker).loseObservations) {
@@ -553,6 +576,7 @@
     std::chrono::milliseconds m_nextStartDelay { 0 };
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     std::chrono::milliseconds m_otherWorkersResponseDelay { 0 };
+    std::chrono::milliseconds m_nextRenewalDelay { 0 };
     bool m_ranTwice = false;
     int m_observations = 0;
     bool m_listsCut = false;
