--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -59,6 +59,8 @@
     /// ended.
     state::MonotonicTime confirmableFrom {};
     bool stopInFlight = false;
+    /// Stop requests that the worker has not acknowledged.
+    int failedStops = 0;
     /// The run started in this term and without a checkpoint, so its run time is a sample of the worker's speed.
     bool observedFromStart = false;
     /// Share of the work that is done, 0 to 100.
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -297,6 +297,8 @@
     case Status::StaleRun:
         allocation.phase = Phase::StopAcknowledged;
         allocation.confirmableFrom = m_hooks.clock();
+        if (allocation.failedStops > 0)
+            logStop("stop confirmed", key, result, allocation.failedStops);
         if (!m_observing)
             observeNow();
         return;
@@ -305,6 +307,9 @@
         declareAllLost(RunLoss::WorkerReplaced);
         return;
     default:
+        // The retries follow in short intervals, so only the first failure is logged.
+        if (++allocation.failedStops == 1)
+            logStop("stop not confirmed", key, result, allocation.failedStops);
         m_loop.startTimer(m_options.requestRetryDelay, [this, key, alive = std::weak_ptr(m_alive)] {
             if (!alive.expired())
                 sendStop(key);
@@ -313,6 +318,15 @@
     }
 }
 
+void WorkerSession::logStop(
+    const char* message, const AllocationKey& key, const WorkerCallResult& result, int failedStops) const
+{
+    writeLog(LogLevel::Info, "worker", message,
+        { { "task", key.first.toString() }, { "run", std::to_string(key.second) },
+            { "worker", m_description.id.value() }, { "status", std::to_string(static_cast<int>(result.status)) },
+            { "failed_stops", std::to_string(failedStops) }, { "error", result.error } });
+}
+
 void WorkerSession::updateIncarnation(std::int64_t incarnation)
 {
     if (incarnation == m_incarnation || m_endedIncarnations.contains(incarnation))
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -140,6 +140,8 @@
     void sendStop(const AllocationKey& key);
     /// @param incarnation incarnation of the worker that was known when the request was sent.
     void onStopped(const AllocationKey& key, std::int64_t incarnation, const WorkerCallResult& result);
+    /// Writes the outcome of a stop to the log.
+    void logStop(const char* message, const AllocationKey& key, const WorkerCallResult& result, int failedStops) const;
     void declareAllLost(RunLoss loss);
     void declareLost(const AllocationKey& key, RunLoss loss);
     std::chrono::milliseconds nextLeaseEnd();
