--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -301,8 +301,11 @@
 void BatchTask::handle(const BatchMessage::Cancel& cancel)
 {
     afterLookup(cancel.job, [this, cancel] {
-        if (m_table.find(cancel.job))
+        const state::batch::BatchJobEntry* entry = m_table.find(cancel.job);
+        if (entry)
             cancelKnown(cancel.job, cancel.reply);
+        else if (m_sharedAppender->unresolved(makeKey(jobKeyPrefix, cancel.job.value())))
+            cancel.reply(ChangeOutcome::Unknown);
         else
             cancel.reply(journalCurrent() ? ChangeOutcome::NoSuchJob : ChangeOutcome::Refused);
     });
--- a/coordination/batch/SharedAppender.cpp
+++ b/coordination/batch/SharedAppender.cpp
@@ -51,6 +51,11 @@
     return unconfirmedAppend || !m_hooks.journalReachable();
 }
 
+bool SharedAppender::unresolved(const std::string& key) const
+{
+    return m_inFlight.contains(key) || m_unconfirmed.contains(key);
+}
+
 void SharedAppender::onStoreResponse()
 {
     m_suspectedUntil.reset();
--- a/coordination/batch/SharedAppender.h
+++ b/coordination/batch/SharedAppender.h
@@ -43,6 +43,9 @@
     /// @return whether the last read failed, or the store has not confirmed a recent append.
     bool storeSuspected() const;
 
+    /// @return whether an append of the key is in flight, or has ended without a response and may still take effect.
+    bool unresolved(const std::string& key) const;
+
     /// The store has responded to a read.
     void onStoreResponse();
     /// A record was read in the journal.
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -381,4 +381,16 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
+// Guards against a caller who is told that there is no such job, when its submission at this instance is unresolved: the
+// store may execute the append later, and the job would run.
+TEST_F(BatchTaskTest, CancellationOfAJobThatMayBeInTheJournalIsNotAnsweredWithNoSuchJob)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    m_store.setAppendFault(FakeStore::AppendFault::Drop);
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Unknown);
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_NE(cancel(*task, jobId), ChangeOutcome::NoSuchJob);
+}
+
 } // namespace lentilsaddle::coordination::batch
