--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -302,7 +302,9 @@
 {
     afterLookup(cancel.job, [this, cancel] {
         const state::batch::BatchJobEntry* entry = m_table.find(cancel.job);
-        if (entry)
+        if (entry && entry->cancelled())
+            cancel.reply(ChangeOutcome::Done);
+        else if (entry)
             cancelKnown(cancel.job, cancel.reply);
         else if (m_sharedAppender->unresolved(makeKey(jobKeyPrefix, cancel.job.value())))
             cancel.reply(ChangeOutcome::Unknown);
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -381,6 +381,20 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
+// Guards against refusing a cancellation that the journal shows, because the store is suspected when it is repeated.
+TEST_F(BatchTaskTest, RepeatedCancellationIsNotRefusedWhileTheStoreIsSuspected)
+{
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_EQ(cancel(*task, jobId), ChangeOutcome::Done);
+    m_store.setUnresponsive(true);
+    m_store.setAppendFault(FakeStore::AppendFault::Drop);
+    BatchJob other = makeJob();
+    other.id = state::JobId("00000000000000bb");
+    ASSERT_EQ(submit(*task, other), ChangeOutcome::Unknown);
+    EXPECT_NE(cancel(*task, jobId), ChangeOutcome::Refused);
+}
+
 // Guards against a caller who is told that there is no such job, when its submission at this instance is unresolved: the
 // store may execute the append later, and the job would run.
 TEST_F(BatchTaskTest, CancellationOfAJobThatMayBeInTheJournalIsNotAnsweredWithNoSuchJob)
