--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -488,4 +488,53 @@
     EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
 }
 
+// Guards against a second run beside one on a new incarnation, whose lease a renewal meant for the clock of the last
+// one has extended after the worker became unresponsive to the leader.
+TEST_F(BatchTaskTest, RenewalExecutedLateByAnUnresponsiveWorkerExtendsTheLease)
+{
+    auto task = startInstance("e-1");
+    // The leases of an earlier leader would have expired then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace);
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    milliseconds delay { 1'500 };
+    auto executed = std::chrono::steady_clock::now() + delay;
+    m_workers.delayNextRenewal(delay);
+    ASSERT_TRUE(waitUntil([this] { return !m_workers.renewalDelayPending(); }));
+    m_workers.restart("w1");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    // Earlier than the renewal, which is executed before the lease expires.
+    std::this_thread::sleep_until(executed - milliseconds(600));
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 3; }, milliseconds(8'000)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against a second run that a new leader starts beside one on an unresponsive worker, whose lease a renewal of
+// the earlier leader has extended late, meant for the clock of the last incarnation.
+TEST_F(BatchTaskTest, RenewalOfAnEarlierLeaderExecutedLateByTheNextIncarnationExtendsTheLease)
+{
+    auto first = startInstance("e-1");
+    submit(*first, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    auto second = startInstance("e-2");
+    // The leases of an earlier leader would have expired then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace);
+    milliseconds delay { 1'500 };
+    auto executed = std::chrono::steady_clock::now() + delay;
+    m_workers.delayNextRenewal(delay);
+    ASSERT_TRUE(waitUntil([this] { return !m_workers.renewalDelayPending(); }));
+    m_workers.restart("w1");
+    m_store.put(Stream::Directory, "w1", "ready incarnation=2");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    // Earlier than the renewal, which is executed before the lease expires.
+    std::this_thread::sleep_until(executed - milliseconds(600));
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    first->post({ .body = BatchMessage::Drain {} });
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 3; }, milliseconds(8'000)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -395,8 +395,8 @@
     EXPECT_NE(cancel(*task, jobId), ChangeOutcome::Refused);
 }
 
-// Guards against a caller who is told that there is no such job, when its submission at this instance is unresolved: the
-// store may execute the append later, and the job would run.
+// Guards against a caller who is told that there is no such job, when its submission at this instance is unresolved:
+// the store may execute the append later, and the job would run.
 TEST_F(BatchTaskTest, CancellationOfAJobThatMayBeInTheJournalIsNotAnsweredWithNoSuchJob)
 {
     auto task = startInstance("e-1");
