--- a/coordination/batch/SharedAppender.h
+++ b/coordination/batch/SharedAppender.h
@@ -17,8 +17,8 @@
 
 namespace lentilsaddle::coordination::batch {
 
-/// Appends records whose repeated append has no further effect, and judges all attempts to append a record together: a
-/// refusal of one attempt does not show that an earlier one had no effect.
+/// Appends the records that any instance may write: submissions, cancellations and announcements. Judges all attempts
+/// to append a record together, because a refusal of one attempt does not show that an earlier one had no effect.
 class SharedAppender {
 public:
     struct Hooks {
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -161,8 +161,8 @@
     state::MonotonicTime end = latestRenewal + longestDuration(m_options.workerLease);
     if (m_clock.known() && m_latestLeaseEnd.count() > 0)
         end = std::max(end, m_clock.latestTimeOf(m_latestLeaseEnd));
-    // The new incarnation may have executed it, also long after it was sent, and shortened the lease only to the
-    // longest one.
+    // The new incarnation may have executed a request for the earlier clock, also long after it was sent, and shortened
+    // its lease only to the longest one.
     if (m_earlierClockRequest) {
         state::MonotonicTime latestExecution
             = std::max(*m_earlierClockRequest, m_unresponsiveSince.value_or(m_hooks.clock()));
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -99,7 +99,7 @@
         auto* call = static_cast<Call*>(context);
         call->lastProgress = std::chrono::steady_clock::now();
         std::string line(data, size * count);
-        // An interim response has a header of its own; trailers belong to none.
+        // An interim response has a header of its own, after which that of the final response follows.
         if (line.starts_with("HTTP/"))
             call->headerComplete = false;
         else if (line == "\r\n" || line == "\n")
