Group the connections to workers, and reuse the handles of calls

Cause: perf of the leader of 1,100 workers showed 20% of its time in each of two list walks of libcurl: one multi handle held all connections and queued calls, at its limit of 2,400 connections. Each call also made and freed a handle with its buffers. A call with a total limit failed when the loop was busy for longer, although its response had arrived.

Change: servers are distributed over 32 multi handles, handles are reused, the limit of connections follows from the new setting batch.descriptors, and a total limit is checked twice, like a stall, so that bytes which have arrived are read first.

HttpTest.ResponseWithinATotalLimitThatArrivedWhileTheLoopWasBusyIsRead fails with libcurl's own timeout.

--- a/daemon/BatchDaemon.cpp
+++ b/daemon/BatchDaemon.cpp
@@ -54,8 +54,9 @@
         });
     m_batch = std::make_unique<coordination::batch::BatchTask>(environment, batchOptions(),
         coordination::batch::BatchTask::Hooks {
-            .connect = [url = m_settings.platformUrl](
-                           transport::EventLoop& loop) { return platform::createBatchPlatform(loop, url); },
+            .connect
+            = [url = m_settings.platformUrl, connections = m_settings.batch.workerConnections()](
+                  transport::EventLoop& loop) { return platform::createBatchPlatform(loop, url, connections); },
             .onConfiguration =
                 [this](std::shared_ptr<const state::batch::BatchConfiguration> configuration) {
                     m_api->post({ .body = BatchApiMessage::Configure { .configuration = std::move(configuration) } });
--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -116,6 +116,8 @@
         return valid ? std::optional(value) : std::nullopt;
     }
 
+    constexpr long maximumDescriptors = 1'048'576;
+
     std::vector<Key> makeBatchKeys()
     {
         using std::chrono::milliseconds;
@@ -137,6 +139,8 @@
                 "batch.processors", false, "a number of processors such as 0.25, at most 1024",
                 [](const std::string& v) { return parseProcessors(v).has_value(); },
                 [](Settings& s, const std::string& v) { s.batch.processors = *parseProcessors(v); }),
+            integerKey("batch.descriptors", 0, maximumDescriptors, "0 if unknown",
+                [](Settings& s, long v) { s.batch.descriptors = static_cast<std::size_t>(v); }),
         };
     }
 
--- a/state/batch/BatchSettings.h
+++ b/state/batch/BatchSettings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -22,6 +23,11 @@
     std::chrono::milliseconds gangTimeout { 3'000 };
     /// Processors that this process may use; 0 if unknown.
     double processors = 0;
+    /// Descriptors that this process may open; 0 if unknown.
+    std::size_t descriptors = 0;
+
+    /// @return connections to workers that the descriptors allow beside all other uses.
+    std::size_t workerConnections() const;
 
     bool enabled() const { return !apiAddress.empty(); }
 };
--- a/tests/platform/InterruptedCallTest.cpp
+++ b/tests/platform/InterruptedCallTest.cpp
@@ -26,6 +26,8 @@
 
 namespace {
 
+    constexpr std::size_t workerConnections = 100;
+
     constexpr milliseconds callTimeout { 5'000 };
     constexpr const char* answer = R"({"offset":0,"end_offset":1,"clock_ms":1,"running":[],"ended":[]})";
 
@@ -33,7 +35,7 @@
     class Caller {
     public:
         Caller(const std::string& address)
-            : m_platform(createBatchPlatform(m_loop, "http://" + address))
+            : m_platform(createBatchPlatform(m_loop, "http://" + address, workerConnections))
             , m_worker { .id = state::WorkerId("w1"), .address = address }
         {
         }
--- a/tests/platform/LostResponseTest.cpp
+++ b/tests/platform/LostResponseTest.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+    constexpr std::size_t workerConnections = 100;
+
     constexpr milliseconds callTimeout { 2'000 };
     constexpr const char* acceptedBody = R"({"offset":0,"end_offset":1,"clock_ms":1,"running":[],"ended":[]})";
 
@@ -75,7 +77,7 @@
 
         ScriptedServer m_server { executeAndClose };
         transport::EventLoop m_loop { [] {} };
-        BatchPlatform m_platform = createBatchPlatform(m_loop, m_server.url());
+        BatchPlatform m_platform = createBatchPlatform(m_loop, m_server.url(), workerConnections);
         state::batch::BatchWorker m_worker { .id = state::WorkerId("w1"), .address = m_server.address() };
     };
 
--- a/tests/platform/StoreReaderTest.cpp
+++ b/tests/platform/StoreReaderTest.cpp
@@ -23,6 +23,8 @@
 
 namespace {
 
+    constexpr std::size_t workerConnections = 100;
+
     // Time in which a confirmed configuration must be in force.
     constexpr milliseconds configurationLimit { 3'000 };
     // Payload of a link of 10 Mbit/s.
@@ -36,7 +38,8 @@
             , m_linkPort(testing_support::findFreePorts(1))
             , m_store({ .firstPort = m_storePort }, 1)
             , m_link(m_linkPort, m_storePort)
-            , m_platform(createBatchPlatform(m_loop, "http://127.0.0.1:" + std::to_string(m_linkPort)))
+            , m_platform(
+                  createBatchPlatform(m_loop, "http://127.0.0.1:" + std::to_string(m_linkPort), workerConnections))
         {
             m_store.start();
             m_link.start();
--- a/tests/protocol/SettingsCodecTest.cpp
+++ b/tests/protocol/SettingsCodecTest.cpp
@@ -42,6 +42,16 @@
     EXPECT_EQ(errorOf(required + "log:\n  level: info\nlog:\n  level: debug\n"), "s.yaml:8: log.level: is given twice");
 }
 
+// Guards against a leader of many workers that closes connections to them although it has the descriptors for more,
+// and against one that runs out of descriptors for its clients.
+TEST(SettingsCodec, DescriptorsBoundTheConnectionsToWorkers)
+{
+    EXPECT_EQ(parseSettings(required, "s.yaml").batch.workerConnections(), 2'400U);
+    EXPECT_EQ(parseSettings(required + "batch:\n  descriptors: 8192\n", "s.yaml").batch.workerConnections(), 6'492U);
+    EXPECT_EQ(parseSettings(required + "batch:\n  descriptors: 1024\n", "s.yaml").batch.workerConnections(), 64U);
+    EXPECT_NE(errorOf(required + "batch:\n  descriptors: many\n").find("must be an integer"), std::string::npos);
+}
+
 // Guards against leases that expire after a single lost renewal.
 TEST(SettingsCodec, LeaseMustOutliveTwoRenewals)
 {
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -12,7 +12,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
+#include <functional>
 #include <thread>
 
 namespace lentilsaddle::transport {
@@ -310,6 +312,78 @@
     EXPECT_EQ(m_results[0].failure, HttpFailure::None) << m_results[0].error;
 }
 
+// Guards against the same for a call whose total time is limited, such as a start that a busy leader has sent.
+TEST_F(HttpTest, ResponseWithinATotalLimitThatArrivedWhileTheLoopWasBusyIsRead)
+{
+    using std::chrono::milliseconds;
+    testing_support::DrippingServer server({ .body = "0123456789", .interval = milliseconds(10) });
+    HttpCall call { .url = server.url() };
+    call.timeout = milliseconds(200);
+    send(call);
+    m_loop.startTimer(milliseconds(20), [] { std::this_thread::sleep_for(milliseconds(400)); });
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::None) << m_results[0].error;
+}
+
+// Guards against a total limit that does not apply once a response has begun.
+TEST_F(HttpTest, SteadyResponseFailsAtATotalLimit)
+{
+    using std::chrono::milliseconds;
+    testing_support::DrippingServer server({ .body = "0123456789", .interval = milliseconds(100) });
+    HttpCall call { .url = server.url() };
+    call.timeout = milliseconds(250);
+    send(call);
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::ResponseLost);
+    EXPECT_TRUE(m_results[0].timedOut);
+}
+
+// Guards against a connection to one server that is closed for a connection to another one while there is room for
+// both, and against the headers or the body of one call in another call that reuses its handle.
+TEST_F(HttpTest, ServersOfAllGroupsKeepTheirConnections)
+{
+    constexpr int serverCount = 12;
+    HttpClient client(
+        m_loop, { .maximumConnectionsPerHost = 1, .maximumConnections = 4 * serverCount, .connectionGroups = 4 });
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    std::vector<std::string> seen;
+    for (int index = 0; index < serverCount; ++index) {
+        servers.push_back(std::make_unique<HttpServer>(
+            m_loop, HttpServerOptions {}, [&seen](const HttpRequest& request, const HttpResponder& respond) {
+                seen.push_back(request.method + request.body + request.headers.at("mark"));
+                respond({ .status = 200, .headers = {}, .body = request.body });
+            }));
+    }
+    int connections = 0;
+    int finished = 0;
+    // Each round waits for the one before, so that its calls reuse the handles.
+    std::function<void(int)> startRound = [&](int round) {
+        for (int index = 0; index < serverCount; ++index) {
+            std::string mark = std::to_string(round) + "." + std::to_string(index);
+            HttpCall call { .method = round % 2 == 0 ? "POST" : "GET",
+                .url = "http://127.0.0.1:" + std::to_string(servers[static_cast<std::size_t>(index)]->port()) + "/",
+                .headers = { { "mark", mark } },
+                .body = round % 2 == 0 ? mark : "" };
+            client.send(call, [&, round, body = call.body](const HttpResult& result) {
+                EXPECT_EQ(result.failure, HttpFailure::None) << result.error;
+                EXPECT_EQ(result.response.body, body);
+                connections += result.newConnections;
+                if (++finished % serverCount != 0)
+                    return;
+                if (round == 3)
+                    m_loop.requestStop();
+                else
+                    startRound(round + 1);
+            });
+        }
+    };
+    startRound(0);
+    m_loop.run();
+    EXPECT_EQ(connections, serverCount);
+    std::sort(seen.begin(), seen.end());
+    EXPECT_EQ(std::unique(seen.begin(), seen.end()) - seen.begin(), 4 * serverCount);
+}
+
 // Guards against a call without a response that lasts longer than its timeout, because only pauses are limited.
 TEST_F(HttpTest, ResponseThatDoesNotBeginFailsAtTheTimeout)
 {
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -8,49 +8,70 @@
 
 #include <algorithm>
 #include <cctype>
+#include <functional>
 #include <mutex>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace lentilsaddle::transport {
 
 namespace {
 
     constexpr int maximumSendingsOfRepeatableCall = 2;
+    // Each holds a receive buffer of 16 KiB.
+    constexpr std::size_t maximumIdleHandles = 128;
 
-    struct Call {
+    struct CallState {
         HttpClient::CallId id = 0;
-        CURL* easy = nullptr;
         curl_slist* headers = nullptr;
         std::string body;
         HttpResponse response;
         HttpClient::Callback callback;
+        /// Index of the connection group.
+        std::size_t group = 0;
         int maximumSendings = 1;
         /// Number of connections on which at least a part of the request was sent.
         int sendings = 0;
-        /// Bytes that were sent on these connections together.
-        long requestBytes = 0;
+        /// Bytes that were sent on these connections together; empty before the first connection.
+        std::optional<long> requestBytes;
         /// The empty line after the header of the final response has arrived.
         bool headerComplete = false;
         /// A reused connection was closed before the response, and the request may not be sent again.
         bool connectionClosed = false;
+        /// Zero without a stall timeout.
         std::chrono::milliseconds stallTimeout { 0 };
-        /// When the response must have begun; valid with a stall timeout.
+        /// When the response must have begun; without a stall timeout, when it must be complete.
         std::chrono::steady_clock::time_point responseDeadline;
-        /// Timer of the next check of the response's progress; 0 without a stall timeout.
+        /// Timer of the next check of the response's progress.
         EventLoop::TimerId progressTimer = 0;
         /// The response was overdue at the last check.
         bool overdue = false;
         /// When the last byte of the response arrived; empty before the first.
         std::optional<std::chrono::steady_clock::time_point> lastProgress;
+    };
+
+    /// Call with its easy handle, which is reused for later calls because libcurl allocates buffers for each handle.
+    struct Call : CallState {
+        CURL* easy = nullptr;
 
         Call() = default;
         Call(const Call&) = delete;
         Call& operator=(const Call&) = delete;
         ~Call()
         {
-            curl_slist_free_all(headers);
             curl_easy_cleanup(easy);
+            curl_slist_free_all(headers);
+        }
+
+        /// Makes the handle available for another call.
+        void reset()
+        {
+            curl_easy_setopt(easy, CURLOPT_HTTPHEADER, nullptr);
+            curl_slist_free_all(headers);
+            static_cast<CallState&>(*this) = {};
         }
     };
 
@@ -58,7 +79,7 @@
     {
         long requestBytes = 0;
         curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-        if (requestBytes > call.requestBytes)
+        if (call.requestBytes && requestBytes > *call.requestBytes)
             ++call.sendings;
         call.requestBytes = requestBytes;
     }
@@ -134,6 +155,9 @@
     {
         HttpResult result;
         result.receivedBytes = call.response.body.size();
+        long newConnections = 0;
+        curl_easy_getinfo(call.easy, CURLINFO_NUM_CONNECTS, &newConnections);
+        result.newConnections = static_cast<int>(newConnections);
         // libcurl accepts a response whose header is cut by the end of the connection.
         if (code == CURLE_OK && call.headerComplete) {
             long status = 0;
@@ -155,64 +179,156 @@
 } // namespace
 
 struct HttpClient::Implementation {
+    /// Servers that share a multi handle. libcurl walks lists of all connections and transfers of a multi handle.
+    struct Group {
+        Implementation* client = nullptr;
+        CURLM* multi = nullptr;
+        EventLoop::TimerId timer = 0;
+        /// When the timer expires; valid if there is one.
+        std::chrono::steady_clock::time_point timerDue;
+    };
+
     explicit Implementation(EventLoop& eventLoop)
         : loop(eventLoop)
     {
     }
 
     EventLoop& loop;
-    CURLM* multi = nullptr;
-    EventLoop::TimerId timer = 0;
     CallId nextCall = 1;
+    std::vector<std::unique_ptr<Group>> groups;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
+    std::vector<std::unique_ptr<Call>> idleCalls;
 
+    void addGroup(const HttpClientOptions& options);
+    std::size_t groupOf(const std::string& url) const;
+    std::unique_ptr<Call> takeCall();
+    /// Removes the call from libcurl and keeps its easy handle for a later one.
+    void release(std::unique_ptr<Call> call);
     static int onSocket(CURL*, curl_socket_t descriptor, int action, void* context, void*);
     static int onTimer(CURLM*, long milliseconds, void* context);
-    void performSocketAction(curl_socket_t descriptor, int events);
-    void finishCalls();
-    /// Fails the call if its response has not begun or has stalled.
+    void performSocketAction(Group& group, curl_socket_t descriptor, int events);
+    void finishCalls(Group& group);
+    /// Fails the call if its response has not begun, has stalled, or is not complete in time.
     void checkProgress(CallId id);
     /// Removes a call and passes its result to its callback.
     void finish(CallId id, CURLcode code);
 };
 
+void HttpClient::Implementation::addGroup(const HttpClientOptions& options)
+{
+    auto group = std::make_unique<Group>();
+    group->client = this;
+    group->multi = curl_multi_init();
+    if (!group->multi)
+        throw TransportError("cannot create a libcurl multi handle");
+    // Rounded up, so that the shares of all groups allow at least the maximum.
+    auto connections
+        = static_cast<long>((options.maximumConnections + options.connectionGroups - 1) / options.connectionGroups);
+    curl_multi_setopt(group->multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+    curl_multi_setopt(group->multi, CURLMOPT_SOCKETDATA, group.get());
+    curl_multi_setopt(group->multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+    curl_multi_setopt(group->multi, CURLMOPT_TIMERDATA, group.get());
+    curl_multi_setopt(
+        group->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(options.maximumConnectionsPerHost));
+    curl_multi_setopt(group->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, connections);
+    // libcurl's default cache keeps few idle connections, so that most calls to many servers would open a new one.
+    curl_multi_setopt(group->multi, CURLMOPT_MAXCONNECTS, connections);
+    groups.push_back(std::move(group));
+}
+
+std::size_t HttpClient::Implementation::groupOf(const std::string& url) const
+{
+    std::size_t begin = url.find("//");
+    begin = begin == std::string::npos ? 0 : begin + 2;
+    std::size_t end = std::min(url.find('/', begin), url.size());
+    return std::hash<std::string_view> {}(std::string_view(url).substr(begin, end - begin)) % groups.size();
+}
+
+std::unique_ptr<Call> HttpClient::Implementation::takeCall()
+{
+    if (!idleCalls.empty()) {
+        std::unique_ptr<Call> call = std::move(idleCalls.back());
+        idleCalls.pop_back();
+        return call;
+    }
+    auto call = std::make_unique<Call>();
+    call->easy = curl_easy_init();
+    if (!call->easy)
+        throw TransportError("cannot create a libcurl easy handle");
+    curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call.get());
+    curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, &onSending);
+    curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call.get());
+    curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETFUNCTION, &onOpenSocket);
+    curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETDATA, call.get());
+    curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, &onBody);
+    curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call.get());
+    curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, &onHeader);
+    curl_easy_setopt(call->easy, CURLOPT_HEADERDATA, call.get());
+    curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(call->easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(call->easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
+    return call;
+}
+
+void HttpClient::Implementation::release(std::unique_ptr<Call> call)
+{
+    curl_multi_remove_handle(groups[call->group]->multi, call->easy);
+    loop.cancelTimer(call->progressTimer);
+    if (idleCalls.size() >= maximumIdleHandles)
+        return;
+    call->reset();
+    idleCalls.push_back(std::move(call));
+}
+
 int HttpClient::Implementation::onSocket(CURL*, curl_socket_t descriptor, int action, void* context, void*)
 {
-    auto* self = static_cast<Implementation*>(context);
+    auto* group = static_cast<Group*>(context);
+    EventLoop& loop = group->client->loop;
     if (action == CURL_POLL_REMOVE) {
-        self->loop.unwatchDescriptor(descriptor);
+        loop.unwatchDescriptor(descriptor);
         return 0;
     }
     bool read = action == CURL_POLL_IN || action == CURL_POLL_INOUT;
     bool write = action == CURL_POLL_OUT || action == CURL_POLL_INOUT;
-    self->loop.watchDescriptor(descriptor, read, write, [self, descriptor](bool readable, bool writable) {
-        self->performSocketAction(descriptor, (readable ? CURL_CSELECT_IN : 0) | (writable ? CURL_CSELECT_OUT : 0));
+    loop.watchDescriptor(descriptor, read, write, [group, descriptor](bool readable, bool writable) {
+        group->client->performSocketAction(
+            *group, descriptor, (readable ? CURL_CSELECT_IN : 0) | (writable ? CURL_CSELECT_OUT : 0));
     });
     return 0;
 }
 
 int HttpClient::Implementation::onTimer(CURLM*, long milliseconds, void* context)
 {
-    auto* self = static_cast<Implementation*>(context);
-    self->loop.cancelTimer(self->timer);
-    self->timer = 0;
-    if (milliseconds >= 0)
-        self->timer = self->loop.startTimer(
-            std::chrono::milliseconds(milliseconds), [self] { self->performSocketAction(CURL_SOCKET_TIMEOUT, 0); });
+    auto* group = static_cast<Group*>(context);
+    EventLoop& loop = group->client->loop;
+    auto due = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::max(milliseconds, 0L));
+    // Each new call asks for an immediate expiry.
+    if (milliseconds == 0 && group->timer != 0 && group->timerDue <= due)
+        return 0;
+    loop.cancelTimer(group->timer);
+    group->timer = 0;
+    if (milliseconds < 0)
+        return 0;
+    group->timerDue = due;
+    group->timer = loop.startTimer(std::chrono::milliseconds(milliseconds), [group] {
+        group->timer = 0;
+        group->client->performSocketAction(*group, CURL_SOCKET_TIMEOUT, 0);
+    });
     return 0;
 }
 
-void HttpClient::Implementation::performSocketAction(curl_socket_t descriptor, int events)
+void HttpClient::Implementation::performSocketAction(Group& group, curl_socket_t descriptor, int events)
 {
     int running = 0;
-    curl_multi_socket_action(multi, descriptor, events, &running);
-    finishCalls();
+    curl_multi_socket_action(group.multi, descriptor, events, &running);
+    finishCalls(group);
 }
 
-void HttpClient::Implementation::finishCalls()
+void HttpClient::Implementation::finishCalls(Group& group)
 {
     int remaining = 0;
-    while (CURLMsg* message = curl_multi_info_read(multi, &remaining)) {
+    while (CURLMsg* message = curl_multi_info_read(group.multi, &remaining)) {
         if (message->msg != CURLMSG_DONE)
             continue;
         CURL* easy = message->easy_handle;
@@ -227,10 +343,10 @@
 {
     auto node = calls.extract(id);
     std::unique_ptr<Call> call = std::move(node.mapped());
-    curl_multi_remove_handle(multi, call->easy);
-    loop.cancelTimer(call->progressTimer);
     HttpResult result = toResult(*call, code);
-    call->callback(std::move(result));
+    Callback callback = std::move(call->callback);
+    release(std::move(call));
+    callback(std::move(result));
 }
 
 void HttpClient::Implementation::checkProgress(CallId id)
@@ -238,7 +354,8 @@
     Call& call = *calls.at(id);
     call.progressTimer = 0;
     auto now = std::chrono::steady_clock::now();
-    auto deadline = call.lastProgress ? *call.lastProgress + call.stallTimeout : call.responseDeadline;
+    bool mayStall = call.stallTimeout.count() > 0 && call.lastProgress;
+    auto deadline = mayStall ? *call.lastProgress + call.stallTimeout : call.responseDeadline;
     bool overdue = now >= deadline;
     if (overdue && call.overdue) {
         finish(id, CURLE_OPERATION_TIMEDOUT);
@@ -247,8 +364,9 @@
     call.overdue = overdue;
     // Bytes that arrived while the loop was busy are read before the second check of an overdue response. A response
     // that begins in the meantime may stall from then on.
-    auto delay = std::clamp<std::chrono::steady_clock::duration>(
-        deadline - now, std::chrono::steady_clock::duration(0), call.stallTimeout);
+    auto delay = std::max<std::chrono::steady_clock::duration>(deadline - now, std::chrono::steady_clock::duration(0));
+    if (call.stallTimeout.count() > 0)
+        delay = std::min<std::chrono::steady_clock::duration>(delay, call.stallTimeout);
     call.progressTimer
         = loop.startTimer(std::chrono::ceil<std::chrono::microseconds>(delay), [this, id] { checkProgress(id); });
 }
@@ -257,68 +375,47 @@
     : m_implementation(std::make_unique<Implementation>(loop))
 {
     initialiseLibrary();
-    Implementation& self = *m_implementation;
-    self.multi = curl_multi_init();
-    if (!self.multi)
-        throw TransportError("cannot create a libcurl multi handle");
-    curl_multi_setopt(self.multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
-    curl_multi_setopt(self.multi, CURLMOPT_SOCKETDATA, &self);
-    curl_multi_setopt(self.multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
-    curl_multi_setopt(self.multi, CURLMOPT_TIMERDATA, &self);
-    curl_multi_setopt(self.multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(options.maximumConnectionsPerHost));
-    curl_multi_setopt(self.multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, static_cast<long>(options.maximumConnections));
-    // libcurl's default cache keeps few idle connections, so that most calls to many servers would open a new one.
-    curl_multi_setopt(self.multi, CURLMOPT_MAXCONNECTS, static_cast<long>(options.maximumConnections));
+    for (std::size_t index = 0; index < std::max<std::size_t>(options.connectionGroups, 1); ++index)
+        m_implementation->addGroup(options);
 }
 
 HttpClient::~HttpClient()
 {
     Implementation& self = *m_implementation;
     for (auto& [id, call] : self.calls) {
-        curl_multi_remove_handle(self.multi, call->easy);
+        curl_multi_remove_handle(self.groups[call->group]->multi, call->easy);
         self.loop.cancelTimer(call->progressTimer);
     }
     self.calls.clear();
-    curl_multi_cleanup(self.multi);
-    self.loop.cancelTimer(self.timer);
+    self.idleCalls.clear();
+    for (auto& group : self.groups) {
+        curl_multi_cleanup(group->multi);
+        self.loop.cancelTimer(group->timer);
+    }
 }
 
 HttpClient::CallId HttpClient::send(const HttpCall& call, Callback callback)
 {
     Implementation& self = *m_implementation;
-    auto entry = std::make_unique<Call>();
+    std::unique_ptr<Call> entry = self.takeCall();
     entry->id = self.nextCall++;
+    entry->group = self.groupOf(call.url);
     entry->body = call.body;
     entry->callback = std::move(callback);
-    entry->easy = curl_easy_init();
-    CURL* easy = entry->easy;
-    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, entry.get());
     entry->maximumSendings = call.repeatable ? maximumSendingsOfRepeatableCall : 1;
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onSending);
-    curl_easy_setopt(easy, CURLOPT_PREREQDATA, entry.get());
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &onOpenSocket);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, entry.get());
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, entry.get());
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, entry.get());
     entry->stallTimeout = call.stallTimeout;
     entry->responseDeadline = std::chrono::steady_clock::now() + call.timeout;
-    if (call.stallTimeout.count() > 0)
-        entry->progressTimer = self.loop.startTimer(
-            std::min(call.timeout, call.stallTimeout), [&self, id = entry->id] { self.checkProgress(id); });
-    else
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, call.timeout.count())));
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    if (call.freshConnection) {
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    }
-    if (call.method != "GET" || !call.body.empty()) {
+    auto firstCheck = call.stallTimeout.count() > 0 ? std::min(call.timeout, call.stallTimeout) : call.timeout;
+    entry->progressTimer = self.loop.startTimer(firstCheck, [&self, id = entry->id] { self.checkProgress(id); });
+    CURL* easy = entry->easy;
+    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.freshConnection ? 1L : 0L);
+    if (call.method == "GET" && call.body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, nullptr);
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, nullptr);
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    } else {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(entry->body.size()));
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, entry->body.c_str());
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
@@ -329,19 +426,17 @@
         entry->headers = curl_slist_append(entry->headers, headerLine(name, value).c_str());
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, entry->headers);
     CallId id = entry->id;
+    CURLM* multi = self.groups[entry->group]->multi;
     self.calls.emplace(id, std::move(entry));
-    curl_multi_add_handle(self.multi, easy);
+    curl_multi_add_handle(multi, easy);
     return id;
 }
 
 void HttpClient::cancel(CallId call)
 {
-    auto found = m_implementation->calls.find(call);
-    if (found == m_implementation->calls.end())
-        return;
-    curl_multi_remove_handle(m_implementation->multi, found->second->easy);
-    m_implementation->loop.cancelTimer(found->second->progressTimer);
-    m_implementation->calls.erase(found);
+    auto node = m_implementation->calls.extract(call);
+    if (node)
+        m_implementation->release(std::move(node.mapped()));
 }
 
 std::size_t HttpClient::callsInFlight() const
@@ -351,7 +446,8 @@
 
 void HttpClient::setMaximumConnectionsPerHost(std::size_t connections)
 {
-    curl_multi_setopt(m_implementation->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(connections));
+    for (const auto& group : m_implementation->groups)
+        curl_multi_setopt(group->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(connections));
 }
 
 } // namespace lentilsaddle::transport
--- a/transport/HttpClient.h
+++ b/transport/HttpClient.h
@@ -50,13 +50,19 @@
     /// Human-readable error message if failure is not None.
     std::string error;
     bool timedOut = false;
+    /// Connections that were opened for the call.
+    int newConnections = 0;
     /// Bytes of the response body that had arrived, also of a response that was not received completely.
     std::size_t receivedBytes = 0;
 };
 
 struct HttpClientOptions {
     std::size_t maximumConnectionsPerHost = 64;
+    /// For all servers together. At the limit, an idle connection is closed for a new one, or the call is queued.
     std::size_t maximumConnections = 4096;
+    /// Number of groups that the servers are distributed over. The cost of a call grows with the connections and
+    /// queued calls of its group; each group has an equal share of the maximum number of connections.
+    std::size_t connectionGroups = 1;
 };
 
 /// Asynchronous HTTP client that reuses connections. A request is sent once unless the call is repeatable. All methods
