Store the completion of a gang once, and bound the leader's appends

Cause: the end of one member completes the whole gang, but while that was being stored each further end stored all members again: the square of the gang's size in records, up to 25,600 for 160 members. An append was unbounded, so a queue above the store's limit of a call would have been refused until the leadership was lost.

Change: an end that finds the completion of its task being stored is only acknowledged after it. An append of the leader takes no further records above 1 MiB; records that belong together stay together.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -30,6 +30,10 @@
     std::chrono::milliseconds heartbeatInterval { 500 };
     /// Timeout of an append. Two appends fit into the leader's lease.
     std::chrono::milliseconds appendTimeout { 700 };
+    /// Size from which an append of the leader takes no further records. Below the largest call that the store accepts.
+    std::size_t appendBytes = 1'048'576;
+    /// Bytes of a stored record beside its key and its value.
+    std::size_t recordOverhead = 5;
     /// Timeout of the append of a submission. A caller waits some seconds and needs time to try another instance.
     std::chrono::milliseconds submitTimeout { 700 };
     /// After a change that the store did not confirm, other changes are refused at once for this long, unless the store
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -129,10 +129,12 @@
     std::int64_t incarnation = m_sessions.at(worker)->incarnation();
     PendingEnds& pending = m_pendingEnds[{ worker, incarnation }];
     pending.highest = std::max(pending.highest, ended.number);
-    TaskStates states = statesAfterEnd(worker, ended);
+    // The end of another member, with which the whole gang is done, is being stored.
+    bool completing = m_completing.contains(ended.task);
+    TaskStates states = completing ? TaskStates() : statesAfterEnd(worker, ended);
     if (ended.reason == EndedTask::Reason::Done)
         m_doneRuns.insert(groupOf(ended.task, ended.run));
-    if (states.empty()) {
+    if (states.empty() && !completing) {
         if (pending.stores == 0)
             m_sessions.at(worker)->acknowledge(incarnation, pending.highest);
         return;
@@ -149,6 +151,7 @@
             completing.push_back(task);
     }
     m_completing.insert(completing.begin(), completing.end());
+    // Without states of its own, the end is acknowledged after everything that was queued before it is stored.
     m_hooks.storeTasks(std::move(states),
         [this, worker, incarnation, completing, listed = m_hooks.clock(), alive = std::weak_ptr(m_alive)] {
             if (alive.expired())
--- a/coordination/batch/LeaderAppender.cpp
+++ b/coordination/batch/LeaderAppender.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/EventLoop.h"
 
+#include <iterator>
 #include <utility>
 
 namespace lentilsaddle::coordination::batch {
@@ -28,15 +29,13 @@
 {
     m_term = 0;
     m_current.reset();
-    m_next = {};
+    m_queue.clear();
     m_lastConfirmed.reset();
 }
 
 void LeaderAppender::append(std::vector<KeyedRecord> records, StoredCallback onStored)
 {
-    m_next.callbacks.emplace_back(std::move(onStored), m_next.records.size());
-    for (KeyedRecord& record : records)
-        m_next.records.push_back(std::move(record));
+    m_queue.push_back({ .records = std::move(records), .onStored = std::move(onStored) });
     if (m_current || m_sendScheduled)
         return;
     // Records that other callbacks of this loop iteration append are sent in the same batch.
@@ -52,10 +51,38 @@
 
 void LeaderAppender::sendNext()
 {
-    if (m_next.records.empty() || m_term == 0)
-        return;
-    m_current = std::exchange(m_next, {});
-    send();
+    while (!m_current && !m_queue.empty() && m_term != 0) {
+        Batch batch = takeBatch();
+        if (batch.records.empty()) {
+            completeEmptyBatch(std::move(batch));
+            continue;
+        }
+        m_current = std::move(batch);
+        send();
+    }
+}
+
+LeaderAppender::Batch LeaderAppender::takeBatch()
+{
+    Batch batch;
+    std::size_t bytes = 0;
+    while (!m_queue.empty()) {
+        Entry& entry = m_queue.front();
+        for (const KeyedRecord& record : entry.records)
+            bytes += record.key.size() + (record.value ? record.value->size() : 0) + m_options.recordOverhead;
+        if (!batch.records.empty() && bytes > m_options.appendBytes)
+            break;
+        batch.callbacks.emplace_back(std::move(entry.onStored), batch.records.size());
+        std::move(entry.records.begin(), entry.records.end(), std::back_inserter(batch.records));
+        m_queue.pop_front();
+    }
+    return batch;
+}
+
+void LeaderAppender::completeEmptyBatch(Batch batch)
+{
+    for (const auto& [callback, first] : batch.callbacks)
+        callback(0);
 }
 
 void LeaderAppender::send()
@@ -87,7 +114,7 @@
         for (const auto& [callback, first] : stored.callbacks)
             callback(result.firstOffset + first);
         // A callback may have queued records or ended the term.
-        if (m_term == term && !m_current)
+        if (m_term == term)
             sendNext();
         return;
     }
--- a/coordination/batch/LeaderAppender.h
+++ b/coordination/batch/LeaderAppender.h
@@ -6,6 +6,8 @@
 #include "coordination/batch/JournalHooks.h"
 #include "state/Time.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -43,7 +45,9 @@
 
     bool active() const { return m_term != 0; }
 
-    /// Queues records; those queued while an append is in flight are sent with the next one.
+    /// Queues records; those queued while an append is in flight are sent with the next one. Records of one call are
+    /// stored together.
+    /// @param records may be empty; then `onStored` follows those of all earlier calls.
     void append(std::vector<KeyedRecord> records, StoredCallback onStored);
 
     /// @return when the last acknowledged append was first sent; empty before the first of the term.
@@ -52,6 +56,11 @@
     bool idle() const { return !m_current; }
 
 private:
+    struct Entry {
+        std::vector<KeyedRecord> records;
+        StoredCallback onStored;
+    };
+
     struct Batch {
         std::vector<KeyedRecord> records;
         /// Callbacks, each with the index of its first record in the batch.
@@ -60,7 +69,10 @@
     };
 
     void sendNext();
+    Batch takeBatch();
     void send();
+    /// Calls back without an append if no records are queued.
+    void completeEmptyBatch(Batch batch);
     void onResult(std::uint64_t term, const AppendResult& result);
 
     transport::EventLoop& m_loop;
@@ -70,7 +82,7 @@
     std::uint64_t m_term = 0;
     std::uint64_t m_sequence = 0;
     std::optional<Batch> m_current;
-    Batch m_next;
+    std::deque<Entry> m_queue;
     bool m_sendScheduled = false;
     std::optional<state::MonotonicTime> m_lastConfirmed;
     /// Calls in flight hold a weak reference, so that a response after the destruction is dropped.
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -220,6 +220,28 @@
     EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
 }
 
+// Guards against a journal that grows with the square of a gang's size: the ends of all members arrive together, and
+// each one completes the whole gang.
+TEST_F(BatchTaskTest, EndsOfAGangThatArriveTogetherAreStoredOnce)
+{
+    constexpr int members = 6;
+    auto task = startInstance("e-1");
+    BatchJob job = makeJob(members);
+    job.steps[0].gang = true;
+    submit(*task, job);
+    ASSERT_TRUE(waitUntil([this] { return m_workers.running().size() == members; }));
+    std::size_t before = m_store.records(Stream::Journal).size();
+    m_store.setAppendDelay(milliseconds(50));
+    for (int index = 0; index < members; ++index)
+        m_workers.finish("w1", "00000000000000aa.0.0." + std::to_string(index), EndedTask::Reason::Done);
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_TRUE(waitUntil([this] { return m_workers.listedEnds("w1") == 0; }));
+    std::vector<KeyedRecord> records = m_store.records(Stream::Journal);
+    auto completions = std::count_if(records.begin() + static_cast<std::ptrdiff_t>(before), records.end(),
+        [](const KeyedRecord& record) { return record.key.starts_with(taskKeyPrefix); });
+    EXPECT_EQ(completions, members);
+}
+
 // Guards against a start after a run has ended as done, while the record of its completion is being stored.
 TEST_F(BatchTaskTest, TaskIsNotStartedWhileItsCompletionIsStored)
 {
--- a/tests/coordination/batch/FakeStore.h
+++ b/tests/coordination/batch/FakeStore.h
@@ -117,6 +117,13 @@
         m_failedListingCall = call;
     }
 
+    /// @return number of append requests.
+    int appends()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_appends;
+    }
+
     int listingCalls()
     {
         std::lock_guard lock(m_mutex);
@@ -181,6 +188,7 @@
         transport::EventLoop& loop, const AppendRequest& request, const std::function<void(AppendResult)>& reply)
     {
         std::lock_guard lock(m_mutex);
+        ++m_appends;
         if (m_closedConnectionPrefix && request.records.front().key.starts_with(*m_closedConnectionPrefix)) {
             m_closedConnectionPrefix.reset();
             perform(request);
@@ -266,6 +274,7 @@
     std::optional<std::string> m_closedConnectionPrefix;
     std::set<std::string> m_refusedKeys;
     std::chrono::milliseconds m_appendDelay { 0 };
+    int m_appends = 0;
     bool m_unresponsive = false;
     std::size_t m_readLimit = std::numeric_limits<std::size_t>::max();
     std::size_t m_pageSize = std::numeric_limits<std::size_t>::max();
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -223,6 +223,13 @@
         target.running.erase(found);
     }
 
+    /// @return number of ends that the worker still lists.
+    std::size_t listedEnds(const std::string& worker)
+    {
+        std::lock_guard lock(m_mutex);
+        return m_workers[worker].ended.size();
+    }
+
     /// Lists of runs that are sent while this is set show no runs and say that they are incomplete.
     void setListsCut(bool cut)
     {
--- a/tests/coordination/batch/LeaderAppenderTest.cpp
+++ b/tests/coordination/batch/LeaderAppenderTest.cpp
@@ -60,6 +60,32 @@
     EXPECT_FALSE(m_leadershipLost);
 }
 
+// Guards against an append that the store refuses for its size, and that is retried until the leadership is lost.
+TEST_F(LeaderAppenderTest, LargeQueueIsStoredInSeveralAppends)
+{
+    m_options.appendBytes = 100;
+    m_store.setAppendDelay(milliseconds(5));
+    for (const char* key : { "a", "b", "c", "d", "e", "f" })
+        m_appender.append(
+            { { .key = key, .value = std::string(30, 'v') }, { .key = key, .value = std::string(30, 'w') } },
+            [this, key](std::uint64_t offset) { m_stored.push_back(key + std::to_string(offset)); });
+    runFor(milliseconds(200));
+    EXPECT_EQ(m_stored, (std::vector<std::string> { "a0", "b2", "c4", "d6", "e8", "f10" }));
+    EXPECT_EQ(m_store.appends(), 6);
+}
+
+// Guards against a callback without records that comes before those of earlier records, or never.
+TEST_F(LeaderAppenderTest, AppendWithoutRecordsCallsBackAfterEarlierOnes)
+{
+    append("a");
+    m_appender.append({}, [this](std::uint64_t) { m_stored.push_back("after a"); });
+    m_loop.startTimer(
+        milliseconds(30), [this] { m_appender.append({}, [this](std::uint64_t) { m_stored.push_back("idle"); }); });
+    runFor(milliseconds(60));
+    EXPECT_EQ(m_stored, (std::vector<std::string> { "a", "after a", "idle" }));
+    EXPECT_EQ(m_store.records(Stream::Journal).size(), 1U);
+}
+
 // Guards against records that are stored out of order.
 TEST_F(LeaderAppenderTest, KeepsTheOrderOfRecords)
 {
