--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -10,6 +10,10 @@
 #include <optional>
 #include <string>
 
+namespace lentilsaddle::state::batch {
+class BatchJobEntry;
+}
+
 namespace lentilsaddle::coordination::batch {
 
 /// @return whether two incarnations of a worker are both known and differ. A later one may have the lower number, if
@@ -36,6 +40,8 @@
 
     state::batch::BatchTaskId task;
     std::int64_t run = 0;
+    /// Entry of the job, which contains the task; null if it was unknown when the allocation was added.
+    const state::batch::BatchJobEntry* entry = nullptr;
     state::batch::Resources resources;
     Phase phase = Phase::Claiming;
     /// Incarnation of the worker that was known when the start was sent, or that a claim of an earlier leader names,
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -101,6 +101,7 @@
                     Allocation allocation {
                         .task = id,
                         .run = claimed.run,
+                        .entry = &entry,
                         .resources = description.resources,
                         .phase = Allocation::Phase::Uncertain,
                         .incarnation = claimed.workerIncarnation,
@@ -156,7 +157,8 @@
     }
 }
 
-bool BatchScheduler::gangIncomplete(const RunOverview& overview, const RunOverview::Group& gang) const
+bool BatchScheduler::gangIncomplete(
+    const RunOverview& overview, const RunOverview::Group& gang, state::MonotonicTime now) const
 {
     const RunOverview::Run& first = overview.runs()[gang.runs.front()];
     if (m_doneRuns.contains(groupOf(first.key->first, first.key->second)))
@@ -174,13 +176,14 @@
         starting = starting || allocation.phase == Allocation::Phase::Starting
             || (allocation.phase == Allocation::Phase::Uncertain && !allocation.inherited);
     }
-    return starting && since != state::MonotonicTime::max() && m_hooks.clock() - since > m_options.gangStartTimeout;
+    return starting && since != state::MonotonicTime::max() && now - since > m_options.gangStartTimeout;
 }
 
 void BatchScheduler::stopIncompleteGangs(const RunOverview& overview)
 {
+    state::MonotonicTime now = m_hooks.clock();
     for (const RunOverview::Group& group : overview.groups()) {
-        if (!group.gang || !gangIncomplete(overview, group))
+        if (!group.gang || !gangIncomplete(overview, group, now))
             continue;
         for (std::size_t position : group.runs) {
             const RunOverview::Run& run = overview.runs()[position];
@@ -217,6 +220,7 @@
         session.reserve({
             .task = id,
             .run = claimed.run,
+            .entry = &entry,
             .resources = unit.resources,
             .phase = Allocation::Phase::Claiming,
             .checkpoint = claimed.checkpoint,
@@ -369,8 +373,9 @@
     if (input.units.empty())
         return;
     probeWorkers();
-    BatchPlan result = BatchPlanner({}, input).plan();
-    executePlan(input, overview, result);
+    BatchPlanner planner({}, std::move(input));
+    BatchPlan result = planner.plan();
+    executePlan(planner, overview, result);
 }
 
 bool BatchScheduler::waitForDirectory()
@@ -392,16 +397,17 @@
 
 void BatchScheduler::probeWorkers()
 {
+    state::MonotonicTime now = m_hooks.clock();
     for (auto& [id, session] : m_sessions) {
-        if (session->needsObservation())
+        if (session->needsObservation(now))
             session->observeNow();
     }
 }
 
-void BatchScheduler::executePlan(const PlanInput& input, const RunOverview& overview, const BatchPlan& plan)
+void BatchScheduler::executePlan(const BatchPlanner& planner, const RunOverview& overview, const BatchPlan& plan)
 {
     for (const Preemption& preemption : plan.preemptions) {
-        std::string reason = "preempted for job " + input.units[preemption.unit].job.value();
+        std::string reason = "preempted for job " + planner.units()[preemption.unit].job.value();
         m_metrics.increment("lentilsaddle_batch_preemptions_total");
         for (std::size_t position : overview.groups()[preemption.group].runs) {
             const RunOverview::Run& run = overview.runs()[position];
@@ -411,9 +417,9 @@
     // Gangs are claimed in one batch, so that a new leader sees all members or none.
     std::map<std::size_t, std::vector<std::pair<int, state::WorkerId>>> places;
     for (const Placement& placement : plan.placements)
-        places[placement.unit].emplace_back(placement.index, input.workers[placement.worker].worker.id);
+        places[placement.unit].emplace_back(placement.index, planner.workers()[placement.worker].worker.id);
     for (const auto& [unit, unitPlaces] : places)
-        claim(input.units[unit], unitPlaces);
+        claim(planner.units()[unit], unitPlaces);
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -147,7 +147,7 @@
     void planRound();
     void stopObsoleteRuns(const RunOverview& overview) const;
     void stopIncompleteGangs(const RunOverview& overview);
-    bool gangIncomplete(const RunOverview& overview, const RunOverview::Group& gang) const;
+    bool gangIncomplete(const RunOverview& overview, const RunOverview::Group& gang, state::MonotonicTime now) const;
     bool waitForDirectory();
     void probeWorkers();
     PlanInput makeInput(const RunOverview& overview);
@@ -158,12 +158,12 @@
     void addStepUnits(PlanInput& input, BatchUnit unit, const std::vector<int>& suspects);
     /// @return whether a claim or a completion of the task is being stored.
     bool isBeingStored(const state::batch::BatchTaskId& task) const;
-    static void excludeAllocatedTasks(PlanInput& input, const RunOverview& overview);
+    void excludeAllocatedTasks(PlanInput& input, const RunOverview& overview) const;
     void addGroups(PlanInput& input, const RunOverview& overview) const;
     void addWorkers(PlanInput& input, const RunOverview& overview);
     void markGuaranteed(PlanInput& input, const RunOverview& overview) const;
-    double lossOf(const Allocation& allocation, const state::batch::BatchStep& step) const;
-    void executePlan(const PlanInput& input, const RunOverview& overview, const BatchPlan& plan);
+    static double lossOf(const Allocation& allocation, const state::batch::BatchStep& step, state::MonotonicTime now);
+    void executePlan(const BatchPlanner& planner, const RunOverview& overview, const BatchPlan& plan);
     void claim(const BatchUnit& unit, const std::vector<std::pair<int, state::WorkerId>>& places);
     /// Starts the tasks of a unit whose claims have been stored, and gives back the claims that no longer fit.
     void startClaimed(const ClaimedTasks& tasks);
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -1,7 +1,7 @@
 #include "coordination/batch/BatchScheduler.h"
 
 #include <algorithm>
-#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace lentilsaddle::coordination::batch {
@@ -79,21 +79,26 @@
     excludeAllocatedTasks(input, overview);
 }
 
-void BatchScheduler::excludeAllocatedTasks(PlanInput& input, const RunOverview& overview)
+void BatchScheduler::excludeAllocatedTasks(PlanInput& input, const RunOverview& overview) const
 {
-    std::multimap<std::tuple<std::string_view, int, int>, BatchUnit*> units;
+    std::unordered_map<const BatchJobEntry*, std::vector<BatchUnit*>> units;
     for (BatchUnit& unit : input.units)
-        units.emplace(std::tuple(std::string_view(unit.job.value()), unit.occurrence, unit.step), &unit);
+        units[m_table.find(unit.job)].push_back(&unit);
     for (const RunOverview::Run& run : overview.runs()) {
+        auto found = units.find(run.entry);
+        if (found == units.end())
+            continue;
         const BatchTaskId& task = run.key->first;
-        auto [first, last] = units.equal_range({ task.job.value(), task.occurrence, task.step });
-        for (auto unit = first; unit != last; ++unit) {
+        for (BatchUnit* unit : found->second) {
+            if (unit->occurrence != task.occurrence || unit->step != task.step)
+                continue;
             // A task whose earlier run may still hold capacity somewhere cannot start again.
-            if (unit->second->gang)
-                unit->second->indices.clear();
+            if (unit->gang)
+                unit->indices.clear();
             else
-                std::erase(unit->second->indices, task.index);
-            ++unit->second->runningOnWorker[run.session->description().id];
+                std::erase(unit->indices, task.index);
+            if (unit->maximumPerWorker > 0)
+                ++unit->runningOnWorker[run.session->description().id];
         }
     }
     std::erase_if(input.units, [](const BatchUnit& unit) { return unit.indices.empty(); });
@@ -179,9 +184,9 @@
     input.units.push_back(std::move(isolated));
 }
 
-double BatchScheduler::lossOf(const Allocation& allocation, const BatchStep& step) const
+double BatchScheduler::lossOf(const Allocation& allocation, const BatchStep& step, state::MonotonicTime now)
 {
-    double seconds = std::chrono::duration<double>(m_hooks.clock() - allocation.since).count();
+    double seconds = std::chrono::duration<double>(now - allocation.since).count();
     if (step.writesCheckpoints)
         seconds = std::min(seconds, checkpointedLossSeconds);
     double cores = static_cast<double>(allocation.resources.milliCores) / 1'000
@@ -200,7 +205,7 @@
                 continue;
             running.account = run.entry->job().account;
             running.priority = run.entry->job().queue.priority;
-            running.loss += lossOf(*run.allocation, run.step());
+            running.loss += lossOf(*run.allocation, run.step(), input.now);
         }
         input.groups.push_back(std::move(running));
     }
@@ -224,7 +229,7 @@
             if (next->entry && mayCrashWorkers(next->entry->task(allocation.task)))
                 view.isolatedStartPending = true;
         }
-        if (!session->usable())
+        if (!session->usable(input.now))
             continue;
         auto quarantine = m_quarantine.state(id, input.now);
         bool probe = quarantine == WorkerQuarantine::State::Probing && !occupied;
@@ -256,7 +261,7 @@
     };
     for (std::size_t index = 0; index < input.groups.size(); ++index) {
         RunningGroup& group = input.groups[index];
-        const std::vector<std::size_t>& runs = overview.groups()[index].runs;
+        const auto& runs = overview.groups()[index].runs;
         const RunOverview::Run& first = overview.runs()[runs.front()];
         if (group.priority != 0 || !first.entry)
             continue;
--- a/coordination/batch/RunOverview.cpp
+++ b/coordination/batch/RunOverview.cpp
@@ -14,13 +14,21 @@
     return std::hash<const void*> {}(key.entry) ^ hash;
 }
 
+namespace {
+
+    const BatchJobEntry* findEntry(const state::batch::BatchTable& table, const state::batch::BatchTaskId& task)
+    {
+        const BatchJobEntry* entry = table.find(task.job);
+        return entry && entry->contains(task) ? entry : nullptr;
+    }
+
+} // namespace
+
 RunOverview::RunOverview(const Sessions& sessions, const state::batch::BatchTable& table)
 {
     for (const auto& [id, session] : sessions) {
         for (const auto& [key, allocation] : session->allocations()) {
-            const BatchJobEntry* entry = table.find(key.first.job);
-            if (entry && !entry->contains(key.first))
-                entry = nullptr;
+            const BatchJobEntry* entry = allocation.entry ? allocation.entry : findEntry(table, key.first);
             Run run { .session = session.get(), .key = &key, .allocation = &allocation, .entry = entry };
             run.group = groupOf(run);
             m_groups[run.group].runs.push_back(m_runs.size());
--- a/coordination/batch/RunOverview.h
+++ b/coordination/batch/RunOverview.h
@@ -8,6 +8,8 @@
 #include "state/batch/BatchJobEntry.h"
 #include "state/batch/BatchTable.h"
 
+#include <absl/container/inlined_vector.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -40,8 +42,8 @@
     /// A gang, or a single task.
     struct Group {
         bool gang = false;
-        /// Indices in runs().
-        std::vector<std::size_t> runs;
+        /// Indices in runs(). Most groups are single tasks.
+        absl::InlinedVector<std::size_t, 1> runs;
     };
 
     RunOverview(const Sessions& sessions, const state::batch::BatchTable& table);
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -409,25 +409,24 @@
     return m_listed && !m_description.draining && m_observed && m_reachable && m_clock.known();
 }
 
-bool WorkerSession::usable() const
+bool WorkerSession::usable(state::MonotonicTime now) const
 {
     if (!acceptsStarts())
         return false;
-    state::MonotonicTime now = m_hooks.clock();
     if (m_pausedUntil && now < *m_pausedUntil)
         return false;
-    return respondedRecently();
+    return respondedRecently(now);
 }
 
-bool WorkerSession::respondedRecently() const
+bool WorkerSession::respondedRecently(state::MonotonicTime now) const
 {
     // A worker without tasks is not observed; an old response does not show that it is still alive.
-    return m_lastResponse && m_clock.known() && m_hooks.clock() - *m_lastResponse <= m_options.workerLease / 2;
+    return m_lastResponse && m_clock.known() && now - *m_lastResponse <= m_options.workerLease / 2;
 }
 
-bool WorkerSession::needsObservation() const
+bool WorkerSession::needsObservation(state::MonotonicTime now) const
 {
-    return m_listed && !m_description.draining && !m_observing && !respondedRecently();
+    return m_listed && !m_description.draining && !m_observing && !respondedRecently(now);
 }
 
 state::batch::Resources WorkerSession::freeCapacity() const
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -89,9 +89,9 @@
     /// @return whether a start may be sent to the worker, if it fits.
     bool acceptsStarts() const;
     /// @return whether new work may be planned for the worker.
-    bool usable() const;
+    bool usable(state::MonotonicTime now) const;
     /// @return whether the worker has not responded recently, so that only an observation can make it usable.
-    bool needsObservation() const;
+    bool needsObservation(state::MonotonicTime now) const;
 
     state::batch::Resources freeCapacity() const;
     const std::map<AllocationKey, Allocation>& allocations() const { return m_allocations; }
@@ -104,7 +104,7 @@
     void checkLease();
 
 private:
-    bool respondedRecently() const;
+    bool respondedRecently(state::MonotonicTime now) const;
     void scheduleObservation(std::chrono::milliseconds delay);
     void observe();
     /// @param incarnation incarnation of the worker that was known when the request was sent.
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -96,7 +96,7 @@
     }
     bool clockWasKnown = m_clock.known();
     updateFromResponse(incarnation, observation.result);
-    bool wasUsable = usable();
+    bool wasUsable = usable(m_hooks.clock());
     if (m_unresponsiveSince)
         writeLog(LogLevel::Info, "worker", "responds again", { { "worker", m_description.id.value() } });
     m_unresponsiveSince.reset();
@@ -104,7 +104,7 @@
     m_observed = true;
     m_lastResponse = m_hooks.clock();
     applyLists(sent, observation);
-    if (usable() != wasUsable)
+    if (usable(m_hooks.clock()) != wasUsable)
         m_hooks.onChanged();
     if (!clockWasKnown && !m_allocations.empty()) {
         // The lease could not be renewed before the clock was known.
@@ -120,7 +120,7 @@
 
 void WorkerSession::onUnresponsive(const std::string& error)
 {
-    bool wasUsable = usable();
+    bool wasUsable = usable(m_hooks.clock());
     m_reachable = false;
     if (!m_unresponsiveSince) {
         m_unresponsiveSince = m_hooks.clock();
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -68,6 +68,11 @@
     /// @return tasks to start now and groups to stop. Call once.
     BatchPlan plan();
 
+    /// @return the units of the input. After plan(), those of single tasks lack the indices of placed tasks.
+    const std::vector<BatchUnit>& units() const { return m_units; }
+    /// @return the workers of the input.
+    const std::vector<WorkerView>& workers() const { return m_capacity.workers(); }
+
 private:
     using Assignment = CapacityIndex::Assignment;
 
