Contain unexpected errors of callbacks, and report a leader that is behind

Cause: an exception that a callback did not handle went through libev to the end of the process (Task.Unexpected... ends with std::terminate without the change), so one value that no check covers could end the leader, and each successor after it. A leader that is behind with its work gave no sign of it.

Change: callbacks of the event loop, messages, responses and requests run guarded; an unexpected error is logged and ends its callback only. What would stop with a callback goes on: reads of a stream, the heartbeat, the refresh of leases, observations.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -326,10 +326,12 @@
     if (m_planRequested)
         return;
     m_planRequested = true;
-    auto since = std::chrono::duration_cast<std::chrono::microseconds>(m_hooks.clock() - m_lastPlan);
+    state::MonotonicTime now = m_hooks.clock();
+    auto since = std::chrono::duration_cast<std::chrono::microseconds>(now - m_lastPlan);
     std::chrono::microseconds interval
         = std::max<std::chrono::microseconds>(m_options.planInterval, m_planDuration * m_options.planIdleFactor);
     auto delay = std::max(std::chrono::microseconds(0), interval - since);
+    m_planDue = now + delay;
     m_loop.startTimer(delay, [this, alive = std::weak_ptr(m_alive)] {
         if (alive.expired())
             return;
@@ -340,24 +342,39 @@
 
 void BatchScheduler::refresh()
 {
-    for (auto& [id, session] : m_sessions)
-        session->checkLease();
-    requestPlan();
     m_loop.startTimer(m_options.planRefreshInterval, [this, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             refresh();
     });
+    for (auto& [id, session] : m_sessions) {
+        session->checkLease();
+        session->resumeObservation();
+    }
+    requestPlan();
 }
 
 void BatchScheduler::plan()
 {
     state::MonotonicTime begin = m_hooks.clock();
+    recordLag(begin);
     planRound();
     m_lastPlan = m_hooks.clock();
     m_planDuration = std::chrono::duration_cast<std::chrono::microseconds>(m_lastPlan - begin);
     m_metrics.observe("lentilsaddle_batch_plan_seconds", m_lastPlan - begin);
 }
 
+void BatchScheduler::recordLag(state::MonotonicTime begin)
+{
+    m_metrics.observe(
+        "lentilsaddle_batch_plan_lag_seconds", std::max(begin - m_planDue, state::MonotonicTime::duration(0)));
+    std::optional<std::chrono::milliseconds> lag = m_lag.record(m_planDue, begin);
+    if (!lag)
+        return;
+    writeLog(LogLevel::Warning, "scheduler", "leader is behind",
+        { { "term", std::to_string(m_term) }, { "lag_ms", std::to_string(lag->count()) },
+            { "plan_us", std::to_string(m_planDuration.count()) }, { "workers", std::to_string(m_sessions.size()) } });
+}
+
 void BatchScheduler::planRound()
 {
     if (!m_hooks.authorised())
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -11,6 +11,7 @@
 #include "coordination/decisions/WorkerQuarantine.h"
 #include "coordination/decisions/batch/BatchPlanner.h"
 #include "coordination/decisions/batch/CrashAttribution.h"
+#include "coordination/decisions/batch/LagMonitor.h"
 #include "coordination/decisions/batch/StartCheck.h"
 #include "coordination/decisions/batch/WorkerSpeed.h"
 #include "state/Time.h"
@@ -144,6 +145,8 @@
     void requestPlan();
     void refresh();
     void plan();
+    /// Reports that the leader is behind, if the round that begins now is late.
+    void recordLag(state::MonotonicTime begin);
     void planRound();
     void stopObsoleteRuns(const RunOverview& overview) const;
     void stopIncompleteGangs(const RunOverview& overview);
@@ -205,6 +208,9 @@
     WorkerQuarantine m_quarantine;
     WorkerSpeed m_speed;
     bool m_planRequested = false;
+    /// When the requested planning round is due.
+    state::MonotonicTime m_planDue {};
+    LagMonitor m_lag { {} };
     /// Nothing is placed until the directory has been read.
     bool m_waitingForDirectory = false;
     /// When the last planning round ended, and how long it took.
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -383,9 +383,9 @@
 
 void BatchTask::watchReadiness()
 {
+    loop().startTimer(readinessInterval, [this] { watchReadiness(); });
     updateReadiness();
     recordStreamAges();
-    loop().startTimer(readinessInterval, [this] { watchReadiness(); });
 }
 
 void BatchTask::recordStreamAges()
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -6,6 +6,7 @@
 #include "coordination/batch/SharedAppender.h"
 #include "protocol/ProtocolError.h"
 #include "protocol/batch/BatchRecordCodec.h"
+#include "transport/CallbackGuard.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
 
@@ -30,7 +31,7 @@
 {
     m_listedLeader.reset();
     for (const KeyedRecord& record : records)
-        applyRecord(record, listing);
+        transport::runGuarded("journal record", [&] { applyRecord(record, listing); });
     if (listing) {
         m_journalListed = true;
         m_leadership->start(m_listedLeader);
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -1,6 +1,7 @@
 #include "coordination/batch/KeyedReader.h"
 
 #include "coordination/batch/BatchOptions.h"
+#include "transport/CallbackGuard.h"
 #include "transport/EventLoop.h"
 
 #include <algorithm>
@@ -71,7 +72,8 @@
     m_position = *m_listingEnd;
     std::vector<KeyedRecord> listing = std::exchange(m_listing, {});
     markReachable();
-    m_hooks.onListing(listing);
+    // Without the next read, an unexpected error would end the stream.
+    transport::runGuarded("listing", [&] { m_hooks.onListing(listing); });
     read();
 }
 
@@ -145,13 +147,13 @@
     m_readBytes = std::min(m_readBytes * 2, m_options.maximumBytes);
     m_position = result.next;
     if (!result.records.empty())
-        m_hooks.onRecords(result.records);
+        transport::runGuarded("records", [&] { m_hooks.onRecords(result.records); });
     // A response that does not reach the end of the stream lacks the records that follow.
     if (m_position >= result.end) {
         m_currentAsOf = m_hooks.clock();
         completeWaiters(sent);
     }
-    m_hooks.afterRead();
+    transport::runGuarded("read", m_hooks.afterRead);
     bool behind = m_position < result.end;
     if (m_options.newestOnly && m_position + 1 < result.end)
         start();
--- a/coordination/batch/LeaderAppender.cpp
+++ b/coordination/batch/LeaderAppender.cpp
@@ -1,5 +1,6 @@
 #include "coordination/batch/LeaderAppender.h"
 
+#include "transport/CallbackGuard.h"
 #include "transport/EventLoop.h"
 
 #include <iterator>
@@ -112,7 +113,7 @@
         ++m_sequence;
         m_lastConfirmed = stored.firstSent;
         for (const auto& [callback, first] : stored.callbacks)
-            callback(result.firstOffset + first);
+            transport::runGuarded("append", [&] { callback(result.firstOffset + first); });
         // A callback may have queued records or ended the term.
         if (m_term == term)
             sendNext();
--- a/coordination/batch/Leadership.cpp
+++ b/coordination/batch/Leadership.cpp
@@ -216,12 +216,12 @@
 
 void Leadership::sendHeartbeat()
 {
+    scheduleHeartbeat();
     bool due = !m_appender.lastConfirmed()
         || m_hooks.clock()
             >= *m_appender.lastConfirmed() + m_options.heartbeatInterval - m_options.heartbeatInterval / 4;
     if (due && m_appender.idle())
         m_appender.append({ leaderRecord(m_claimedTerm, false) }, [](std::uint64_t) {});
-    scheduleHeartbeat();
 }
 
 void Leadership::append(std::vector<KeyedRecord> records, LeaderAppender::StoredCallback onStored)
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -86,6 +86,10 @@
     /// Observes the worker now, unless an observation is in flight.
     void observeNow();
 
+    /// Observes the worker if it has runs and no observation is in flight or due, as after an unexpected error, so that
+    /// no lease expires for want of a renewal.
+    void resumeObservation();
+
     /// @return whether a start may be sent to the worker, if it fits.
     bool acceptsStarts() const;
     /// @return whether new work may be planned for the worker.
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -29,6 +29,12 @@
         scheduleObservation(milliseconds(0));
 }
 
+void WorkerSession::resumeObservation()
+{
+    if (!m_allocations.empty() && !m_observing && m_observationTimer == 0)
+        scheduleObservation(milliseconds(0));
+}
+
 void WorkerSession::scheduleObservation(milliseconds delay)
 {
     m_loop.cancelTimer(m_observationTimer);
--- a/tests/coordination/batch/KeyedReaderTest.cpp
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <stdexcept>
 
 namespace lentilsaddle::coordination::batch {
 
@@ -49,6 +50,8 @@
         {
             m_delivered += records.size();
             for (const KeyedRecord& record : records) {
+                if (record.key == m_oddKey)
+                    throw std::out_of_range("unexpected value");
                 if (record.value)
                     m_keys.insert(record.key);
                 else
@@ -57,6 +60,7 @@
             }
         }
 
+        const std::string m_oddKey = "odd";
         FakeStore m_store;
         transport::EventLoop m_loop { [] {} };
         JournalHooks m_journal;
@@ -111,6 +115,16 @@
     EXPECT_TRUE(known);
 }
 
+// Guards against a stream that ends because one record could not be applied.
+TEST_F(KeyedReaderTest, ReadsOnAfterAnUnexpectedErrorWithARecord)
+{
+    startReader(shortOptions());
+    m_loop.startTimer(milliseconds(20), [this] { m_store.put(Stream::Directory, m_oddKey, "1"); });
+    m_loop.startTimer(milliseconds(60), [this] { m_store.put(Stream::Directory, "b", "1"); });
+    runFor(milliseconds(150));
+    EXPECT_TRUE(m_keys.contains("b"));
+}
+
 // Guards against a query that waits forever while the store is unresponsive.
 TEST_F(KeyedReaderTest, RefreshEndsAtItsLimit)
 {
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <atomic>
 #include <functional>
+#include <stdexcept>
 #include <thread>
 
 namespace lentilsaddle::transport {
@@ -384,6 +385,26 @@
     EXPECT_EQ(std::unique(seen.begin(), seen.end()) - seen.begin(), 4 * serverCount);
 }
 
+// Guards against one request, or one response, with which a handler fails unexpectedly, and that ends the whole process
+// or all later calls.
+TEST_F(HttpTest, UnexpectedErrorOfAHandlerEndsOnlyItsCall)
+{
+    serve([](const HttpRequest& request, const HttpResponder& respond) {
+        if (request.body == "odd")
+            throw std::out_of_range("unexpected value");
+        respond({ .status = 200, .headers = {}, .body = request.body });
+    });
+    m_client.send(call("first"), [](const HttpResult&) { throw std::out_of_range("unexpected value"); });
+    send(call("odd"));
+    send(call("even"));
+    m_loop.run();
+    std::vector<int> statuses;
+    for (const HttpResult& result : m_results)
+        statuses.push_back(result.response.status);
+    std::sort(statuses.begin(), statuses.end());
+    EXPECT_EQ(statuses, (std::vector<int> { 200, 500 }));
+}
+
 // Guards against a call without a response that lasts longer than its timeout, because only pauses are limited.
 TEST_F(HttpTest, ResponseThatDoesNotBeginFailsAtTheTimeout)
 {
--- a/tests/transport/TaskTest.cpp
+++ b/tests/transport/TaskTest.cpp
@@ -21,7 +21,12 @@
             if (m_failToStart)
                 throw std::runtime_error("no socket");
         }
-        void onMessage(int message) override { m_received.push_back(message); }
+        void onMessage(int message) override
+        {
+            m_received.push_back(message);
+            if (message < 0)
+                throw std::out_of_range("unexpected value");
+        }
     };
 
 } // namespace
@@ -40,6 +45,27 @@
         EXPECT_EQ(task.m_received[static_cast<std::size_t>(i)], i);
 }
 
+// Guards against one malformed message, or an unexpected error of a timer, that ends the whole process.
+TEST(Task, UnexpectedErrorEndsOnlyItsCallback)
+{
+    CollectingTask task;
+    task.start();
+    for (int message : { 1, -1, 2 })
+        task.post(message);
+    task.stop();
+    EXPECT_EQ(task.m_received, (std::vector<int> { 1, -1, 2 }));
+
+    EventLoop loop([] {});
+    bool laterTimerRan = false;
+    loop.startTimer(std::chrono::microseconds(0), [] { throw 1; });
+    loop.startTimer(std::chrono::milliseconds(5), [&] {
+        laterTimerRan = true;
+        loop.requestStop();
+    });
+    loop.run();
+    EXPECT_TRUE(laterTimerRan);
+}
+
 // Guards against a daemon that keeps running without its listening socket after onStart() has failed.
 TEST(Task, ExceptionInOnStartIsRethrownByStart)
 {
--- a/transport/EventLoop.cpp
+++ b/transport/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "transport/EventLoop.h"
 
+#include "transport/CallbackGuard.h"
 #include "transport/TransportError.h"
 
 #include <ev.h>
@@ -46,7 +47,7 @@
         auto* self = static_cast<Implementation*>(watcher->data);
         // The flag is read before the callback, which then handles every message posted before the stop.
         bool stop = self->stopping;
-        self->onWake();
+        runGuarded("wake", self->onWake);
         if (stop)
             ev_break(loop, EVBREAK_ALL);
     });
@@ -96,7 +97,7 @@
         [](struct ev_loop*, ev_timer* watcher, int) {
             auto* expired = static_cast<TimerWatcher*>(watcher->data);
             auto node = expired->owner->extract(expired->id);
-            node.mapped()->callback();
+            runGuarded("timer", node.mapped()->callback);
         },
         seconds > 0 ? seconds : 0, 0);
     entry->watcher.data = entry.get();
@@ -126,7 +127,8 @@
         [](struct ev_loop*, ev_io* watcher, int revents) {
             // The callback may unwatch its own descriptor; this copy of the pointer keeps it alive during the call.
             auto callback = static_cast<DescriptorWatcher*>(watcher->data)->callback;
-            (*callback)((revents & EV_READ) != 0, (revents & EV_WRITE) != 0);
+            runGuarded("descriptor",
+                [&callback, revents] { (*callback)((revents & EV_READ) != 0, (revents & EV_WRITE) != 0); });
         },
         descriptor, events);
     entry->watcher.data = entry.get();
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "transport/HttpClient.h"
 
+#include "transport/CallbackGuard.h"
 #include "transport/EventLoop.h"
 #include "transport/TransportError.h"
 
@@ -346,7 +347,7 @@
     HttpResult result = toResult(*call, code);
     Callback callback = std::move(call->callback);
     release(std::move(call));
-    callback(std::move(result));
+    runGuarded("response", [&] { callback(std::move(result)); });
 }
 
 void HttpClient::Implementation::checkProgress(CallId id)
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "transport/HttpServer.h"
 
+#include "transport/CallbackGuard.h"
 #include "transport/EventLoop.h"
 #include "transport/TransportError.h"
 
@@ -192,8 +193,13 @@
         return sendResponse(*exchange);
     }
     auto self = shared_from_this();
-    handler(std::move(exchange->request),
-        [self, exchange](HttpResponse response) { self->respond(exchange, std::move(response)); });
+    bool handled = runGuarded("request", [&] {
+        handler(std::move(exchange->request),
+            [self, exchange](HttpResponse response) { self->respond(exchange, std::move(response)); });
+    });
+    // The handler may have passed the request on, so the response does not say that it was not run.
+    if (!handled && !exchange->response)
+        exchange->response = HttpResponse { .status = 500, .headers = {}, .body = "" };
     if (exchange->response)
         return sendResponse(*exchange);
     MHD_suspend_connection(exchange->connection);
--- a/transport/Task.h
+++ b/transport/Task.h
@@ -2,6 +2,7 @@
 /// Thread that owns its event loop, sockets and state, and is accessed through messages only.
 #pragma once
 
+#include "transport/CallbackGuard.h"
 #include "transport/EventLoop.h"
 
 #include <deque>
@@ -88,7 +89,7 @@
             batch.swap(m_mailbox);
         }
         for (Message& message : batch)
-            onMessage(std::move(message));
+            runGuarded("message", [this, &message] { onMessage(std::move(message)); });
     }
 
     EventLoop m_loop;
