--- a/coordination/batch/LeaderAppender.cpp
+++ b/coordination/batch/LeaderAppender.cpp
@@ -55,7 +55,7 @@
     while (!m_current && !m_queue.empty() && m_term != 0) {
         Batch batch = takeBatch();
         if (batch.records.empty()) {
-            completeEmptyBatch(std::move(batch));
+            completeEmptyBatch(batch);
             continue;
         }
         m_current = std::move(batch);
@@ -80,7 +80,7 @@
     return batch;
 }
 
-void LeaderAppender::completeEmptyBatch(Batch batch)
+void LeaderAppender::completeEmptyBatch(const Batch& batch)
 {
     for (const auto& [callback, first] : batch.callbacks)
         callback(0);
@@ -112,8 +112,8 @@
         m_current.reset();
         ++m_sequence;
         m_lastConfirmed = stored.firstSent;
-        for (const auto& [callback, first] : stored.callbacks)
-            transport::runGuarded("append", [&] { callback(result.firstOffset + first); });
+        for (const auto& callback : stored.callbacks)
+            transport::runGuarded("append", [&] { callback.first(result.firstOffset + callback.second); });
         // A callback may have queued records or ended the term.
         if (m_term == term)
             sendNext();
--- a/coordination/batch/LeaderAppender.h
+++ b/coordination/batch/LeaderAppender.h
@@ -71,8 +71,8 @@
     void sendNext();
     Batch takeBatch();
     void send();
-    /// Calls back without an append if no records are queued.
-    void completeEmptyBatch(Batch batch);
+    /// Calls back for a batch without records, which needs no append.
+    static void completeEmptyBatch(const Batch& batch);
     void onResult(std::uint64_t term, const AppendResult& result);
 
     transport::EventLoop& m_loop;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -343,12 +343,13 @@
 // both, and against the headers or the body of one call in another call that reuses its handle.
 TEST_F(HttpTest, ServersOfAllGroupsKeepTheirConnections)
 {
-    constexpr int serverCount = 12;
+    constexpr std::size_t serverCount = 12;
     HttpClient client(
         m_loop, { .maximumConnectionsPerHost = 1, .maximumConnections = 4 * serverCount, .connectionGroups = 4 });
     std::vector<std::unique_ptr<HttpServer>> servers;
+    servers.reserve(serverCount);
     std::vector<std::string> seen;
-    for (int index = 0; index < serverCount; ++index) {
+    for (std::size_t index = 0; index < serverCount; ++index) {
         servers.push_back(std::make_unique<HttpServer>(
             m_loop, HttpServerOptions {}, [&seen](const HttpRequest& request, const HttpResponder& respond) {
                 seen.push_back(request.method + request.body + request.headers.at("mark"));
@@ -356,13 +357,13 @@
             }));
     }
     int connections = 0;
-    int finished = 0;
+    std::size_t finished = 0;
     // Each round waits for the one before, so that its calls reuse the handles.
     std::function<void(int)> startRound = [&](int round) {
-        for (int index = 0; index < serverCount; ++index) {
+        for (std::size_t index = 0; index < serverCount; ++index) {
             std::string mark = std::to_string(round) + "." + std::to_string(index);
             HttpCall call { .method = round % 2 == 0 ? "POST" : "GET",
-                .url = "http://127.0.0.1:" + std::to_string(servers[static_cast<std::size_t>(index)]->port()) + "/",
+                .url = "http://127.0.0.1:" + std::to_string(servers[index]->port()) + "/",
                 .headers = { { "mark", mark } },
                 .body = round % 2 == 0 ? mark : "" };
             client.send(call, [&, round, body = call.body](const HttpResult& result) {
@@ -380,9 +381,10 @@
     };
     startRound(0);
     m_loop.run();
-    EXPECT_EQ(connections, serverCount);
+    EXPECT_EQ(connections, static_cast<int>(serverCount));
     std::sort(seen.begin(), seen.end());
-    EXPECT_EQ(std::unique(seen.begin(), seen.end()) - seen.begin(), 4 * serverCount);
+    EXPECT_EQ(seen.size(), 4 * serverCount);
+    EXPECT_EQ(std::unique(seen.begin(), seen.end()), seen.end());
 }
 
 // Guards against one request, or one response, with which a handler fails unexpectedly, and that ends the whole process
