review: show a completed task that runs again after a late start (TWICE)

Takes the place of the cases on a 410 to a cancellation, which review/5 shows, and on crashes under a job, which the users allow after two crashes. The case of the probed worker moves to review/7.

--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -1,4 +1,5 @@
-// Guards against a cancellation that is answered with "no such job" although the job was accepted, and runs on.
+// Guards against a task that runs again after its completion, because a start request without a response reaches the
+// worker after a crash, when the worker has forgotten the run and the fencing token.
 #include "review/support-2/CaseRun.h"
 
 #include <nlohmann/json.hpp>
@@ -13,56 +14,78 @@
 
 namespace {
 
-    constexpr const char* job = "00000000000000a6";
-    constexpr const char* path = "/q1/00000000000000a6";
-    constexpr int occurrences = 10;
-    constexpr milliseconds interval { 2'500 };
-    // Longest cut of a single machine from the store that the site names.
-    constexpr milliseconds cutDuration { 5'500 };
-    // ack_ms and cancel_ms of the site.
-    constexpr std::int64_t acknowledgeMs = 4'000;
-    constexpr std::int64_t cancelMs = 3'000;
+    constexpr const char* job = "00000000000000e0";
+    constexpr const char* path = "/q1/00000000000000e0";
+    // Only the last of seven workers is in this rack.
+    constexpr const char* rack = "r-2";
+    constexpr const char* otherRack = "r-0";
+    constexpr int worker = 6;
+    // Other jobs in the time of the late order, which is thus one of 20 (0.05).
+    constexpr int otherJobs = 19;
+    constexpr milliseconds lateDelay { 5'000 };
+    constexpr milliseconds downTime { 2'000 };
+    constexpr milliseconds doneLimit { 5'000 };
+    // Time for the end to be acknowledged to the worker.
+    constexpr milliseconds acknowledgeTime { 1'000 };
+    constexpr milliseconds observationTime { 10'000 };
 
-    std::string submission()
+    std::string submission(const std::string& label)
     {
-        auto wall = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-        std::string payload = json { { "work_ms", 300 }, { "gpu", 1 } }.dump();
-        json step { { "count", 1 }, { "cpu", 1'000 }, { "mem_mb", 512 }, { "gpu", 1 }, { "estimate_ms", 300 } };
-        return json {
-            { "spec", payload }, { "steps", json::array({ step }) }, { "repeats", occurrences },
-            { "first_ms", wall.count() + 1'000 }, { "interval_ms", interval.count() }
-        }.dump();
+        std::string payload = json { { "work_ms", 700 }, { "gpu", 1 } }.dump();
+        json step { { "count", 1 }, { "cpu", 1'000 }, { "mem_mb", 512 }, { "gpu", 1 }, { "estimate_ms", 700 },
+            { "required_label", label } };
+        return json { { "spec", payload }, { "steps", json::array({ step }) } }.dump();
     }
 
-    Verdict cancelDuringCut(CaseRun& run)
+    std::string otherPath(int number)
+    {
+        return "/q1/00000000000000" + std::to_string(10 + number);
+    }
+
+    void crashWorker(CaseRun& run)
+    {
+        run.record("worker 6 crashes");
+        run.cluster().setWorkerProxy(worker, { soak::FaultProxyMode::Kind::Refuse });
+        run.cluster().restartWorker(worker);
+        std::this_thread::sleep_for(downTime);
+        run.cluster().setWorkerProxy(worker, {});
+        run.cluster().announceWorker(worker);
+        run.record("worker 6 runs again under its id, and has written its entry of the directory");
+    }
+
+    bool acknowledged(CaseRun& run)
+    {
+        json journal = run.cluster().workerJournal();
+        for (const json& span : journal.at("spans")) {
+            if (span.at("task").get<std::string>().starts_with(job) && span.at("how") == "done")
+                return span.at("acknowledged").get<bool>();
+        }
+        return false;
+    }
+
+    Verdict startLate(CaseRun& run)
     {
         int leader = run.leader();
-        int cutDaemon = (leader + 1) % run.cluster().options().daemons;
         if (run.trouble()) {
-            run.record("daemon " + std::to_string(cutDaemon) + " is cut off from the store");
-            run.cluster().setStoreProxy(cutDaemon, { soak::FaultProxyMode::Kind::Stall });
+            run.record("the next start request to worker 6 gets no response and arrives after 5 s");
+            run.cluster().controlWorkers({ { "late_start", worker }, { "late_ms", lateDelay.count() } });
         }
-        std::int64_t cutBegin = run.now();
-        std::this_thread::sleep_for(milliseconds(50));
-        if (run.call(leader, "POST", path, submission()) != 200)
+        if (run.call(leader, "POST", path, submission(rack)) != 200)
             throw std::runtime_error("the job was not accepted");
-        std::this_thread::sleep_for(milliseconds(50));
-        int status = run.call(cutDaemon, "DELETE", path);
-        std::int64_t answered = run.now();
-        bool acknowledged = status == 200 || status == 410;
-        while (run.now() < cutBegin + cutDuration.count())
-            std::this_thread::sleep_for(milliseconds(10));
-        run.cluster().setStoreProxy(cutDaemon, {});
-        run.record("the store can be reached from all daemons");
-        std::this_thread::sleep_for(interval * (occurrences - 1));
+        for (int number = 0; number < otherJobs; ++number)
+            run.call(leader, "POST", otherPath(number), submission(otherRack));
+        if (!CaseRun::waitUntil(doneLimit, [&] { return run.jobState(leader, path) == "completed"; }))
+            throw std::runtime_error("the job did not complete");
+        run.record("the job is shown as completed");
+        std::this_thread::sleep_for(acknowledgeTime);
+        bool noted = acknowledged(run);
+        run.record(noted ? "its end has been acknowledged to the worker" : "its end has not been acknowledged");
+        if (run.trouble())
+            crashWorker(run);
+        std::this_thread::sleep_for(observationTime);
         run.recordSpans(job);
         run.record("state of the job: " + run.jobState(leader, path));
-        int late = 0;
-        for (const CaseRun::Span& span : run.spans(job))
-            late += span.begin > answered + acknowledgeMs + cancelMs ? 1 : 0;
-        run.record(std::to_string(late) + " starts later than ack_ms + cancel_ms after the answer "
-            + std::to_string(status) + " to the cancellation");
-        return acknowledged && late > 0 ? Verdict::Broken : Verdict::Held;
+        return noted && run.spans(job).size() > 1 ? Verdict::Broken : Verdict::Held;
     }
 
 } // namespace
@@ -71,5 +94,5 @@
 
 int main(int argc, char** argv)
 {
-    return lentilsaddle::review::runCase(argc, argv, {}, lentilsaddle::review::cancelDuringCut);
+    return lentilsaddle::review::runCase(argc, argv, { .workers = 7 }, lentilsaddle::review::startLate);
 }
--- a/review/7/Case.cpp
+++ b/review/7/Case.cpp
@@ -1,9 +1,9 @@
-// Guards against an accepted job that is reported as failed because its workers crashed, although no run of it failed.
+// Guards against a worker that gets no work any more after the job that probes it was cancelled while its claim was
+// being stored.
 #include "review/support-2/CaseRun.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <thread>
 
 namespace lentilsaddle::review {
@@ -14,64 +14,91 @@
 
 namespace {
 
-    constexpr const char* job = "00000000000000a7";
-    constexpr const char* path = "/q1/00000000000000a7";
-    constexpr int crashes = 2;
-    // Time from the start of a run to the crash of its worker.
-    constexpr milliseconds crashDelay { 300 };
-    constexpr milliseconds downTime { 2'000 };
-    constexpr milliseconds startLimit { 15'000 };
-    constexpr milliseconds endLimit { 30'000 };
+    constexpr int workers = 13;
+    // Only the last worker is in this rack.
+    constexpr const char* probedRack = "r-4";
+    constexpr const char* otherRack = "r-0";
+    constexpr int worker = workers - 1;
+    constexpr int failures = 3;
+    // Time after which the leader tries a worker again on which three jobs have failed.
+    constexpr milliseconds quarantine { 8'000 };
+    // The usual time of an answer of the store.
+    constexpr int answerMs = 4;
+    // Longest time and largest share of cancellations that the site names.
+    constexpr milliseconds cancellationDuration { 5'500 };
+    constexpr int jobsForEachCancellation = 4;
+    // Cancellations follow the acceptance within this time.
+    constexpr int maximumCancelDelayMs = 8;
+    constexpr int maximumCancellations = 200;
+    constexpr int lastJob = 999;
+    constexpr milliseconds waitLimit { 10'000 };
+    constexpr milliseconds pause { 4'000 };
+    // Time that the last job is given, after the disruptions.
+    constexpr milliseconds runLimit { 20'000 };
 
-    std::string submission()
+    std::string jobPath(int number)
     {
-        std::string payload = json { { "work_ms", 4'000 }, { "gpu", 1 } }.dump();
-        json step { { "count", 1 }, { "cpu", 1'000 }, { "mem_mb", 512 }, { "gpu", 1 }, { "estimate_ms", 4'000 } };
+        return "/q1/000000000000d" + std::to_string(1'000 + number).substr(1);
+    }
+
+    std::string submission(int workMs, const std::string& rack)
+    {
+        std::string payload = json { { "work_ms", workMs }, { "gpu", 1 } }.dump();
+        json step { { "count", 1 }, { "cpu", 1'000 }, { "mem_mb", 512 }, { "gpu", 1 }, { "estimate_ms", workMs },
+            { "required_label", rack } };
         return json { { "spec", payload }, { "steps", json::array({ step }) } }.dump();
     }
 
-    int workerNumber(const CaseRun::Span& span)
+    bool ended(CaseRun& run, int number)
     {
-        return std::stoi(span.worker.substr(2));
+        std::vector<CaseRun::Span> spans = run.spans(jobPath(number).substr(4));
+        return !spans.empty() && spans.front().end;
     }
 
-    void crashWorker(CaseRun& run, int worker)
+    void startOnWorker(CaseRun& run, int leader)
     {
-        run.record("worker " + std::to_string(worker) + " crashes");
-        run.cluster().setWorkerProxy(worker, { soak::FaultProxyMode::Kind::Refuse });
-        run.cluster().restartWorker(worker);
-        std::this_thread::sleep_for(downTime);
-        run.cluster().setWorkerProxy(worker, {});
-        run.cluster().announceWorker(worker);
-        run.record("worker " + std::to_string(worker) + " runs again");
+        if (run.trouble()) {
+            run.record("worker 12 fails all that it starts");
+            run.cluster().controlWorkers({ { "failing", { worker } } });
+        }
+        for (int number = 0; number < failures; ++number)
+            run.call(leader, "POST", jobPath(number), submission(1'000, probedRack));
+        CaseRun::waitUntil(waitLimit, [&] { return ended(run, 0) && ended(run, 1) && ended(run, 2); });
+        run.cluster().controlWorkers({ { "failing", json::array() } });
+        run.record("worker 12 is sound from now on");
+        for (int number = 0; number < failures; ++number)
+            run.call(leader, "DELETE", jobPath(number));
     }
 
-    bool ended(const std::string& state)
+    void cancelQuarterOfJobs(CaseRun& run, int leader)
     {
-        return state == "completed" || state == "failed" || state == "cancelled";
+        std::int64_t end = run.now() + cancellationDuration.count();
+        int number = failures;
+        for (int count = 0; count < maximumCancellations && run.now() < end; ++count) {
+            for (int other = 1; other < jobsForEachCancellation; ++other)
+                run.call(leader, "POST", jobPath(number++), submission(50, otherRack));
+            if (run.call(leader, "POST", jobPath(number), submission(20'000, probedRack)) == 200) {
+                std::this_thread::sleep_for(milliseconds(count % (maximumCancelDelayMs + 1)));
+                run.call(leader, "DELETE", jobPath(number));
+            }
+            ++number;
+        }
     }
 
-    Verdict crashUnderJob(CaseRun& run)
+    Verdict cancelProbe(CaseRun& run)
     {
         int leader = run.leader();
-        if (run.call(leader, "POST", path, submission()) != 200)
-            throw std::runtime_error("the job was not accepted");
-        for (int crash = 0; run.trouble() && crash < crashes; ++crash) {
-            auto started = [&] { return static_cast<int>(run.spans(job).size()) > crash; };
-            if (!CaseRun::waitUntil(startLimit, started))
-                break;
-            std::this_thread::sleep_for(crashDelay);
-            crashWorker(run, workerNumber(run.spans(job).back()));
-        }
-        std::string state;
-        CaseRun::waitUntil(endLimit, [&] { return ended(state = run.jobState(leader, path)); });
-        run.recordSpans(job);
-        run.record("state of the job: " + state);
-        std::vector<CaseRun::Span> spans = run.spans(job);
-        auto failures = std::count_if(
-            spans.begin(), spans.end(), [](const CaseRun::Span& span) { return span.outcome == "failed"; });
-        run.record(std::to_string(failures) + " runs ended failed; max_attempts is 3");
-        return state == "failed" && failures < 3 ? Verdict::Broken : Verdict::Held;
+        run.cluster().controlStore({ { "begin", "usual" }, { "delay_ms", answerMs } });
+        startOnWorker(run, leader);
+        std::this_thread::sleep_for(quarantine);
+        cancelQuarterOfJobs(run, leader);
+        std::this_thread::sleep_for(pause);
+        run.call(leader, "POST", jobPath(lastJob), submission(500, probedRack));
+        bool completed
+            = CaseRun::waitUntil(runLimit, [&] { return run.jobState(leader, jobPath(lastJob)) == "completed"; });
+        run.recordSpans("000000000000d");
+        run.record("state of the last job: " + run.jobState(leader, jobPath(lastJob)));
+        return completed ? Verdict::Held : Verdict::Broken;
     }
 
 } // namespace
@@ -80,5 +107,5 @@
 
 int main(int argc, char** argv)
 {
-    return lentilsaddle::review::runCase(argc, argv, {}, lentilsaddle::review::crashUnderJob);
+    return lentilsaddle::review::runCase(argc, argv, { .workers = 13 }, lentilsaddle::review::cancelProbe);
 }
--- a/review/support-2/FailingRunnerHostTask.cpp
+++ b/review/support-2/FailingRunnerHostTask.cpp
@@ -26,6 +26,18 @@
         json control = standin::parseObject(request.body);
         if (control.contains("failing"))
             m_failing = control.at("failing").get<std::set<int>>();
+        if (control.contains("late_start")) {
+            m_lateStart = control.at("late_start").get<int>();
+            m_lateDelay = standin::millisecondsOr(control, "late_ms", std::chrono::milliseconds(0));
+        }
+    }
+    if (request.path == "/-/run-start" && m_lateStart == listener) {
+        m_lateStart.reset();
+        loop().startTimer(m_lateDelay, [this, listener, request, responder] {
+            BatchRunnerHostTask::onRequest(listener, request,
+                [responder](const transport::HttpResponse&) { responder(standin::droppedConnection()); });
+        });
+        return;
     }
     if (request.path == "/-/run-start" && m_failing.contains(listener)) {
         json command = standin::parseObject(request.body);
