--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -16,10 +16,10 @@
 
     constexpr const char* job = "00000000000000e0";
     constexpr const char* path = "/q1/00000000000000e0";
-    // Only the last of seven workers is in this rack.
-    constexpr const char* rack = "r-2";
+    // Only the last of ten workers is in this rack.
+    constexpr const char* rack = "r-3";
     constexpr const char* otherRack = "r-0";
-    constexpr int worker = 6;
+    constexpr int worker = 9;
     // Other jobs in the time of the late order, which is thus one of 20 (0.05).
     constexpr int otherJobs = 19;
     constexpr milliseconds lateDelay { 5'000 };
@@ -44,13 +44,13 @@
 
     void crashWorker(CaseRun& run)
     {
-        run.record("worker 6 crashes");
+        run.record("worker 9 crashes");
         run.cluster().setWorkerProxy(worker, { soak::FaultProxyMode::Kind::Refuse });
         run.cluster().restartWorker(worker);
         std::this_thread::sleep_for(downTime);
         run.cluster().setWorkerProxy(worker, {});
         run.cluster().announceWorker(worker);
-        run.record("worker 6 runs again under its id, and has written its entry of the directory");
+        run.record("worker 9 runs again under its id, and has written its entry of the directory");
     }
 
     bool acknowledged(CaseRun& run)
@@ -67,7 +67,7 @@
     {
         int leader = run.leader();
         if (run.trouble()) {
-            run.record("the next start request to worker 6 gets no response and arrives after 5 s");
+            run.record("the next start request to worker 9 gets no response and arrives after 5 s");
             run.cluster().controlWorkers({ { "late_start", worker }, { "late_ms", lateDelay.count() } });
         }
         if (run.call(leader, "POST", path, submission(rack)) != 200)
@@ -94,5 +94,5 @@
 
 int main(int argc, char** argv)
 {
-    return lentilsaddle::review::runCase(argc, argv, { .workers = 7 }, lentilsaddle::review::startLate);
+    return lentilsaddle::review::runCase(argc, argv, { .workers = 10 }, lentilsaddle::review::startLate);
 }
--- a/review/8/Case.cpp
+++ b/review/8/Case.cpp
@@ -17,8 +17,7 @@
 
     constexpr const char* job = "00000000000000a8";
     constexpr const char* path = "/q1/00000000000000a8";
-    constexpr int workers = 36;
-    // Two workers stay idle, so that the gang needs one of three failing workers.
+    // Two of 36 workers stay idle, so that the gang needs one of three failing workers.
     constexpr int members = 34;
     constexpr int accelerators = 8;
     // max_attempts of the queue.
@@ -78,6 +77,6 @@
 
 int main(int argc, char** argv)
 {
-    using namespace lentilsaddle::review;
-    return runCase(argc, argv, { .workers = workers, .accelerators = accelerators }, failGangTwice);
+    return lentilsaddle::review::runCase(
+        argc, argv, { .workers = 36, .accelerators = 8 }, lentilsaddle::review::failGangTwice);
 }
--- a/review/support-2/CaseRun.cpp
+++ b/review/support-2/CaseRun.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+    // Built by the build line of the deploy file; the cases run in the root of the project.
+    constexpr const char* daemonProgram = "target/daemon/lentilsaddled";
     constexpr milliseconds clientTimeout { 3'000 };
     constexpr milliseconds servingLimit { 20'000 };
 
@@ -36,7 +38,7 @@
     m_folder = pattern;
     m_cluster = std::make_unique<soak::SoakCluster>(soak::SoakCluster::Options {
         .folder = m_folder,
-        .daemonProgram = DAEMON_PROGRAM,
+        .daemonProgram = daemonPath(),
         .daemons = options.daemons,
         .workers = options.workers,
         .accelerators = options.accelerators,
@@ -53,6 +55,11 @@
     std::filesystem::remove_all(m_folder, ignored);
 }
 
+std::string CaseRun::daemonPath()
+{
+    return std::filesystem::absolute(daemonProgram).string();
+}
+
 std::int64_t CaseRun::now() const
 {
     return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_start).count();
--- a/review/support-2/CaseRun.h
+++ b/review/support-2/CaseRun.h
@@ -47,6 +47,10 @@
     /// @return whether the disruption is to be injected; false with TROUBLE=0 in the environment.
     bool trouble() const { return m_trouble; }
     soak::SoakCluster& cluster() { return *m_cluster; }
+    /// @return temporary folder with the settings and logs of the processes.
+    const std::string& folder() const { return m_folder; }
+    /// @return program of the daemons.
+    static std::string daemonPath();
 
     /// @return milliseconds since the start of the case.
     std::int64_t now() const;
