--- a/review/7/Case.cpp
+++ b/review/7/Case.cpp
@@ -24,12 +24,13 @@
     constexpr milliseconds quarantine { 8'000 };
     // The usual time of an answer of the store.
     constexpr int answerMs = 4;
-    // Longest time and largest share of cancellations that the site names.
-    constexpr milliseconds cancellationDuration { 5'500 };
+    // Below the longest time (5.5 s) and at the largest share of cancellations that the site names.
+    constexpr milliseconds cancellationDuration { 5'400 };
     constexpr int jobsForEachCancellation = 4;
     // Cancellations follow the acceptance within this time.
     constexpr int maximumCancelDelayMs = 8;
     constexpr int maximumCancellations = 200;
+    constexpr int firstOtherJob = 900;
     constexpr int lastJob = 999;
     constexpr milliseconds waitLimit { 10'000 };
     constexpr milliseconds pause { 4'000 };
@@ -63,6 +64,9 @@
         }
         for (int number = 0; number < failures; ++number)
             run.call(leader, "POST", jobPath(number), submission(1'000, probedRack));
+        // Jobs that are not cancelled, three for each that is.
+        for (int other = 0; other < failures * (jobsForEachCancellation - 1); ++other)
+            run.call(leader, "POST", jobPath(firstOtherJob + other), submission(50, otherRack));
         CaseRun::waitUntil(waitLimit, [&] { return ended(run, 0) && ended(run, 1) && ended(run, 2); });
         run.cluster().controlWorkers({ { "failing", json::array() } });
         run.record("worker 12 is sound from now on");
