--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -35,6 +35,7 @@
     , m_options(options)
     , m_worker(worker)
     , m_term(term)
+    , m_fencingTokens(term)
     , m_table(table)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
@@ -57,6 +58,7 @@
 {
     return {
         .clock = m_hooks.clock,
+        .nextFencingToken = [this] { return m_fencingTokens.next(); },
         .authorised = m_hooks.authorised,
         .mayRenew = m_hooks.mayRenew,
         .directoryCurrent = m_hooks.directoryCurrent,
@@ -75,8 +77,10 @@
     auto found = m_sessions.find(worker.id);
     if (found == m_sessions.end()) {
         auto session
-            = std::make_unique<WorkerSession>(m_loop, m_worker, m_options, m_term, worker, sessionHooks(worker.id));
+            = std::make_unique<WorkerSession>(m_loop, m_worker, m_options, worker, sessionHooks(worker.id));
         found = m_sessions.emplace(worker.id, std::move(session)).first;
+        // Shows the worker the fencing token of the session, also if there is no work for it.
+        found->second->observeNow();
     }
     return *found->second;
 }
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -11,6 +11,7 @@
 #include "coordination/decisions/WorkerQuarantine.h"
 #include "coordination/decisions/batch/BatchPlanner.h"
 #include "coordination/decisions/batch/CrashAttribution.h"
+#include "coordination/decisions/batch/FencingTokens.h"
 #include "coordination/decisions/batch/LagMonitor.h"
 #include "coordination/decisions/batch/StartCheck.h"
 #include "coordination/decisions/batch/WorkerSpeed.h"
@@ -183,6 +184,7 @@
     const BatchOptions& m_options;
     const WorkerHooks& m_worker;
     std::uint64_t m_term;
+    FencingTokens m_fencingTokens;
     const state::batch::BatchTable& m_table;
     transport::Metrics& m_metrics;
     Hooks m_hooks;
--- a/coordination/batch/WorkerHooks.h
+++ b/coordination/batch/WorkerHooks.h
@@ -24,18 +24,19 @@
     std::string checkpoint;
     /// End of the lease of all runs on the worker.
     WorkerTime leaseEnd { 0 };
-    std::uint64_t term = 0;
+    /// A worker refuses a request with a token below one that its incarnation has seen.
+    std::uint64_t fencingToken = 0;
 };
 
 struct StopRequest {
     state::batch::BatchTaskId task;
     std::int64_t run = 0;
-    std::uint64_t term = 0;
+    std::uint64_t fencingToken = 0;
 };
 
 /// Renews the lease, acknowledges ends and requests the lists of running and ended tasks.
 struct ObserveRequest {
-    std::uint64_t term = 0;
+    std::uint64_t fencingToken = 0;
     std::int64_t acknowledgedEnd = 0;
     /// Empty leaves the lease unchanged.
     std::optional<WorkerTime> leaseEnd;
@@ -46,7 +47,7 @@
 struct WorkerCallResult {
     enum class Status {
         Done,
-        /// The worker has seen a later term.
+        /// The worker has seen a higher fencing token; nothing was executed.
         Fenced,
         /// A run with this or a higher number has been stopped or has ended on the worker.
         StaleRun,
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -15,13 +15,13 @@
 using Status = WorkerCallResult::Status;
 
 WorkerSession::WorkerSession(transport::EventLoop& loop, const WorkerHooks& worker, const BatchOptions& options,
-    std::uint64_t term, state::batch::BatchWorker description, Hooks hooks)
+    state::batch::BatchWorker description, Hooks hooks)
     : m_loop(loop)
     , m_worker(worker)
     , m_options(options)
-    , m_term(term)
     , m_description(std::move(description))
     , m_hooks(std::move(hooks))
+    , m_fencingToken(m_hooks.nextFencingToken())
     , m_incarnation(m_description.incarnation)
     , m_clock(options.maximumClockDrift)
     , m_termStart(m_hooks.clock())
@@ -55,6 +55,18 @@
     m_hooks.onChanged();
 }
 
+WorkerSession::RequestOrigin WorkerSession::requestOrigin() const
+{
+    return { .sent = m_hooks.clock(), .incarnation = m_incarnation, .fencingToken = m_fencingToken };
+}
+
+WorkerCallResult WorkerSession::withoutOwnFence(const RequestOrigin& origin, WorkerCallResult result) const
+{
+    if (result.status == Status::Fenced && origin.fencingToken != m_fencingToken)
+        result.status = Status::NotDelivered;
+    return result;
+}
+
 void WorkerSession::inherit(const Allocation& allocation)
 {
     m_allocations[{ allocation.task, allocation.run }] = allocation;
@@ -106,13 +118,12 @@
         .payload = payload,
         .checkpoint = allocation.checkpoint,
         .leaseEnd = nextLeaseEnd(),
-        .term = m_term,
+        .fencingToken = m_fencingToken,
     };
     m_worker.start(m_description, request, m_options.startTimeout,
-        [this, key, incarnation = m_incarnation, payload, alive = std::weak_ptr(m_alive)](
-            const WorkerCallResult& result) {
+        [this, key, origin = requestOrigin(), payload, alive = std::weak_ptr(m_alive)](const WorkerCallResult& result) {
             if (!alive.expired())
-                onStarted(key, incarnation, payload, result);
+                onStarted(key, origin, payload, withoutOwnFence(origin, result));
         });
 }
 
@@ -154,20 +165,20 @@
     stop(key, "start request without a response");
 }
 
-void WorkerSession::updateFromResponse(std::int64_t incarnation, const WorkerCallResult& result)
+void WorkerSession::updateFromResponse(const RequestOrigin& origin, const WorkerCallResult& result)
 {
-    if (result.incarnation != 0 && !fromEarlierIncarnation(incarnation, result))
+    if (result.incarnation != 0 && !fromEarlierIncarnation(origin, result))
         updateIncarnation(result.incarnation);
     // A late response without an incarnation may carry the clock of an earlier one, which bounds no lease.
-    std::int64_t responder = result.incarnation != 0 ? result.incarnation : incarnation;
+    std::int64_t responder = result.incarnation != 0 ? result.incarnation : origin.incarnation;
     if (result.clock && responder == m_incarnation)
         m_clock.addReading(*result.clock, m_hooks.clock());
 }
 
 void WorkerSession::onStarted(
-    const AllocationKey& key, std::int64_t incarnation, const std::string& payload, const WorkerCallResult& result)
+    const AllocationKey& key, const RequestOrigin& origin, const std::string& payload, const WorkerCallResult& result)
 {
-    updateFromResponse(incarnation, result);
+    updateFromResponse(origin, result);
     auto found = m_allocations.find(key);
     if (found == m_allocations.end())
         return;
@@ -269,23 +280,23 @@
         return;
     }
     found->second.stopInFlight = true;
-    StopRequest request { .task = key.first, .run = key.second, .term = m_term };
+    StopRequest request { .task = key.first, .run = key.second, .fencingToken = m_fencingToken };
     m_worker.stop(m_description, request, m_options.requestTimeout,
-        [this, key, incarnation = m_incarnation, alive = std::weak_ptr(m_alive)](const WorkerCallResult& result) {
+        [this, key, origin = requestOrigin(), alive = std::weak_ptr(m_alive)](const WorkerCallResult& result) {
             if (!alive.expired())
-                onStopped(key, incarnation, result);
+                onStopped(key, origin, withoutOwnFence(origin, result));
         });
 }
 
-void WorkerSession::onStopped(const AllocationKey& key, std::int64_t incarnation, const WorkerCallResult& result)
+void WorkerSession::onStopped(const AllocationKey& key, const RequestOrigin& origin, const WorkerCallResult& result)
 {
-    updateFromResponse(incarnation, result);
+    updateFromResponse(origin, result);
     auto found = m_allocations.find(key);
     if (found == m_allocations.end())
         return;
     Allocation& allocation = found->second;
     allocation.stopInFlight = false;
-    if (incarnation != m_incarnation && result.status != Status::Fenced) {
+    if (origin.incarnation != m_incarnation && result.status != Status::Fenced) {
         // An earlier incarnation may have responded.
         sendStop(key);
         return;
@@ -334,27 +345,29 @@
         return;
     std::int64_t previous = std::exchange(m_incarnation, incarnation);
     m_endedIncarnations.erase(incarnation);
+    m_fencingToken = m_hooks.nextFencingToken();
+    m_fencingTokenConfirmed.reset();
     if (previous == 0)
         return;
     m_endedIncarnations.insert(previous);
     writeLog(LogLevel::Warning, "worker", "worker restarted",
         { { "worker", m_description.id.value() }, { "incarnation", std::to_string(incarnation) },
-            { "previous", std::to_string(previous) }, { "allocations", std::to_string(m_allocations.size()) } });
+            { "previous", std::to_string(previous) }, { "fencing_token", std::to_string(m_fencingToken) },
+            { "allocations", std::to_string(m_allocations.size()) } });
     m_clock.reset();
     m_latestLeaseEnd = milliseconds(0);
     m_earlierClockRequest = m_latestLeaseRequest;
     m_seenEnd = 0;
     m_acknowledgedEnd = 0;
-    m_observed = false;
     repeatStops();
     // The new incarnation may have executed starts, so only its list shows which runs have ended.
     observeNow();
 }
 
-bool WorkerSession::fromEarlierIncarnation(std::int64_t incarnation, const WorkerCallResult& result) const
+bool WorkerSession::fromEarlierIncarnation(const RequestOrigin& origin, const WorkerCallResult& result) const
 {
     // The known incarnation had started when a request was sent for it, so whatever responds to that one has followed.
-    return incarnation != m_incarnation && result.incarnation != m_incarnation;
+    return origin.incarnation != m_incarnation && result.incarnation != m_incarnation;
 }
 
 void WorkerSession::repeatStops()
@@ -406,7 +419,7 @@
 
 bool WorkerSession::acceptsStarts() const
 {
-    return m_listed && !m_description.draining && m_observed && m_reachable && m_clock.known();
+    return m_listed && !m_description.draining && m_fencingTokenConfirmed && m_reachable && m_clock.known();
 }
 
 bool WorkerSession::usable(state::MonotonicTime now) const
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -33,13 +33,15 @@
 
     struct Hooks {
         state::MonotonicClock clock;
+        /// Issues a fencing token above all that were issued in this term before.
+        std::function<std::uint64_t()> nextFencingToken;
         /// Whether the leader's lease is valid, so that runs may be started and stopped.
         std::function<bool()> authorised;
         /// Whether leases may be renewed now.
         std::function<bool()> mayRenew;
         /// Whether the known capacity of the worker is recent enough to start tasks.
         std::function<bool()> directoryCurrent;
-        /// The worker has seen a later term.
+        /// The worker has seen the fencing token of a later term.
         std::function<void()> onFenced;
         /// A run ended. The end stays listed until acknowledge().
         /// @param allocation allocation of the run, which has been removed; null if there was none.
@@ -55,7 +57,7 @@
     };
 
     WorkerSession(transport::EventLoop& loop, const WorkerHooks& worker, const BatchOptions& options,
-        std::uint64_t term, state::batch::BatchWorker description, Hooks hooks);
+        state::batch::BatchWorker description, Hooks hooks);
     ~WorkerSession();
 
     const state::batch::BatchWorker& description() const { return m_description; }
@@ -108,11 +110,24 @@
     void checkLease();
 
 private:
+    /// What the session knew when it sent a request.
+    struct RequestOrigin {
+        state::MonotonicTime sent {};
+        /// Known incarnation of the worker.
+        std::int64_t incarnation = 0;
+        std::uint64_t fencingToken = 0;
+    };
+
+    RequestOrigin requestOrigin() const;
+    /// @return the result; if the worker refused the request only for a higher token of this session, as one that was
+    /// not delivered.
+    WorkerCallResult withoutOwnFence(const RequestOrigin& origin, WorkerCallResult result) const;
     bool respondedRecently(state::MonotonicTime now) const;
     void scheduleObservation(std::chrono::milliseconds delay);
     void observe();
-    /// @param incarnation incarnation of the worker that was known when the request was sent.
-    void onObserved(state::MonotonicTime sent, std::int64_t incarnation, const Observation& observation);
+    void onObserved(const RequestOrigin& origin, const Observation& observation);
+    /// Records that the worker's incarnation has seen the current fencing token.
+    void confirmFencingToken(const RequestOrigin& origin, const WorkerCallResult& result);
     void onUnresponsive(const std::string& error);
     void applyLists(state::MonotonicTime sent, const Observation& observation);
     void applyEnds(const Observation& observation);
@@ -120,9 +135,8 @@
     /// Stops a run that an observation does not list, if a start request without a response may still be executed.
     void stopOutstandingStart(const AllocationKey& key, state::MonotonicTime sent);
     void updateIncarnation(std::int64_t incarnation);
-    /// @param incarnation incarnation of the worker that was known when the request was sent.
     /// @return whether an incarnation that has ended may have sent the response.
-    bool fromEarlierIncarnation(std::int64_t incarnation, const WorkerCallResult& result) const;
+    bool fromEarlierIncarnation(const RequestOrigin& origin, const WorkerCallResult& result) const;
     /// Sends the stops again that an earlier incarnation may have acknowledged.
     void repeatStops();
     bool startedOnEarlierIncarnation(const Allocation& allocation) const;
@@ -132,32 +146,35 @@
     /// @return whether a run that an observation does not list has ended and cannot start any more.
     /// @param sent when the observation was sent.
     bool endedUnlessListed(const Allocation& allocation, state::MonotonicTime sent) const;
-    /// @param incarnation incarnation of the worker that was known when the request was sent.
-    void updateFromResponse(std::int64_t incarnation, const WorkerCallResult& result);
+    void updateFromResponse(const RequestOrigin& origin, const WorkerCallResult& result);
     void sendStart(const AllocationKey& key, const std::string& payload);
-    /// @param incarnation incarnation of the worker that was known when the request was sent.
-    void onStarted(
-        const AllocationKey& key, std::int64_t incarnation, const std::string& payload, const WorkerCallResult& result);
+    void onStarted(const AllocationKey& key, const RequestOrigin& origin, const std::string& payload,
+        const WorkerCallResult& result);
     void onStartTimedOut(const AllocationKey& key, const std::string& payload);
     void retryStartLater(const AllocationKey& key, const std::string& payload);
     void abandonStart(const AllocationKey& key);
     void sendStop(const AllocationKey& key);
-    /// @param incarnation incarnation of the worker that was known when the request was sent.
-    void onStopped(const AllocationKey& key, std::int64_t incarnation, const WorkerCallResult& result);
+    void onStopped(const AllocationKey& key, const RequestOrigin& origin, const WorkerCallResult& result);
     /// Writes the outcome of a stop to the log.
     void logStop(const char* message, const AllocationKey& key, const WorkerCallResult& result, int failedStops) const;
     void declareAllLost(RunLoss loss);
     void declareLost(const AllocationKey& key, RunLoss loss);
     std::chrono::milliseconds nextLeaseEnd();
+    /// @return until when the worker may have executed a request with a lower fencing token than the current one.
+    state::MonotonicTime latestFencedExecution() const;
     /// @return when the lease of a run has ended at the latest, if the worker does not respond any more.
     state::MonotonicTime latestLeaseEnd(const Allocation& allocation) const;
 
     transport::EventLoop& m_loop;
     const WorkerHooks& m_worker;
     const BatchOptions& m_options;
-    std::uint64_t m_term;
     state::batch::BatchWorker m_description;
     Hooks m_hooks;
+    /// Token of the requests to the worker. It rises with each incarnation that becomes known, so that the new one
+    /// refuses the requests that were sent before.
+    std::uint64_t m_fencingToken;
+    /// When the first response arrived that shows that the known incarnation has seen the token; empty before.
+    std::optional<state::MonotonicTime> m_fencingTokenConfirmed;
     bool m_listed = true;
     std::int64_t m_incarnation = 0;
     /// Incarnations that another one has followed, which an old entry of the directory may name.
@@ -170,7 +187,6 @@
     /// When the last request was sent whose lease end was meant for the clock of an earlier incarnation.
     std::optional<state::MonotonicTime> m_earlierClockRequest;
     state::MonotonicTime m_termStart;
-    bool m_observed = false;
     bool m_reachable = false;
     bool m_observing = false;
     std::uint64_t m_observationTimer = 0;
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -53,35 +53,46 @@
     bool endsPending = m_seenEnd > m_acknowledgedEnd;
     bool stopConfirmationPending = std::any_of(m_allocations.begin(), m_allocations.end(),
         [](const auto& entry) { return entry.second.phase == Phase::StopAcknowledged && !entry.second.startResolved; });
-    bool wait = m_observed && m_reachable && !endsPending && !m_allocations.empty() && !stopConfirmationPending;
+    bool wait
+        = m_fencingTokenConfirmed && m_reachable && !endsPending && !m_allocations.empty() && !stopConfirmationPending;
     // The lease of an unresponsive worker is left to expire: each attempt to renew it could still take effect.
     bool renew = m_clock.known() && !m_unresponsiveSince;
     ObserveRequest request {
-        .term = m_term,
+        .fencingToken = m_fencingToken,
         .acknowledgedEnd = m_acknowledgedEnd,
         .leaseEnd = renew ? std::optional(nextLeaseEnd()) : std::nullopt,
         .wait = wait ? m_options.observeWait : milliseconds(0),
     };
     m_observing = true;
     m_worker.observe(m_description, request, m_options.requestTimeout,
-        [this, sent = m_hooks.clock(), incarnation = m_incarnation, alive = std::weak_ptr(m_alive)](
-            const Observation& observation) {
+        [this, origin = requestOrigin(), alive = std::weak_ptr(m_alive)](const Observation& observation) {
             if (!alive.expired())
-                onObserved(sent, incarnation, observation);
+                onObserved(origin, observation);
         });
 }
 
-void WorkerSession::onObserved(state::MonotonicTime sent, std::int64_t incarnation, const Observation& observation)
+void WorkerSession::confirmFencingToken(const RequestOrigin& origin, const WorkerCallResult& result)
+{
+    bool seen
+        = origin.fencingToken == m_fencingToken && (result.incarnation == 0 || result.incarnation == m_incarnation);
+    if (seen && !m_fencingTokenConfirmed)
+        m_fencingTokenConfirmed = m_hooks.clock();
+}
+
+void WorkerSession::onObserved(const RequestOrigin& origin, const Observation& observation)
 {
     m_observing = false;
     switch (observation.result.status) {
     case Status::Fenced:
-        m_hooks.onFenced();
+        if (origin.fencingToken == m_fencingToken)
+            m_hooks.onFenced();
+        else
+            scheduleObservation(milliseconds(0));
         return;
     case Status::Done:
         break;
     case Status::OtherIncarnation:
-        if (incarnation != m_incarnation) {
+        if (origin.incarnation != m_incarnation) {
             // The response shows only that the incarnation has ended that the request was meant for.
             scheduleObservation(milliseconds(0));
             return;
@@ -95,25 +106,27 @@
         onUnresponsive(observation.result.error);
         return;
     }
-    if (observation.result.incarnation != 0 && fromEarlierIncarnation(incarnation, observation.result)) {
+    if (observation.result.incarnation != 0 && fromEarlierIncarnation(origin, observation.result)) {
         // A delayed response of an earlier incarnation does not describe this one.
         scheduleObservation(milliseconds(0));
         return;
     }
     bool clockWasKnown = m_clock.known();
-    updateFromResponse(incarnation, observation.result);
+    updateFromResponse(origin, observation.result);
+    confirmFencingToken(origin, observation.result);
     bool wasUsable = usable(m_hooks.clock());
     if (m_unresponsiveSince)
         writeLog(LogLevel::Info, "worker", "responds again", { { "worker", m_description.id.value() } });
     m_unresponsiveSince.reset();
     m_reachable = true;
-    m_observed = true;
     m_lastResponse = m_hooks.clock();
-    applyLists(sent, observation);
+    applyLists(origin.sent, observation);
     if (usable(m_hooks.clock()) != wasUsable)
         m_hooks.onChanged();
-    if (!clockWasKnown && !m_allocations.empty()) {
-        // The lease could not be renewed before the clock was known.
+    // Before the clock was known, the lease could not be renewed. The token is raised by the response that names a new
+    // incarnation.
+    bool observeAgain = (!clockWasKnown && !m_allocations.empty()) || !m_fencingTokenConfirmed;
+    if (observeAgain) {
         scheduleObservation(milliseconds(0));
         return;
     }
@@ -156,6 +169,16 @@
         declareLost(key, loss);
 }
 
+state::MonotonicTime WorkerSession::latestFencedExecution() const
+{
+    if (m_fencingTokenConfirmed)
+        return *m_fencingTokenConfirmed;
+    if (m_earlierClockRequest)
+        return std::max(*m_earlierClockRequest, m_unresponsiveSince.value_or(m_hooks.clock()));
+    // An earlier leader claimed runs only after the incarnation had seen its token.
+    return m_termStart;
+}
+
 state::MonotonicTime WorkerSession::latestLeaseEnd(const Allocation& allocation) const
 {
     auto longestDuration = [this](milliseconds lease) {
@@ -167,13 +190,8 @@
     state::MonotonicTime end = latestRenewal + longestDuration(m_options.workerLease);
     if (m_clock.known() && m_latestLeaseEnd.count() > 0)
         end = std::max(end, m_clock.latestTimeOf(m_latestLeaseEnd));
-    // The new incarnation may have executed a request for the earlier clock, also long after it was sent, and shortened
-    // its lease only to the longest one.
-    if (m_earlierClockRequest) {
-        state::MonotonicTime latestExecution
-            = std::max(*m_earlierClockRequest, m_unresponsiveSince.value_or(m_hooks.clock()));
-        end = std::max(end, latestExecution + longestDuration(m_options.longestWorkerLease));
-    }
+    // A request for the clock of an earlier incarnation is shortened by the next one only to the longest lease.
+    end = std::max(end, latestFencedExecution() + longestDuration(m_options.longestWorkerLease));
     bool restarted = startedOnEarlierIncarnation(allocation);
     if (allocation.listed && !restarted && !allocation.startOutstanding())
         return end;
--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -90,8 +90,28 @@
 }
 
 // Guards against a second run beside one on a new incarnation, whose lease a renewal without a response has extended
-// late: its end was meant for the clock of the last incarnation, so it is shortened there only to the longest lease.
+// before the incarnation saw a higher token: its end was meant for the clock of the last incarnation, so it is
+// shortened there only to the longest lease.
 TEST_F(BatchTaskTest, RenewalExecutedLateByTheNextIncarnationExtendsTheLease)
+{
+    auto task = startInstance("e-1");
+    // The leases of an earlier leader would have expired then.
+    std::this_thread::sleep_for(shortOptions().workerLease + shortOptions().renewalGrace);
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.delayNextRenewalUntilRestart();
+    ASSERT_TRUE(waitUntil([this] { return m_workers.renewalWaitsForRestart(); }));
+    m_workers.restart("w1");
+    ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
+    EXPECT_GT(m_workers.remainingLease("w1"), shortOptions().workerLease);
+    m_workers.makeUnreachable("w1");
+    m_store.put(Stream::Directory, "w2", "ready");
+    EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 3; }, milliseconds(6'000)));
+    EXPECT_FALSE(m_workers.ranTwice());
+}
+
+// Guards against the same if the renewal arrives when the incarnation has seen a request that was sent for it.
+TEST_F(BatchTaskTest, RenewalExecutedLateByTheNextIncarnationIsRefused)
 {
     auto task = startInstance("e-1");
     // The leases of an earlier leader would have expired then.
@@ -106,7 +126,7 @@
     ASSERT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 2; }));
     // The renewal may have been sent a little later.
     std::this_thread::sleep_until(executed + milliseconds(200));
-    EXPECT_GT(m_workers.remainingLease("w1"), shortOptions().workerLease);
+    EXPECT_LE(m_workers.remainingLease("w1"), shortOptions().workerLease);
     m_workers.makeUnreachable("w1");
     m_store.put(Stream::Directory, "w2", "ready");
     EXPECT_TRUE(waitUntil([this] { return m_workers.starts(taskName) == 3; }, milliseconds(6'000)));
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -103,6 +103,21 @@
         m_nextRenewalDelay = delay;
     }
 
+    /// The next observe request to any worker that extends the lease has no response, and is executed by the worker's
+    /// next incarnation as soon as it starts.
+    void delayNextRenewalUntilRestart()
+    {
+        std::lock_guard lock(m_mutex);
+        m_delayRenewalUntilRestart = true;
+    }
+
+    /// @return whether a renewal waits for the restart of its worker.
+    bool renewalWaitsForRestart()
+    {
+        std::lock_guard lock(m_mutex);
+        return !m_renewalsAtRestart.empty();
+    }
+
     /// @return whether a renewal still has to be delayed.
     bool renewalDelayPending()
     {
@@ -136,6 +151,8 @@
     {
         std::lock_guard lock(m_mutex);
         restartAs(m_workers[worker], m_workers[worker].incarnation + 1);
+        if (auto renewal = m_renewalsAtRestart.extract(worker))
+            executeObservation(worker, renewal.mapped());
     }
 
     /// Restarts a worker whose time of day was set back before, so that its incarnation is lower than the last one.
@@ -296,7 +313,7 @@
 
 private:
     struct Worker {
-        std::uint64_t term = 0;
+        std::uint64_t fencingToken = 0;
         std::map<std::string, std::int64_t> running;
         std::map<std::string, std::int64_t> highestEnded;
         std::vector<EndedTask> ended;
@@ -366,6 +383,21 @@
         worker.leaseEnd = std::max(worker.leaseEnd, std::min(end, clockOf(worker) + longestLease));
     }
 
+    // As on the platform, a request with a lower fencing token has no effect.
+    // @return whether it was executed.
+    bool executeObservation(const std::string& id, const ObserveRequest& request)
+    {
+        Worker& worker = m_workers[id];
+        if (request.fencingToken < worker.fencingToken)
+            return false;
+        worker.fencingToken = request.fencingToken;
+        if (request.leaseEnd)
+            extendLease(worker, *request.leaseEnd);
+        worker.acknowledged = std::max(worker.acknowledged, request.acknowledgedEnd);
+        std::erase_if(worker.ended, [&](const EndedTask& ended) { return ended.number <= request.acknowledgedEnd; });
+        return true;
+    }
+
     // Ends the runs on unreachable and on unhealthy workers whose lease has expired.
     void expireLeases()
     {
@@ -407,7 +439,7 @@
         Worker& worker = m_workers[id];
         WorkerCallResult result { .status = WorkerCallResult::Status::Done, .clock = clockOf(worker) };
         std::string task = request.task.toString();
-        if (request.term < worker.term)
+        if (request.fencingToken < worker.fencingToken)
             result.status = WorkerCallResult::Status::Fenced;
         else if (worker.highestEnded.contains(task) && request.run <= worker.highestEnded[task])
             result.status = WorkerCallResult::Status::StaleRun;
@@ -415,7 +447,7 @@
             result.status = WorkerCallResult::Status::LeaseExpired;
         if (result.status != WorkerCallResult::Status::Done)
             return result;
-        worker.term = request.term;
+        worker.fencingToken = request.fencingToken;
         if (worker.running.contains(task) && worker.running[task] == request.run)
             return result;
         extendLease(worker, request.leaseEnd);
@@ -489,7 +521,7 @@
         }
         std::string task = request.task.toString();
         WorkerCallResult result { .status = WorkerCallResult::Status::Done, .clock = clockOf(target) };
-        if (request.term < target.term) {
+        if (request.fencingToken < target.fencingToken) {
             result.status = WorkerCallResult::Status::Fenced;
         } else if (target.running.contains(task) && target.running[task] == request.run) {
             end(target, task, request.run, EndedTask::Reason::Stopped);
@@ -535,13 +567,17 @@
         if (request.leaseEnd && m_nextRenewalDelay.count() > 0) {
             loop.startTimer(std::exchange(m_nextRenewalDelay, {}), [this, id = worker.id.value(), request] {
                 std::lock_guard innerLock(m_mutex);
-                extendLease(m_workers[id], *request.leaseEnd);
+                executeObservation(id, request);
             });
             loop.startTimer(timeout, [reply] { reply({}); });
             return;
         }
-        if (request.leaseEnd)
-            extendLease(target, *request.leaseEnd);
+        if (request.leaseEnd && std::exchange(m_delayRenewalUntilRestart, false)) {
+            m_renewalsAtRestart[worker.id.value()] = request;
+            loop.startTimer(timeout, [reply] { reply({}); });
+            return;
+        }
+        bool executed = executeObservation(worker.id.value(), request);
         if (refusalsOf(worker).loseObservations) {
             loop.startTimer(timeout, [reply] { reply({}); });
             return;
@@ -549,14 +585,11 @@
         Observation observation;
         observation.result
             = { .status = WorkerCallResult::Status::Done, .clock = clockOf(target), .incarnation = target.incarnation };
-        if (request.term < target.term) {
+        if (!executed) {
             observation.result.status = WorkerCallResult::Status::Fenced;
             respond(loop, reply, observation);
             return;
         }
-        target.term = request.term;
-        target.acknowledged = std::max(target.acknowledged, request.acknowledgedEnd);
-        std::erase_if(target.ended, [&](const EndedTask& ended) { return ended.number <= request.acknowledgedEnd; });
         if (target.ended.empty() && wait.count() > 0) {
             std::chrono::milliseconds step { 2 };
             loop.startTimer(
@@ -584,6 +617,8 @@
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     std::chrono::milliseconds m_otherWorkersResponseDelay { 0 };
     std::chrono::milliseconds m_nextRenewalDelay { 0 };
+    bool m_delayRenewalUntilRestart = false;
+    std::map<std::string, ObserveRequest> m_renewalsAtRestart;
     bool m_ranTwice = false;
     int m_observations = 0;
     bool m_listsCut = false;
--- a/tests/platform/InterruptedCallTest.cpp
+++ b/tests/platform/InterruptedCallTest.cpp
@@ -57,8 +57,8 @@
         {
             WorkerCallResult received;
             m_platform.worker.start(m_worker,
-                { .run = 1, .payload = std::string(size, 'x'), .leaseEnd = callTimeout, .term = 1 }, callTimeout,
-                [&](WorkerCallResult result) {
+                { .run = 1, .payload = std::string(size, 'x'), .leaseEnd = callTimeout, .fencingToken = 1 },
+                callTimeout, [&](WorkerCallResult result) {
                     received = std::move(result);
                     m_loop.requestStop();
                 });
@@ -69,10 +69,11 @@
         WorkerCallResult stop()
         {
             WorkerCallResult received;
-            m_platform.worker.stop(m_worker, { .run = 1, .term = 1 }, callTimeout, [&](WorkerCallResult result) {
-                received = std::move(result);
-                m_loop.requestStop();
-            });
+            m_platform.worker.stop(
+                m_worker, { .run = 1, .fencingToken = 1 }, callTimeout, [&](WorkerCallResult result) {
+                    received = std::move(result);
+                    m_loop.requestStop();
+                });
             m_loop.run();
             return received;
         }
--- a/tests/platform/LostResponseTest.cpp
+++ b/tests/platform/LostResponseTest.cpp
@@ -55,7 +55,7 @@
         WorkerCallResult start()
         {
             WorkerCallResult received;
-            m_platform.worker.start(m_worker, { .run = 1, .payload = "x", .leaseEnd = callTimeout, .term = 1 },
+            m_platform.worker.start(m_worker, { .run = 1, .payload = "x", .leaseEnd = callTimeout, .fencingToken = 1 },
                 callTimeout, [&](WorkerCallResult result) {
                     received = std::move(result);
                     m_loop.requestStop();
@@ -67,7 +67,7 @@
         Observation observe()
         {
             Observation received;
-            m_platform.worker.observe(m_worker, { .term = 1 }, callTimeout, [&](Observation observation) {
+            m_platform.worker.observe(m_worker, { .fencingToken = 1 }, callTimeout, [&](Observation observation) {
                 received = std::move(observation);
                 m_loop.requestStop();
             });
