End a worker's probe with its last run (LOST)

Cause: the quarantine of a worker keeps the name of its probe until an event ends it, and startClaimed() cancelled the reservation of a probe whose job had been cancelled in the meantime without telling it.

Change: the probe holds its worker from the reservation on, so the planner ends it in each round in which the worker has neither a run nor a reservation, whatever way the run went. The options of the quarantine are part of the batch options, so that a test can shorten them.

Tests: WorkerIsProbedAgainAfterItsProbeWasCancelledBeforeItsStart failed before and passes now. WorkerIsProbedAgainAfterItsProbeWasLost passed before as well.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -2,6 +2,8 @@
 /// Timing and limits of batch scheduling.
 #pragma once
 
+#include "coordination/decisions/WorkerQuarantine.h"
+
 #include <chrono>
 #include <cstddef>
 
@@ -112,6 +114,12 @@
     std::chrono::milliseconds planRefreshInterval { 400 };
     /// How early an occurrence may start before its due time.
     std::chrono::milliseconds earlyStart { 0 };
+    /// Consecutive failures of different jobs after which a worker is quarantined, and the duration of a quarantine.
+    WorkerQuarantine::Options quarantine {
+        .failures = 3,
+        .duration = std::chrono::seconds(8),
+        .maximumDuration = std::chrono::minutes(10),
+    };
     /// Longest wait of a query or cancellation for the read that may bring an unknown job.
     std::chrono::milliseconds lookupTimeout { 300 };
 };
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -18,17 +18,6 @@
 using transport::writeLog;
 using TaskPhase = BatchTaskState::Phase;
 
-namespace {
-
-    // Consecutive failures of different jobs after which a worker is quarantined, and the duration of a quarantine.
-    constexpr WorkerQuarantine::Options quarantineOptions {
-        .failures = 3,
-        .duration = std::chrono::seconds(8),
-        .maximumDuration = std::chrono::minutes(10),
-    };
-
-} // namespace
-
 BatchScheduler::BatchScheduler(transport::EventLoop& loop, const BatchOptions& options, const WorkerHooks& worker,
     std::uint64_t term, const state::batch::BatchTable& table, transport::Metrics& metrics, Hooks hooks)
     : m_loop(loop)
@@ -39,7 +28,7 @@
     , m_table(table)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
-    , m_quarantine(quarantineOptions)
+    , m_quarantine(options.quarantine)
 {
 }
 
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -229,6 +229,9 @@
             if (next->entry && mayCrashWorkers(next->entry->task(allocation.task)))
                 view.isolatedStartPending = true;
         }
+        // The run of a probe holds the worker from its reservation on, so no event needs to tell that it is gone.
+        if (!occupied)
+            m_quarantine.probeVanished(id);
         if (!session->usable(input.now))
             continue;
         auto quarantine = m_quarantine.state(id, input.now);
--- a/coordination/decisions/WorkerQuarantine.cpp
+++ b/coordination/decisions/WorkerQuarantine.cpp
@@ -48,6 +48,12 @@
         found->second.probe = state::JobId();
 }
 
+void WorkerQuarantine::probeVanished(const state::WorkerId& worker)
+{
+    if (auto found = m_histories.find(worker); found != m_histories.end())
+        found->second.probe = state::JobId();
+}
+
 WorkerQuarantine::State WorkerQuarantine::state(const state::WorkerId& worker, state::MonotonicTime now) const
 {
     auto found = m_histories.find(worker);
--- a/coordination/decisions/WorkerQuarantine.h
+++ b/coordination/decisions/WorkerQuarantine.h
@@ -40,6 +40,8 @@
     void probeStarted(const state::WorkerId& worker, const state::JobId& job);
     /// Records that a gang ended without a result from the worker, so that the probe may be repeated.
     void probeAbandoned(const state::WorkerId& worker, const state::JobId& job);
+    /// The same if the worker has no run any more, whatever job was its probe.
+    void probeVanished(const state::WorkerId& worker);
 
     State state(const state::WorkerId& worker, state::MonotonicTime now) const;
 
--- a/coordination/jobs/GangScheduler.h
+++ b/coordination/jobs/GangScheduler.h
@@ -109,7 +109,8 @@
     void planProbes(const std::vector<QueuedJob>& queue, state::MonotonicTime now);
     std::vector<QueuedJob> eligibleJobs(state::MonotonicTime now);
     bool isEligible(const state::JobTable::Job& job, state::MonotonicTime now) const;
-    void claimStart(const PlacementPlan::Start& start);
+    /// @return whether the job was claimed.
+    bool claimStart(const PlacementPlan::Start& start);
     void abandonProbes(const state::Record::StartClaim& claim);
     void dropClaim(const state::JobId& job);
     bool mayStartWithoutLog(const state::JobSpecification& job) const;
--- a/coordination/jobs/GangSchedulerPlanning.cpp
+++ b/coordination/jobs/GangSchedulerPlanning.cpp
@@ -210,16 +210,17 @@
             continue;
         const PlacementPlan::Start& probe = plan.starts.front();
         m_fleet.quarantine().probeStarted(worker, probe.job);
-        claimStart(probe);
+        if (!claimStart(probe))
+            m_fleet.quarantine().probeAbandoned(worker, probe.job);
     }
 }
 
-void GangScheduler::claimStart(const PlacementPlan::Start& start)
+bool GangScheduler::claimStart(const PlacementPlan::Start& start)
 {
     const JobId& id = start.job;
     const JobTable::Job* job = m_table.find(id);
     if (!job || m_pendingClaims.contains(id) || m_runner.find(id))
-        return;
+        return false;
     Record::StartClaim claim { .job = id,
         .attempt = job->attempts + 1,
         .token = { .epoch = m_epoch, .sequence = ++m_sequence },
@@ -231,7 +232,7 @@
     } catch (const state::StateError& error) {
         transport::writeLog(transport::LogLevel::Error, "scheduler",
             "the placement policy chose allocated accelerators", { { "job", id.value() }, { "error", error.what() } });
-        return;
+        return false;
     }
     m_environment.faultPoint("job.before_claim");
     m_outbox.enqueue(claimKey(id), claim);
@@ -239,6 +240,7 @@
         m_pendingClaims[id] = claim;
     else
         m_runner.begin(job->specification, claim);
+    return true;
 }
 
 void GangScheduler::dropClaim(const JobId& job)
