Count each failed run of a gang once (LOST)

Cause: the record of a member held the number of its failed runs and the last of them. The failures of a gang were the sum over its members less one for each member whose last failed run is another member's, so a failure that members shared counted twice as soon as one of them failed again.

Change: the record holds the numbers of all failed runs of the member, and the failures of a gang are the number of different ones. One number is stored as before; several are stored as a list, which an instance of an earlier version does not read. For records that name only the last run, the largest count of a member is the lower bound.

Related path: a failure that a worker lists after its run was taken for lost was acknowledged and not counted. It is counted now when the task is queued again, in the way of late crashes.

Tests that named the last failed run name the list of runs, with the same expectations.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -65,8 +65,7 @@
 {
     auto found = m_sessions.find(worker.id);
     if (found == m_sessions.end()) {
-        auto session
-            = std::make_unique<WorkerSession>(m_loop, m_worker, m_options, worker, sessionHooks(worker.id));
+        auto session = std::make_unique<WorkerSession>(m_loop, m_worker, m_options, worker, sessionHooks(worker.id));
         found = m_sessions.emplace(worker.id, std::move(session)).first;
         // Shows the worker the fencing token of the session, also if there is no work for it.
         found->second->observeNow();
@@ -374,6 +373,7 @@
         return;
     checkExpiredWorkers();
     storeLateCrashes();
+    storeLateFailures();
     RunOverview overview(m_sessions, m_table);
     stopObsoleteRuns(overview);
     stopIncompleteGangs(overview);
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -104,6 +104,12 @@
         bool attributed = false;
     };
 
+    /// Failure of a run that was listed after the run had been taken for lost.
+    struct LateFailure {
+        state::batch::BatchTaskId task;
+        std::int64_t run = 0;
+    };
+
     WorkerSession& sessionFor(const state::batch::BatchWorker& worker);
     WorkerSession::Hooks sessionHooks(const state::WorkerId& worker);
     void inheritClaims(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
@@ -133,6 +139,14 @@
     void checkExpiredWorkers();
     /// Stores crashes of such workers under tasks that are queued.
     void storeLateCrashes();
+    /// Stores late failures of tasks that are queued.
+    void storeLateFailures();
+    /// @return whether the task has ended, so that a late crash or failure changes nothing.
+    bool lateChangeObsolete(const state::batch::BatchTaskId& task) const;
+    /// @return whether the record of the task may be written now. That of a claimed one follows when its run ends.
+    bool mayStoreLateChange(const state::batch::BatchTaskId& task) const;
+    /// Stores states of queued tasks, which are not claimed until then.
+    void storeLateStates(TaskStates states);
     void onRunning(const state::WorkerId& worker, const Allocation& allocation);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     /// Stores the states that follow from ends listed by an incarnation of a worker, then acknowledges the ends.
@@ -191,7 +205,7 @@
     std::map<state::WorkerId, std::unique_ptr<WorkerSession>> m_sessions;
     /// By worker and incarnation, because the numbers of ends restart with each incarnation.
     std::map<std::pair<state::WorkerId, std::int64_t>, PendingEnds> m_pendingEnds;
-    /// Tasks for which a claim or a late crash is being stored.
+    /// Tasks for which a claim, a late crash or a late failure is being stored.
     std::set<state::batch::BatchTaskId> m_claiming;
     /// Tasks whose completion is being stored.
     std::set<state::batch::BatchTaskId> m_completing;
@@ -203,6 +217,7 @@
     std::map<state::WorkerId, std::vector<Allocation>> m_crashedRuns;
     std::map<state::WorkerId, ExpiredWorker> m_expiredWorkers;
     std::vector<LateCrash> m_lateCrashes;
+    std::vector<LateFailure> m_lateFailures;
     /// Incarnations that have announced their shutdown.
     std::map<state::WorkerId, std::int64_t> m_drainingIncarnations;
     /// Since when a step has waited for workers on which its start shows whether it crashes them.
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -165,23 +165,58 @@
     }
 }
 
+bool BatchScheduler::lateChangeObsolete(const BatchTaskId& task) const
+{
+    const BatchJobEntry* entry = m_table.find(task.job);
+    return !entry || !entry->contains(task) || entry->finished() || entry->task(task).phase == TaskPhase::Done;
+}
+
+bool BatchScheduler::mayStoreLateChange(const BatchTaskId& task) const
+{
+    return m_table.find(task.job)->task(task).phase == TaskPhase::Queued && !isBeingStored(task);
+}
+
 void BatchScheduler::storeLateCrashes()
 {
     TaskStates states;
     std::erase_if(m_lateCrashes, [&](const LateCrash& crash) {
         const BatchTaskId& task = crash.allocation.task;
-        const BatchJobEntry* entry = m_table.find(task.job);
-        if (!entry || !entry->contains(task) || entry->finished() || entry->task(task).phase == TaskPhase::Done)
+        if (lateChangeObsolete(task))
             return true;
-        // The record of a task that is claimed is written again when its run ends.
-        if (entry->task(task).phase != TaskPhase::Queued || isBeingStored(task))
+        if (!mayStoreLateChange(task))
             return false;
         m_claiming.insert(task);
-        BatchTaskState current = entry->task(task);
+        BatchTaskState current = m_table.find(task.job)->task(task);
         countCrash(current, crash.worker, crash.allocation, crash.attributed);
         states.emplace_back(task, std::move(current));
         return true;
     });
+    storeLateStates(std::move(states));
+}
+
+void BatchScheduler::storeLateFailures()
+{
+    TaskStates states;
+    std::erase_if(m_lateFailures, [&](const LateFailure& failure) {
+        if (lateChangeObsolete(failure.task))
+            return true;
+        if (!mayStoreLateChange(failure.task))
+            return false;
+        BatchTaskState current = m_table.find(failure.task.job)->task(failure.task);
+        if (!current.addFailedRun(failure.run))
+            return true;
+        m_claiming.insert(failure.task);
+        writeLog(LogLevel::Info, "scheduler", "failure of an earlier run counted",
+            { { "job", failure.task.job.value() }, { "task", failure.task.toString() },
+                { "run", std::to_string(failure.run) }, { "failures", std::to_string(current.failures) } });
+        states.emplace_back(failure.task, std::move(current));
+        return true;
+    });
+    storeLateStates(std::move(states));
+}
+
+void BatchScheduler::storeLateStates(TaskStates states)
+{
     if (states.empty())
         return;
     std::vector<BatchTaskId> tasks;
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -68,10 +68,8 @@
     current.phase = TaskPhase::Queued;
     if (!ended.checkpoint.empty())
         current.checkpoint = ended.checkpoint;
-    if (ended.reason == EndedTask::Reason::Failed) {
-        ++current.failures;
-        current.lastFailedRun = ended.run;
-    }
+    if (ended.reason == EndedTask::Reason::Failed)
+        current.addFailedRun(ended.run);
     return { { ended.task, current } };
 }
 
@@ -135,6 +133,9 @@
     if (ended.reason == EndedTask::Reason::Done)
         m_doneRuns.insert(groupOf(ended.task, ended.run));
     if (states.empty() && !completing) {
+        // A run that was taken for lost may have failed all the same.
+        if (ended.reason == EndedTask::Reason::Failed)
+            m_lateFailures.push_back({ .task = ended.task, .run = ended.run });
         if (pending.stores == 0)
             m_sessions.at(worker)->acknowledge(incarnation, pending.highest);
         return;
--- a/protocol/batch/BatchRecordCodec.cpp
+++ b/protocol/batch/BatchRecordCodec.cpp
@@ -5,6 +5,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
 namespace lentilsaddle::protocol::batch {
 
 using nlohmann::json;
@@ -124,11 +128,34 @@
     });
 }
 
+namespace {
+
+    // A single run is stored as its number, as in records of earlier versions.
+    json encodeFailedRuns(const std::vector<std::int64_t>& runs)
+    {
+        if (runs.size() > 1)
+            return runs;
+        return runs.empty() ? 0 : runs.front();
+    }
+
+    std::vector<std::int64_t> decodeFailedRuns(const json& element)
+    {
+        if (!element.is_array()) {
+            auto run = element.get<std::int64_t>();
+            return run == 0 ? std::vector<std::int64_t> {} : std::vector { run };
+        }
+        auto runs = element.get<std::vector<std::int64_t>>();
+        std::sort(runs.begin(), runs.end());
+        return runs;
+    }
+
+} // namespace
+
 std::string encodeTaskState(const BatchTaskState& taskState)
 {
-    json record
-        = json::array({ layoutVersion, static_cast<int>(taskState.phase), taskState.run, taskState.worker.value(),
-            taskState.workerIncarnation, taskState.checkpoint, taskState.failures, taskState.lastFailedRun });
+    json record = json::array({ layoutVersion, static_cast<int>(taskState.phase), taskState.run,
+        taskState.worker.value(), taskState.workerIncarnation, taskState.checkpoint, taskState.failures,
+        encodeFailedRuns(taskState.failedRuns) });
     if (taskState.workerCrashes > 0 || taskState.givenUp) {
         record.push_back(taskState.workerCrashes);
         record.push_back(taskState.attributedCrashes);
@@ -151,7 +178,7 @@
             .workerIncarnation = record.at(4).get<std::int64_t>(),
             .checkpoint = record.at(5).get<std::string>(),
             .failures = record.at(6).get<int>(),
-            .lastFailedRun = record.at(7).get<std::int64_t>(),
+            .failedRuns = decodeFailedRuns(record.at(7)),
         };
         if (record.size() == taskStateSizeWithCrashes) {
             taskState.workerCrashes = record.at(8).get<int>();
--- a/state/batch/BatchJobEntry.cpp
+++ b/state/batch/BatchJobEntry.cpp
@@ -96,18 +96,16 @@
     const BatchStep& step = m_job.steps[static_cast<std::size_t>(task.step)];
     if (!step.gang)
         return this->task(task).failures;
-    // Members that failed in the same run count as one failure of the gang.
-    int total = 0;
-    std::set<std::int64_t> lastRuns;
+    // Members that failed in the same run count as one failure of the gang. Records of earlier versions do not name all
+    // runs.
+    int mostOfAMember = 0;
+    std::set<std::int64_t> runs;
     for (int index = 0; index < step.taskCount; ++index) {
         const BatchTaskState& member = this->task(task.occurrence, task.step, index);
-        if (member.failures == 0)
-            continue;
-        total += member.failures;
-        if (!lastRuns.insert(member.lastFailedRun).second)
-            --total;
+        mostOfAMember = std::max(mostOfAMember, member.failures);
+        runs.insert(member.failedRuns.begin(), member.failedRuns.end());
     }
-    return total;
+    return std::max(mostOfAMember, static_cast<int>(runs.size()));
 }
 
 std::int64_t BatchJobEntry::highestRun(int occurrence, int step) const
--- a/state/batch/BatchTaskState.h
+++ b/state/batch/BatchTaskState.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace lentilsaddle::state::batch {
 
@@ -30,8 +31,8 @@
     std::string checkpoint;
     /// Number of runs that ended as failed.
     int failures = 0;
-    /// Number of the last run that ended as failed; 0 if there was none.
-    std::int64_t lastFailedRun = 0;
+    /// Numbers of the runs that ended as failed, ascending. Records of earlier versions name only the last one.
+    std::vector<std::int64_t> failedRuns;
     /// Number of workers that crashed while they had a run of the task.
     int workerCrashes = 0;
     /// Number of these crashes that are attributed to the task's job.
@@ -39,6 +40,10 @@
     /// The task is not started again, because it crashes workers; its job has failed.
     bool givenUp = false;
 
+    /// Counts a run that ended as failed, once.
+    /// @return whether it had not been counted before.
+    bool addFailedRun(std::int64_t failedRun);
+
     bool operator==(const BatchTaskState&) const = default;
 };
 
--- a/tests/protocol/batch/BatchRecordCodecTest.cpp
+++ b/tests/protocol/batch/BatchRecordCodecTest.cpp
@@ -59,7 +59,7 @@
         .workerIncarnation = 1'785'000'000'000,
         .checkpoint = "00000bb8",
         .failures = 2,
-        .lastFailedRun = 6,
+        .failedRuns = { 2, 6 },
     };
     EXPECT_EQ(decodeTaskState(encodeTaskState(taskState)), taskState);
     LeaderRecord leader { .term = 4, .instance = state::InstanceId("e-1"), .incarnation = ~0ULL, .vacant = true };
@@ -88,7 +88,8 @@
 {
     BatchTaskState taskState = decodeTaskState(R"([1,1,7,"w",12,"00000bb8",2,6])");
     EXPECT_EQ(taskState.run, 7);
-    EXPECT_EQ(taskState.lastFailedRun, 6);
+    EXPECT_EQ(taskState.failures, 2);
+    EXPECT_EQ(taskState.failedRuns, std::vector<std::int64_t> { 6 });
     EXPECT_EQ(taskState.workerCrashes, 0);
     EXPECT_FALSE(taskState.givenUp);
     EXPECT_EQ(encodeTaskState(taskState), R"([1,1,7,"w",12,"00000bb8",2,6])");
--- a/tests/state/batch/BatchTableTest.cpp
+++ b/tests/state/batch/BatchTableTest.cpp
@@ -89,10 +89,10 @@
 {
     BatchTable table;
     table.applyJob(makeJob(2, true));
-    table.applyTask(taskId(0), { .run = 1, .failures = 1, .lastFailedRun = 1 }, 1);
-    table.applyTask(taskId(1), { .run = 1, .failures = 1, .lastFailedRun = 1 }, 2);
+    table.applyTask(taskId(0), { .run = 1, .failures = 1, .failedRuns = { 1 } }, 1);
+    table.applyTask(taskId(1), { .run = 1, .failures = 1, .failedRuns = { 1 } }, 2);
     EXPECT_EQ(table.find(jobId)->phase(), Phase::Running);
-    table.applyTask(taskId(1), { .run = 2, .failures = 2, .lastFailedRun = 2 }, 3);
+    table.applyTask(taskId(1), { .run = 2, .failures = 2, .failedRuns = { 1, 2 } }, 3);
     EXPECT_EQ(table.find(jobId)->phase(), Phase::Failed);
 }
 
