End idle connections to a server after one has gone silent (CONFIG)

Cause: a call without a response closes its own connection only. The next call takes the next idle connection of the pool, which is as silent, so the reader of the configuration waits for a timeout and a retry delay on each of them.

Change: when a call on a connection that has been used before gets no response in time, the HTTP client shuts down the idle connections to the same server on which nothing has arrived since the call began; libcurl does not reuse a connection that has ended. ConnectionRegistry keeps which connections are idle and when each last responded. Other servers, calls in flight and new connections are not touched. All callers of the client have it: store, workers, requests, lists.

--- a/tests/transport/LoopbackListener.cpp
+++ b/tests/transport/LoopbackListener.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr int backlog = 8;
+    constexpr int backlog = 64;
 
 } // namespace
 
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -1,18 +1,20 @@
 #include "transport/HttpClient.h"
 
 #include "transport/CallbackGuard.h"
+#include "transport/ConnectionRegistry.h"
 #include "transport/EventLoop.h"
+#include "transport/Logger.h"
 #include "transport/TransportError.h"
 
 #include <curl/curl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -33,6 +35,11 @@
         HttpClient::Callback callback;
         /// Index of the connection group.
         std::size_t group = 0;
+        /// Authority part of the URL.
+        std::string server;
+        std::chrono::steady_clock::time_point begin;
+        /// Last socket that the call used; negative if there was none.
+        curl_socket_t descriptor = CURL_SOCKET_BAD;
         int maximumSendings = 1;
         /// Number of connections on which at least a part of the request was sent.
         int sendings = 0;
@@ -57,6 +64,7 @@
     /// Call with its easy handle, which is reused for later calls because libcurl allocates buffers for each handle.
     struct Call : CallState {
         CURL* easy = nullptr;
+        ConnectionRegistry* connections = nullptr;
 
         Call() = default;
         Call(const Call&) = delete;
@@ -103,9 +111,19 @@
     // Called before a connection is opened, which a request that may not be sent again does not need.
     curl_socket_t onOpenSocket(void* context, curlsocktype, curl_sockaddr* address)
     {
-        if (!maySend(*static_cast<Call*>(context)))
+        auto* call = static_cast<Call*>(context);
+        if (!maySend(*call))
             return CURL_SOCKET_BAD;
-        return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        curl_socket_t descriptor = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        if (descriptor != CURL_SOCKET_BAD)
+            call->connections->add(descriptor, call->server, std::chrono::steady_clock::now());
+        return descriptor;
+    }
+
+    int onCloseSocket(void* context, curl_socket_t descriptor)
+    {
+        static_cast<ConnectionRegistry*>(context)->remove(descriptor);
+        return close(descriptor);
     }
 
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* context)
@@ -138,6 +156,13 @@
         return size * count;
     }
 
+    std::string serverOf(const std::string& url)
+    {
+        std::size_t begin = url.find("//");
+        begin = begin == std::string::npos ? 0 : begin + 2;
+        return url.substr(begin, std::min(url.find('/', begin), url.size()) - begin);
+    }
+
     std::string headerLine(const std::string& name, const std::string& value)
     {
         std::string line = name;
@@ -195,22 +220,26 @@
     }
 
     EventLoop& loop;
+    /// Outlives the connections, which libcurl closes with the groups.
+    ConnectionRegistry connections;
     CallId nextCall = 1;
     std::vector<std::unique_ptr<Group>> groups;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::vector<std::unique_ptr<Call>> idleCalls;
 
     void addGroup(const HttpClientOptions& options);
-    std::size_t groupOf(const std::string& url) const;
+    std::size_t groupOf(const std::string& server) const;
     std::unique_ptr<Call> takeCall();
     /// Removes the call from libcurl and keeps its easy handle for a later one.
     void release(std::unique_ptr<Call> call);
-    static int onSocket(CURL*, curl_socket_t descriptor, int action, void* context, void*);
+    static int onSocket(CURL* easy, curl_socket_t descriptor, int action, void* context, void*);
     static int onTimer(CURLM*, long milliseconds, void* context);
     void performSocketAction(Group& group, curl_socket_t descriptor, int events);
     void finishCalls(Group& group);
     /// Fails the call if its response has not begun, has stalled, or is not complete in time.
     void checkProgress(CallId id);
+    /// Ends the idle connections to the server of a call whose connection has gone silent.
+    void endSilentConnections(const Call& call, const HttpResult& result);
     /// Removes a call and passes its result to its callback.
     void finish(CallId id, CURLcode code);
 };
@@ -237,12 +266,9 @@
     groups.push_back(std::move(group));
 }
 
-std::size_t HttpClient::Implementation::groupOf(const std::string& url) const
+std::size_t HttpClient::Implementation::groupOf(const std::string& server) const
 {
-    std::size_t begin = url.find("//");
-    begin = begin == std::string::npos ? 0 : begin + 2;
-    std::size_t end = std::min(url.find('/', begin), url.size());
-    return std::hash<std::string_view> {}(std::string_view(url).substr(begin, end - begin)) % groups.size();
+    return std::hash<std::string> {}(server) % groups.size();
 }
 
 std::unique_ptr<Call> HttpClient::Implementation::takeCall()
@@ -261,6 +287,9 @@
     curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call.get());
     curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETFUNCTION, &onOpenSocket);
     curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETDATA, call.get());
+    curl_easy_setopt(call->easy, CURLOPT_CLOSESOCKETFUNCTION, &onCloseSocket);
+    curl_easy_setopt(call->easy, CURLOPT_CLOSESOCKETDATA, &connections);
+    call->connections = &connections;
     curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, &onBody);
     curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call.get());
     curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, &onHeader);
@@ -282,14 +311,20 @@
     idleCalls.push_back(std::move(call));
 }
 
-int HttpClient::Implementation::onSocket(CURL*, curl_socket_t descriptor, int action, void* context, void*)
+int HttpClient::Implementation::onSocket(CURL* easy, curl_socket_t descriptor, int action, void* context, void*)
 {
     auto* group = static_cast<Group*>(context);
     EventLoop& loop = group->client->loop;
+    // libcurl watches a connection only for the call that uses it.
+    group->client->connections.setBusy(descriptor, action != CURL_POLL_REMOVE);
     if (action == CURL_POLL_REMOVE) {
         loop.unwatchDescriptor(descriptor);
         return 0;
     }
+    Call* user = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user);
+    if (user)
+        user->descriptor = descriptor;
     bool read = action == CURL_POLL_IN || action == CURL_POLL_INOUT;
     bool write = action == CURL_POLL_OUT || action == CURL_POLL_INOUT;
     loop.watchDescriptor(descriptor, read, write, [group, descriptor](bool readable, bool writable) {
@@ -345,11 +380,27 @@
     auto node = calls.extract(id);
     std::unique_ptr<Call> call = std::move(node.mapped());
     HttpResult result = toResult(*call, code);
+    if (result.failure == HttpFailure::None)
+        connections.recordResponse(call->descriptor, std::chrono::steady_clock::now());
+    else if (result.timedOut)
+        endSilentConnections(*call, result);
     Callback callback = std::move(call->callback);
     release(std::move(call));
     runGuarded("response", [&] { callback(std::move(result)); });
 }
 
+void HttpClient::Implementation::endSilentConnections(const Call& call, const HttpResult& result)
+{
+    // A new connection that has not responded yet says nothing of those that have: the server may be slow.
+    bool responded = result.newConnections == 0 || call.lastProgress;
+    if (result.failure != HttpFailure::ResponseLost || !responded)
+        return;
+    std::size_t ended = connections.shutDownIdle(call.server, call.lastProgress.value_or(call.begin));
+    if (ended > 0)
+        writeLog(LogLevel::Info, "http", "idle connections ended after one went silent",
+            { { "server", call.server }, { "connections", std::to_string(ended) } });
+}
+
 void HttpClient::Implementation::checkProgress(CallId id)
 {
     Call& call = *calls.at(id);
@@ -400,12 +451,14 @@
     Implementation& self = *m_implementation;
     std::unique_ptr<Call> entry = self.takeCall();
     entry->id = self.nextCall++;
-    entry->group = self.groupOf(call.url);
+    entry->server = serverOf(call.url);
+    entry->group = self.groupOf(entry->server);
+    entry->begin = std::chrono::steady_clock::now();
     entry->body = call.body;
     entry->callback = std::move(callback);
     entry->maximumSendings = call.repeatable ? maximumSendingsOfRepeatableCall : 1;
     entry->stallTimeout = call.stallTimeout;
-    entry->responseDeadline = std::chrono::steady_clock::now() + call.timeout;
+    entry->responseDeadline = entry->begin + call.timeout;
     auto firstCheck = call.stallTimeout.count() > 0 ? std::min(call.timeout, call.stallTimeout) : call.timeout;
     entry->progressTimer = self.loop.startTimer(firstCheck, [&self, id = entry->id] { self.checkProgress(id); });
     CURL* easy = entry->easy;
