Judge the crash of a worker by the restarts of all workers (LOST)

Cause: a crash was attributed to each run that was starting on the worker, also to one whose start had no response, and each worker was looked at alone. When a data centre restarts, each start that is on its way is the only one of its job on its worker, so a task is given up after the second such restart.

Change: a crash under a start without a response is doubtful, and one under a run of an earlier leader counts without being attributed. Before a task is given up for an attributed crash it waits for 2 s; if a worker on which nothing was starting restarted within 2 s of the crash, the crash has another cause. A task with an attributed crash starts alone and is observed 50 ms after its start. The limit of five crashes holds if two are certain; it is four with two attributed ones.

Tests: StartsToWorkersThatAreDownAreNoCrashes and CrashThatCoincidesWithOtherRestartsDoesNotGiveATaskUp failed before and pass now.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -103,6 +103,12 @@
     std::chrono::milliseconds refusalBackoff { 1'500 };
     /// A worker that returns within this time after its lease expired has crashed; later, it may have been shut down.
     std::chrono::milliseconds crashReturnLimit { 30'000 };
+    /// Time after the start of a task under which a worker has crashed when the worker is observed. A task that crashes
+    /// its workers does so within some milliseconds.
+    std::chrono::milliseconds suspectObserveDelay { 50 };
+    /// Restarts of workers that have a common cause become known within this time of each other: the wait of an observe
+    /// request, its timeout and the retry. So long a task waits before it is given up for the crash of its worker.
+    std::chrono::milliseconds crashSettleTime { 2'000 };
     /// Longest wait of a task that may crash its workers for a worker on which no other run is starting.
     std::chrono::milliseconds isolationWait { 1'500 };
     /// Shortest time between two planning rounds.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -28,6 +28,7 @@
     , m_table(table)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
+    , m_restarts(options.crashSettleTime)
     , m_quarantine(options.quarantine)
 {
 }
@@ -55,6 +56,8 @@
         .onEnded
         = [this, worker](const EndedTask& ended, const Allocation* allocation) { onEnded(worker, ended, allocation); },
         .onLost = [this, worker](const Allocation& lost, RunLoss loss) { onLost(worker, lost, loss); },
+        .onRestarted = [this, worker](std::int64_t incarnation,
+                           bool startPending) { onRestarted(worker, incarnation, startPending); },
         .onRunning = [this, worker](const Allocation& allocation) { onRunning(worker, allocation); },
         .onUnknownRun = [this, worker](const RunningTask& running) { onUnknownRun(worker, running); },
         .onChanged = [this] { requestPlan(); },
@@ -218,6 +221,7 @@
             .checkpoint = claimed.checkpoint,
             .since = m_hooks.clock(),
             .observedFromStart = claimed.checkpoint.empty(),
+            .suspect = claimed.workerCrashes > 0,
         });
         m_quarantine.probeStarted(worker, unit.job);
         m_claiming.insert(id);
@@ -374,6 +378,7 @@
     checkExpiredWorkers();
     storeLateCrashes();
     storeLateFailures();
+    judgeSuspects();
     RunOverview overview(m_sessions, m_table);
     stopObsoleteRuns(overview);
     stopIncompleteGangs(overview);
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -13,6 +13,7 @@
 #include "coordination/decisions/batch/CrashAttribution.h"
 #include "coordination/decisions/batch/FencingTokens.h"
 #include "coordination/decisions/batch/LagMonitor.h"
+#include "coordination/decisions/batch/RestartHistory.h"
 #include "coordination/decisions/batch/StartCheck.h"
 #include "coordination/decisions/batch/WorkerSpeed.h"
 #include "state/Time.h"
@@ -97,11 +98,13 @@
         std::vector<Allocation> runs;
     };
 
-    /// Crash that became known after the task had been queued again.
-    struct LateCrash {
+    /// Crash of a worker that had, or may have had, a run. It may become known after the task has been queued again.
+    struct Crash {
         state::WorkerId worker;
         Allocation allocation;
         bool attributed = false;
+        /// When it became known.
+        state::MonotonicTime since {};
     };
 
     /// Failure of a run that was listed after the run had been taken for lost.
@@ -127,10 +130,14 @@
     bool crashedUnder(const state::WorkerId& worker, std::int64_t incarnation, RunLoss loss) const;
     void addCrashedRun(const state::WorkerId& worker, const Allocation& lost);
     void onWorkerCrashed(const state::WorkerId& worker);
+    /// @param incarnation incarnation that has ended.
+    void onRestarted(const state::WorkerId& worker, std::int64_t incarnation, bool startPending);
     /// @return for each run, whether the crash is attributed to it.
     std::vector<bool> attributedRuns(const state::WorkerId& worker, const std::vector<Allocation>& runs) const;
-    void countCrash(state::batch::BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost,
-        bool attributed);
+    void countCrash(state::batch::BatchTaskState& taskState, const Crash& crash);
+    /// Gives tasks up that crash their workers, once it is known that the crash has no other cause.
+    void judgeSuspects();
+    void logGivenUp(const state::batch::BatchTaskId& task, const state::batch::BatchTaskState& taskState);
     void addExpiredRun(const state::WorkerId& worker, const Allocation& lost);
     /// @return whether the worker was only cut off.
     bool respondsAgain(const state::WorkerId& worker, const ExpiredWorker& expired) const;
@@ -176,6 +183,8 @@
     void addStepUnits(PlanInput& input, BatchUnit unit, const std::vector<int>& suspects);
     /// @return whether a claim or a completion of the task is being stored.
     bool isBeingStored(const state::batch::BatchTaskId& task) const;
+    /// @return whether a queued task must not be claimed now.
+    bool isHeld(const state::batch::BatchTaskId& task) const;
     void excludeAllocatedTasks(PlanInput& input, const RunOverview& overview) const;
     void addGroups(PlanInput& input, const RunOverview& overview) const;
     void addWorkers(PlanInput& input, const RunOverview& overview);
@@ -216,8 +225,11 @@
     /// Runs of workers that have crashed, until the session has reported all of them.
     std::map<state::WorkerId, std::vector<Allocation>> m_crashedRuns;
     std::map<state::WorkerId, ExpiredWorker> m_expiredWorkers;
-    std::vector<LateCrash> m_lateCrashes;
+    std::vector<Crash> m_lateCrashes;
     std::vector<LateFailure> m_lateFailures;
+    /// Tasks that are to be given up for the crash of their worker, with the time when it became known.
+    std::map<state::batch::BatchTaskId, state::MonotonicTime> m_suspects;
+    RestartHistory m_restarts;
     /// Incarnations that have announced their shutdown.
     std::map<state::WorkerId, std::int64_t> m_drainingIncarnations;
     /// Since when a step has waited for workers on which its start shows whether it crashes them.
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -17,6 +17,21 @@
 using transport::writeLog;
 using TaskPhase = BatchTaskState::Phase;
 
+namespace {
+
+    CrashedRun crashedRun(const Allocation& run)
+    {
+        using Stage = CrashedRun::Stage;
+        Stage stage = run.startResolved ? Stage::Starting : Stage::Unconfirmed;
+        if (run.inherited)
+            stage = Stage::Inherited;
+        if (run.listed)
+            stage = Stage::Listed;
+        return { .job = run.task.job, .stage = stage };
+    }
+
+} // namespace
+
 bool BatchScheduler::crashedUnder(const state::WorkerId& worker, std::int64_t incarnation, RunLoss loss) const
 {
     // A worker that shuts down as announced ends its runs without a fault of theirs.
@@ -58,13 +73,13 @@
     std::vector<CrashedRun> crashedRuns;
     crashedRuns.reserve(runs.size());
     for (const Allocation& run : runs)
-        crashedRuns.push_back({ .job = run.task.job, .listed = run.listed });
+        crashedRuns.push_back(crashedRun(run));
     // A run whose start had no response is lost only after its stop, but it may have crashed the worker as well.
     if (auto session = m_sessions.find(worker); session != m_sessions.end()) {
         for (const auto& [key, allocation] : session->second->allocations()) {
             if (allocation.startOutstanding()
                 && incarnationsDiffer(allocation.incarnation, session->second->incarnation()))
-                crashedRuns.push_back({ .job = allocation.task.job, .listed = allocation.listed });
+                crashedRuns.push_back(crashedRun(allocation));
         }
     }
     std::vector<bool> attributed = attributeCrash(crashedRuns);
@@ -72,25 +87,65 @@
     return attributed;
 }
 
-void BatchScheduler::countCrash(
-    BatchTaskState& taskState, const state::WorkerId& worker, const Allocation& lost, bool attributed)
+void BatchScheduler::countCrash(BatchTaskState& taskState, const Crash& crash)
 {
-    recordCrash(taskState, attributed);
+    const auto& [worker, lost, attributed, since] = crash;
+    recordCrash(taskState, crashedRun(lost).stage);
+    bool suspected = attributed && recordAttribution(taskState);
     if (attributed)
         m_failedOn[{ lost.task.job, lost.task.occurrence, lost.task.step }].insert(worker);
     writeLog(LogLevel::Warning, "scheduler", "worker crashed under a task",
         { { "job", lost.task.job.value() }, { "task", lost.task.toString() }, { "run", std::to_string(lost.run) },
             { "worker", worker.value() }, { "crashes", std::to_string(taskState.workerCrashes) },
+            { "doubtful_crashes", std::to_string(taskState.doubtfulCrashes) },
             { "attributed_crashes", std::to_string(taskState.attributedCrashes) },
             { "attributed", attributed ? "true" : "false" } });
-    if (!taskState.givenUp)
-        return;
+    if (taskState.givenUp)
+        logGivenUp(lost.task, taskState);
+    else if (suspected)
+        m_suspects[lost.task] = since;
+}
+
+void BatchScheduler::logGivenUp(const BatchTaskId& task, const BatchTaskState& taskState)
+{
     m_metrics.increment("lentilsaddle_batch_tasks_given_up_total");
     writeLog(LogLevel::Warning, "scheduler", "task given up",
-        { { "job", lost.task.job.value() }, { "task", lost.task.toString() },
+        { { "job", task.job.value() }, { "task", task.toString() },
             { "crashes", std::to_string(taskState.workerCrashes) } });
 }
 
+void BatchScheduler::judgeSuspects()
+{
+    TaskStates states;
+    std::erase_if(m_suspects, [&](const auto& suspect) {
+        const auto& [task, crash] = suspect;
+        if (lateChangeObsolete(task))
+            return true;
+        if (m_restarts.coincides(crash)) {
+            writeLog(LogLevel::Info, "scheduler", "crash has another cause, as other workers restarted too",
+                { { "job", task.job.value() }, { "task", task.toString() } });
+            return true;
+        }
+        if (m_hooks.clock() < m_restarts.settled(crash) || !mayStoreLateChange(task))
+            return false;
+        m_claiming.insert(task);
+        BatchTaskState current = m_table.find(task.job)->task(task);
+        current.givenUp = true;
+        logGivenUp(task, current);
+        states.emplace_back(task, std::move(current));
+        return true;
+    });
+    storeLateStates(std::move(states));
+}
+
+void BatchScheduler::onRestarted(const state::WorkerId& worker, std::int64_t incarnation, bool startPending)
+{
+    auto draining = m_drainingIncarnations.find(worker);
+    bool announced = draining != m_drainingIncarnations.end() && draining->second == incarnation;
+    if (!startPending && !announced)
+        m_restarts.add(m_hooks.clock());
+}
+
 void BatchScheduler::onWorkerCrashed(const state::WorkerId& worker)
 {
     std::vector<Allocation> runs = std::move(m_crashedRuns.extract(worker).mapped());
@@ -103,7 +158,7 @@
         if (!current)
             continue;
         requeue(*current, lost);
-        countCrash(*current, worker, lost, attributed[index]);
+        countCrash(*current, { worker, lost, attributed[index], m_hooks.clock() });
         states.emplace_back(lost.task, std::move(*current));
     }
     if (states.empty())
@@ -158,7 +213,7 @@
             m_metrics.increment("lentilsaddle_batch_worker_crashes_total");
             std::vector<bool> attributed = attributedRuns(worker, expired.runs);
             for (std::size_t index = 0; index < expired.runs.size(); ++index)
-                m_lateCrashes.push_back({ worker, expired.runs[index], attributed[index] });
+                m_lateCrashes.push_back({ worker, expired.runs[index], attributed[index], now });
         }
         bool obsolete = restarted || respondsAgain(worker, expired) || now - expired.since > m_options.crashReturnLimit;
         next = obsolete ? m_expiredWorkers.erase(next) : std::next(next);
@@ -179,7 +234,7 @@
 void BatchScheduler::storeLateCrashes()
 {
     TaskStates states;
-    std::erase_if(m_lateCrashes, [&](const LateCrash& crash) {
+    std::erase_if(m_lateCrashes, [&](const Crash& crash) {
         const BatchTaskId& task = crash.allocation.task;
         if (lateChangeObsolete(task))
             return true;
@@ -187,7 +242,7 @@
             return false;
         m_claiming.insert(task);
         BatchTaskState current = m_table.find(task.job)->task(task);
-        countCrash(current, crash.worker, crash.allocation, crash.attributed);
+        countCrash(current, crash);
         states.emplace_back(task, std::move(current));
         return true;
     });
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -104,6 +104,11 @@
     std::erase_if(input.units, [](const BatchUnit& unit) { return unit.indices.empty(); });
 }
 
+bool BatchScheduler::isHeld(const BatchTaskId& task) const
+{
+    return isBeingStored(task) || m_suspects.contains(task);
+}
+
 bool BatchScheduler::isBeingStored(const BatchTaskId& task) const
 {
     return m_claiming.contains(task) || m_completing.contains(task);
@@ -130,11 +135,12 @@
         .estimate = criticalPaths[static_cast<std::size_t>(step)],
     };
     std::vector<int> suspects;
+    bool anyHeld = !m_claiming.empty() || !m_completing.empty() || !m_suspects.empty();
     for (int index = 0; index < description.taskCount; ++index) {
         bool queued = entry.task(occurrence, step, index).phase == BatchTaskState::Phase::Queued;
-        bool storing = queued && (!m_claiming.empty() || !m_completing.empty())
-            && isBeingStored({ .job = job.id, .occurrence = occurrence, .step = step, .index = index });
-        if (!queued || storing)
+        bool held
+            = queued && anyHeld && isHeld({ .job = job.id, .occurrence = occurrence, .step = step, .index = index });
+        if (!queued || held)
             continue;
         bool suspect = mayCrashWorkers(entry.task(occurrence, step, index));
         (suspect ? suspects : unit.indices).push_back(index);
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -105,7 +105,7 @@
     allocation.since = m_hooks.clock();
     sendStart(key, payload);
     if (!m_observing)
-        scheduleObservation(m_options.observeWait / 4);
+        scheduleObservation(allocation.suspect ? m_options.suspectObserveDelay : m_options.observeWait / 4);
 }
 
 void WorkerSession::sendStart(const AllocationKey& key, const std::string& payload)
@@ -212,7 +212,6 @@
         return;
     case Status::StaleRun:
         // This run or a later one was stopped or has ended on the worker, so the start had no effect.
-        allocation.startResolved = true;
         declareLost(key, RunLoss::StaleRun);
         return;
     case Status::Fenced:
@@ -354,6 +353,7 @@
         { { "worker", m_description.id.value() }, { "incarnation", std::to_string(incarnation) },
             { "previous", std::to_string(previous) }, { "fencing_token", std::to_string(m_fencingToken) },
             { "allocations", std::to_string(m_allocations.size()) } });
+    m_hooks.onRestarted(previous, startPending());
     m_clock.reset();
     m_latestLeaseEnd = milliseconds(0);
     m_earlierClockRequest = m_latestLeaseRequest;
@@ -383,6 +383,12 @@
         sendStop(key);
 }
 
+bool WorkerSession::startPending() const
+{
+    return std::any_of(m_allocations.begin(), m_allocations.end(),
+        [](const auto& entry) { return entry.second.phase != Phase::Claiming && !entry.second.listed; });
+}
+
 bool WorkerSession::startedOnEarlierIncarnation(const Allocation& allocation) const
 {
     return incarnationsDiffer(allocation.incarnation, m_incarnation);
@@ -400,6 +406,8 @@
         if (allocation.phase != Phase::Claiming)
             keys.push_back(key);
     }
+    if (!keys.empty())
+        m_hooks.onRestarted(m_incarnation, startPending());
     for (const AllocationKey& key : keys)
         declareLost(key, loss);
 }
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -48,6 +48,10 @@
         std::function<void(const EndedTask& ended, const Allocation* allocation)> onEnded;
         /// A run has certainly ended without a listed end, or never started. The allocation has been removed.
         std::function<void(const Allocation& lost, RunLoss loss)> onLost;
+        /// The worker has ended, and another incarnation or another worker has followed.
+        /// @param incarnation incarnation that has ended.
+        /// @param startPending whether a run there had not been listed, so that it may have been starting.
+        std::function<void(std::int64_t incarnation, bool startPending)> onRestarted;
         /// A run is listed as running.
         std::function<void(const Allocation& allocation)> onRunning;
         /// The worker lists a run for which there is no allocation.
@@ -139,6 +143,8 @@
     bool fromEarlierIncarnation(const RequestOrigin& origin, const WorkerCallResult& result) const;
     /// Sends the stops again that an earlier incarnation may have acknowledged.
     void repeatStops();
+    /// @return whether a run has not been listed, so that it may be starting.
+    bool startPending() const;
     bool startedOnEarlierIncarnation(const Allocation& allocation) const;
     /// @return whether the run ended with an earlier incarnation of the worker, which had listed it, and cannot start
     /// again.
--- a/coordination/decisions/batch/CrashAttribution.cpp
+++ b/coordination/decisions/batch/CrashAttribution.cpp
@@ -14,35 +14,63 @@
     constexpr int attributedLastCrashLimit = 3;
     // Crashes that give a task up without attribution. The rule allows two starts after the third crash.
     constexpr int crashLimit = 5;
+    // The same for a task with as many attributed crashes as give a task up, although these may have had another cause.
+    // Leaves room for a crash that nobody has seen.
+    constexpr int crashLimitOfASuspect = 4;
+    // Crashes that must be certain for that. Fewer may all have been restarts while a start was on its way.
+    constexpr int certainCrashLimit = 2;
+    // Doubtful crashes that give a task up all the same, so that it does not crash workers without end.
+    constexpr int doubtfulCrashLimit = 12;
+
+    int certainCrashes(const state::batch::BatchTaskState& taskState)
+    {
+        return taskState.workerCrashes - taskState.doubtfulCrashes;
+    }
+
+    bool reachesLimit(const state::batch::BatchTaskState& taskState)
+    {
+        if (taskState.doubtfulCrashes >= doubtfulCrashLimit)
+            return true;
+        int limit = taskState.attributedCrashes >= attributedCrashLimit ? crashLimitOfASuspect : crashLimit;
+        return taskState.workerCrashes >= limit && certainCrashes(taskState) >= certainCrashLimit;
+    }
 
 } // namespace
 
 std::vector<bool> attributeCrash(const std::vector<CrashedRun>& runs)
 {
-    auto starting = [](const CrashedRun& run) { return !run.listed; };
-    auto first = std::find_if(runs.begin(), runs.end(), starting);
+    // Runs that may have been starting when the worker crashed.
+    auto suspected = [](const CrashedRun& run) { return run.stage != CrashedRun::Stage::Listed; };
+    auto first = std::find_if(runs.begin(), runs.end(), suspected);
     bool oneJob = std::all_of(
-        first, runs.end(), [&](const CrashedRun& run) { return !starting(run) || run.job == first->job; });
+        first, runs.end(), [&](const CrashedRun& run) { return !suspected(run) || run.job == first->job; });
     std::vector<bool> attributed;
     attributed.reserve(runs.size());
     for (const CrashedRun& run : runs)
-        attributed.push_back(oneJob && starting(run));
+        attributed.push_back(oneJob && run.stage == CrashedRun::Stage::Starting);
     return attributed;
 }
 
-void recordCrash(state::batch::BatchTaskState& taskState, bool attributed)
+void recordCrash(state::batch::BatchTaskState& taskState, CrashedRun::Stage stage)
 {
     ++taskState.workerCrashes;
-    if (attributed)
-        ++taskState.attributedCrashes;
-    bool lastAttributed = attributed && taskState.workerCrashes >= attributedLastCrashLimit;
-    if (lastAttributed || taskState.attributedCrashes >= attributedCrashLimit || taskState.workerCrashes >= crashLimit)
-        taskState.givenUp = true;
+    if (stage == CrashedRun::Stage::Unconfirmed)
+        ++taskState.doubtfulCrashes;
+    taskState.givenUp = taskState.givenUp || reachesLimit(taskState);
+}
+
+bool recordAttribution(state::batch::BatchTaskState& taskState)
+{
+    ++taskState.attributedCrashes;
+    taskState.givenUp = taskState.givenUp || reachesLimit(taskState);
+    bool lastDecides
+        = taskState.workerCrashes >= attributedLastCrashLimit && certainCrashes(taskState) >= certainCrashLimit;
+    return taskState.attributedCrashes >= attributedCrashLimit || lastDecides;
 }
 
 bool mayCrashWorkers(const state::batch::BatchTaskState& taskState)
 {
-    return taskState.workerCrashes >= crashesOfASuspect;
+    return taskState.attributedCrashes > 0 || taskState.workerCrashes >= crashesOfASuspect;
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/protocol/batch/BatchRecordCodec.cpp
+++ b/protocol/batch/BatchRecordCodec.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <initializer_list>
 #include <vector>
 
 namespace lentilsaddle::protocol::batch {
@@ -24,18 +25,20 @@
     // First element of each record; a changed layout needs another number.
     constexpr int layoutVersion = 1;
 
-    // Elements of a task's record. The last four are omitted while no worker has crashed under the task.
+    // Elements of a task's record. The last five are omitted while no worker has crashed under the task, and the last
+    // one while no crash is doubtful.
     constexpr std::size_t taskStateSize = 8;
     constexpr std::size_t taskStateSizeWithCrashes = 12;
+    constexpr std::size_t taskStateSizeWithDoubtfulCrashes = 13;
 
     // Parses a record and converts errors of the JSON library to ProtocolError.
-    // @param optionalSize size of records that have the optional elements, if there are any.
+    // @param sizes sizes of the record with and without optional elements.
     template <typename Function>
-    auto decode(const std::string& text, std::size_t size, Function function, std::size_t optionalSize = 0)
+    auto decode(const std::string& text, std::initializer_list<std::size_t> sizes, Function function)
     {
         try {
             json record = JsonReader::parse(text);
-            bool sizeKnown = record.size() == size || (optionalSize > 0 && record.size() == optionalSize);
+            bool sizeKnown = std::find(sizes.begin(), sizes.end(), record.size()) != sizes.end();
             if (!record.is_array() || !sizeKnown || record[0] != layoutVersion)
                 throw ProtocolError("record", "has an unknown layout");
             return function(record);
@@ -111,7 +114,7 @@
 
 BatchJob decodeJob(const state::JobId& id, const std::string& text)
 {
-    return decode(text, 9, [&](const json& record) {
+    return decode(text, { 9 }, [&](const json& record) {
         BatchJob job {
             .id = id,
             .account = state::AccountId(record.at(1).get<std::string>()),
@@ -161,6 +164,8 @@
         record.push_back(taskState.attributedCrashes);
         record.push_back(taskState.givenUp);
         record.push_back(taskState.workerAddress);
+        if (taskState.doubtfulCrashes > 0)
+            record.push_back(taskState.doubtfulCrashes);
     }
     return record.dump();
 }
@@ -180,15 +185,17 @@
             .failures = record.at(6).get<int>(),
             .failedRuns = decodeFailedRuns(record.at(7)),
         };
-        if (record.size() == taskStateSizeWithCrashes) {
+        if (record.size() >= taskStateSizeWithCrashes) {
             taskState.workerCrashes = record.at(8).get<int>();
             taskState.attributedCrashes = record.at(9).get<int>();
             taskState.givenUp = record.at(10).get<bool>();
             taskState.workerAddress = record.at(11).get<std::string>();
+            if (record.size() == taskStateSizeWithDoubtfulCrashes)
+                taskState.doubtfulCrashes = record.at(12).get<int>();
         }
         return taskState;
     };
-    return decode(text, taskStateSize, decodeRecord, taskStateSizeWithCrashes);
+    return decode(text, { taskStateSize, taskStateSizeWithCrashes, taskStateSizeWithDoubtfulCrashes }, decodeRecord);
 }
 
 std::string encodeLeader(const LeaderRecord& leader)
@@ -199,7 +206,7 @@
 
 LeaderRecord decodeLeader(const std::string& text)
 {
-    return decode(text, 5, [](const json& record) {
+    return decode(text, { 5 }, [](const json& record) {
         return LeaderRecord {
             .term = record.at(1).get<std::uint64_t>(),
             .instance = state::InstanceId(record.at(2).get<std::string>()),
@@ -216,7 +223,7 @@
 
 int decodeInstance(const std::string& text)
 {
-    return decode(text, 2, [](const json& record) { return record.at(1).get<int>(); });
+    return decode(text, { 2 }, [](const json& record) { return record.at(1).get<int>(); });
 }
 
 } // namespace lentilsaddle::protocol::batch
--- a/state/batch/BatchTaskState.h
+++ b/state/batch/BatchTaskState.h
@@ -33,8 +33,10 @@
     int failures = 0;
     /// Numbers of the runs that ended as failed, ascending. Records of earlier versions name only the last one.
     std::vector<std::int64_t> failedRuns;
-    /// Number of workers that crashed while they had a run of the task.
+    /// Number of workers that crashed while they had a run of the task, or may have had one.
     int workerCrashes = 0;
+    /// Number of these crashes under a start without a response, before which the worker may have been down.
+    int doubtfulCrashes = 0;
     /// Number of these crashes that are attributed to the task's job.
     int attributedCrashes = 0;
     /// The task is not started again, because it crashes workers; its job has failed.
--- a/tests/coordination/batch/BatchCrashTest.cpp
+++ b/tests/coordination/batch/BatchCrashTest.cpp
@@ -233,4 +233,45 @@
     EXPECT_EQ(stateOf(taskName).workerCrashes, 0);
 }
 
+// Guards against a job that is reported as failed because its starts were sent to workers that were down: they never
+// ran it, and returned later.
+TEST_F(BatchTaskTest, StartsToWorkersThatAreDownAreNoCrashes)
+{
+    auto task = startInstance("e-1");
+    runFirstJob(*task);
+    m_workers.makeUnreachable("w1");
+    submit(*task, makeJob());
+    for (int restart = 1; restart <= 6; ++restart) {
+        ASSERT_TRUE(waitUntil([&] { return stateOf(taskName).run == restart; }));
+        // The start request has been sent and has no response.
+        std::this_thread::sleep_for(milliseconds(100));
+        m_workers.restart("w1");
+        m_workers.dropStarts(true);
+        m_store.put(Stream::Directory, "w1", "ready incarnation=" + std::to_string(restart + 1));
+        ASSERT_TRUE(waitUntil([&] { return stateOf(taskName).run == restart + 1; }));
+    }
+    EXPECT_EQ(stateOf(taskName).attributedCrashes, 0);
+    m_workers.dropStarts(false);
+    EXPECT_TRUE(waitUntil([&] { return m_workers.starts(taskName) >= 1; }));
+    EXPECT_EQ(query(*task, jobId).phase, BatchJobEntry::Phase::Running);
+}
+
+// Guards against a job that is reported as failed because whole groups of workers restarted while it was starting on
+// one of them.
+TEST_F(BatchTaskTest, CrashThatCoincidesWithOtherRestartsDoesNotGiveATaskUp)
+{
+    m_store.put(Stream::Directory, "w2", "accelerators=0");
+    m_workers.crashOnStart(taskName, FakeWorkers::Return::UnderItsIdentity);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    for (int start = 1; start <= 3; ++start) {
+        ASSERT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == start; }));
+        m_workers.restart("w2");
+        m_store.put(Stream::Directory, "w2", "accelerators=0 incarnation=" + std::to_string(start + 1));
+    }
+    EXPECT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == 4; }));
+    EXPECT_FALSE(stateOf(taskName).givenUp);
+    EXPECT_GE(stateOf(taskName).workerCrashes, 3);
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/batch/BatchTaskFixture.h
+++ b/tests/coordination/batch/BatchTaskFixture.h
@@ -61,6 +61,7 @@
     options.refusalBackoff = std::chrono::milliseconds(50);
     options.directoryReadInterval = std::chrono::milliseconds(20);
     options.planRefreshInterval = std::chrono::milliseconds(30);
+    options.crashSettleTime = std::chrono::milliseconds(300);
     options.lookupTimeout = std::chrono::milliseconds(60);
     return options;
 }
--- a/tests/protocol/batch/BatchRecordCodecTest.cpp
+++ b/tests/protocol/batch/BatchRecordCodecTest.cpp
@@ -78,6 +78,9 @@
         .attributedCrashes = 1,
     };
     EXPECT_EQ(decodeTaskState(encodeTaskState(crashed)), crashed);
+    BatchTaskState doubtful = crashed;
+    doubtful.doubtfulCrashes = 1;
+    EXPECT_EQ(decodeTaskState(encodeTaskState(doubtful)), doubtful);
     BatchTaskState givenUp = crashed;
     givenUp.givenUp = true;
     EXPECT_EQ(decodeTaskState(encodeTaskState(givenUp)), givenUp);
--- a/tests/transport/SilencingServer.cpp
+++ b/tests/transport/SilencingServer.cpp
@@ -5,7 +5,7 @@
 
 namespace lentilsaddle::testing_support {
 
-SilencingServer::SilencingServer(std::string body, std::chrono::milliseconds delay)
+SilencingServer::SilencingServer(const std::string& body, std::chrono::milliseconds delay)
     : m_response("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)
     , m_delay(delay)
     , m_thread([this] { serve(); })
--- a/tests/transport/SilencingServer.h
+++ b/tests/transport/SilencingServer.h
@@ -18,7 +18,7 @@
 public:
     /// @param body body of the responses.
     /// @param delay delay of the responses, so that simultaneous requests need a connection each.
-    SilencingServer(std::string body, std::chrono::milliseconds delay);
+    SilencingServer(const std::string& body, std::chrono::milliseconds delay);
     ~SilencingServer();
     SilencingServer(const SilencingServer&) = delete;
     SilencingServer& operator=(const SilencingServer&) = delete;
