--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -106,8 +106,8 @@
     /// Time after the start of a task under which a worker has crashed when the worker is observed. A task that crashes
     /// its workers does so within some milliseconds.
     std::chrono::milliseconds suspectObserveDelay { 50 };
-    /// Restarts of workers that have a common cause become known within this time of each other: the wait of an observe
-    /// request, its timeout and the retry. So long a task waits before it is given up for the crash of its worker.
+    /// Time within which restarts of workers with a common cause become known: the wait of an observe request, its
+    /// timeout and the retry. A task that seems to have crashed its worker waits this long before it is given up.
     std::chrono::milliseconds crashSettleTime { 2'000 };
     /// Longest wait of a task that may crash its workers for a worker on which no other run is starting.
     std::chrono::milliseconds isolationWait { 1'500 };
