Evacuate data centres at the request of the operator

Cause: no source file knew the request in the operator's stream, so tasks went on starting in an evacuated data centre.

Change: each instance keeps the set of evacuated data centres from the operator's stream. The leader plans nothing there, gives back claims whose start is due, retries no start and sends no probe. With batch.evacuation_limit_ms it starts nothing from a view of the stream that is too old to keep the limit; the age counts from when the last complete read was sent. Running tasks go on. Directory entries state how much longer a worker is slow after its start; urgent units use it only where no other fits.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -66,6 +66,9 @@
     /// shrunk since. Above the 2.05 s that a lost response costs. With the readTimeout by which a response may be late,
     /// below the 3 s in which a smaller capacity must be known.
     std::chrono::milliseconds directoryStaleAfter { 2'200 };
+    /// Time after an operator's request from which nothing may start in an evacuated data centre; 0 for no limit. With
+    /// a limit, nothing starts from a view of the operator's stream that is too old to keep it.
+    std::chrono::milliseconds evacuationLimit { 0 };
     /// Delay before a failed call to the store is retried. That of a reader doubles with each failure up to the
     /// maximum.
     std::chrono::milliseconds storeRetryDelay { 150 };
--- a/coordination/batch/BatchPlatform.h
+++ b/coordination/batch/BatchPlatform.h
@@ -4,6 +4,7 @@
 
 #include "coordination/batch/JournalHooks.h"
 #include "coordination/batch/WorkerHooks.h"
+#include "state/Identifier.h"
 #include "state/batch/BatchConfiguration.h"
 #include "state/batch/BatchWorker.h"
 
@@ -24,6 +25,9 @@
     /// @return empty if the record is not a configuration.
     std::function<std::optional<state::batch::BatchConfiguration>(const std::string& key, const std::string& value)>
         decodeConfiguration;
+    /// @return the data centre that a record of the configuration stream asks to evacuate, or no longer to evacuate if
+    /// the record has no value; empty for other records.
+    std::function<std::optional<state::DataCentreId>(const std::string& key)> decodeEvacuation;
     /// Keeps the clients behind the hooks alive.
     std::shared_ptr<void> owner;
 };
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -51,7 +51,8 @@
         .nextFencingToken = [this] { return m_fencingTokens.next(); },
         .authorised = m_hooks.authorised,
         .mayRenew = m_hooks.mayRenew,
-        .directoryCurrent = m_hooks.directoryCurrent,
+        .mayStart = [this] { return m_hooks.directoryCurrent() && m_hooks.evacuationsCurrent(); },
+        .evacuated = m_hooks.evacuated,
         .onFenced = m_hooks.onFenced,
         .onEnded
         = [this, worker](const EndedTask& ended, const Allocation* allocation) { onEnded(worker, ended, allocation); },
@@ -276,6 +277,8 @@
 {
     if (!m_hooks.directoryCurrent())
         return std::vector(tasks.size(), StartDecision::StaleDirectory);
+    if (!m_hooks.evacuationsCurrent())
+        return std::vector(tasks.size(), StartDecision::StaleEvacuations);
     const BatchTaskId& first = tasks.front().first;
     const BatchStep& step = m_table.find(first.job)->job().steps[static_cast<std::size_t>(first.step)];
     std::vector<DueStart> starts;
@@ -283,7 +286,11 @@
     for (const auto& [id, worker] : tasks) {
         starts.push_back({ .worker = worker, .resources = step.resources });
         if (auto found = m_sessions.find(worker); found != m_sessions.end())
-            workers[worker] = { .available = found->second->acceptsStarts(), .free = found->second->freeCapacity() };
+            workers[worker] = {
+                .available = found->second->reachable(),
+                .evacuated = found->second->evacuated(),
+                .free = found->second->freeCapacity(),
+            };
     }
     return decideStarts(starts, std::move(workers), step.gang);
 }
@@ -382,7 +389,7 @@
     RunOverview overview(m_sessions, m_table);
     stopObsoleteRuns(overview);
     stopIncompleteGangs(overview);
-    if (waitForDirectory())
+    if (waitForStreams())
         return;
     PlanInput input = makeInput(overview);
     if (input.units.empty())
@@ -393,20 +400,23 @@
     executePlan(planner, overview, result);
 }
 
-bool BatchScheduler::waitForDirectory()
+bool BatchScheduler::waitForStreams()
 {
-    bool wait = !m_hooks.directoryCurrent();
-    if (wait != m_waitingForDirectory)
+    bool directoryCurrent = m_hooks.directoryCurrent();
+    bool evacuationsCurrent = m_hooks.evacuationsCurrent();
+    bool wait = !directoryCurrent || !evacuationsCurrent;
+    if (wait != m_waitingForStreams)
         writeLog(LogLevel::Info, "scheduler",
-            wait ? "nothing starts until the directory has been read" : "directory is current again",
-            { { "term", std::to_string(m_term) } });
-    m_waitingForDirectory = wait;
+            wait ? "nothing starts until the streams have been read" : "streams are current again",
+            { { "term", std::to_string(m_term) }, { "directory_current", directoryCurrent ? "true" : "false" },
+                { "evacuations_current", evacuationsCurrent ? "true" : "false" } });
+    m_waitingForStreams = wait;
     return wait;
 }
 
-void BatchScheduler::onDirectoryRead()
+void BatchScheduler::onStreamRead()
 {
-    if (m_waitingForDirectory)
+    if (m_waitingForStreams)
         requestPlan();
 }
 
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -49,6 +49,10 @@
         std::function<bool()> mayRenew;
         /// Whether the known capacities of the workers are recent enough to start tasks.
         std::function<bool()> directoryCurrent;
+        /// Whether the known evacuations are recent enough to start tasks.
+        std::function<bool()> evacuationsCurrent;
+        /// Whether nothing may start in a data centre.
+        std::function<bool(const state::DataCentreId&)> evacuated;
         /// Stores records of tasks and applies them to the table, then calls back.
         std::function<void(std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>> states,
             std::function<void()> onStored)>
@@ -69,8 +73,11 @@
     /// Applies a change of the directory.
     void onWorkers(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
 
-    /// Called after each successful read of the directory.
-    void onDirectoryRead();
+    /// Called after each successful read of the directory or of the operator's stream.
+    void onStreamRead();
+
+    /// Called when a data centre became evacuated, or ceased to be.
+    void onEvacuationsChanged() { requestPlan(); }
 
     /// Called when jobs or cancellations were added to the table.
     void onTableChanged() { requestPlan(); }
@@ -173,7 +180,8 @@
     void stopObsoleteRuns(const RunOverview& overview) const;
     void stopIncompleteGangs(const RunOverview& overview);
     bool gangIncomplete(const RunOverview& overview, const RunOverview::Group& gang, state::MonotonicTime now) const;
-    bool waitForDirectory();
+    /// @return whether nothing may be placed, because the view of the directory or of the evacuations is too old.
+    bool waitForStreams();
     void probeWorkers();
     PlanInput makeInput(const RunOverview& overview);
     void addUnits(PlanInput& input, const RunOverview& overview);
@@ -240,8 +248,8 @@
     /// When the requested planning round is due.
     state::MonotonicTime m_planDue {};
     LagMonitor m_lag { {} };
-    /// Nothing is placed until the directory has been read.
-    bool m_waitingForDirectory = false;
+    /// Nothing is placed until the directory and the operator's stream have been read.
+    bool m_waitingForStreams = false;
     /// When the last planning round ended, and how long it took.
     state::MonotonicTime m_lastPlan {};
     std::chrono::microseconds m_planDuration { 0 };
--- a/coordination/batch/BatchSchedulerCrashes.cpp
+++ b/coordination/batch/BatchSchedulerCrashes.cpp
@@ -182,7 +182,7 @@
 bool BatchScheduler::respondsAgain(const state::WorkerId& worker, const ExpiredWorker& expired) const
 {
     auto session = m_sessions.find(worker);
-    return session != m_sessions.end() && session->second->usable(m_hooks.clock())
+    return session != m_sessions.end() && session->second->responsive(m_hooks.clock())
         && session->second->incarnation() == expired.incarnation;
 }
 
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -252,6 +252,7 @@
                 view.freeAfterStops += run.resources;
         }
         view.slowness = m_speed.slowness(id, input.now);
+        view.cold = session->cold(input.now);
         input.workers.push_back(std::move(view));
     }
 }
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -6,6 +6,7 @@
 #include "coordination/batch/Leadership.h"
 #include "coordination/batch/MeasuredPlatform.h"
 #include "coordination/batch/SharedAppender.h"
+#include "coordination/decisions/batch/EvacuationLimit.h"
 #include "protocol/batch/BatchRecordCodec.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
@@ -140,8 +141,12 @@
         });
     m_configurationReader = makeReader(
         Stream::Configuration, [] { return std::chrono::milliseconds(0); },
-        [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); },
-        [this](const std::vector<KeyedRecord>& records) { applyConfiguration(records); }, [] {});
+        [this](const std::vector<KeyedRecord>& records) { applyOperatorRecords(records, true); },
+        [this](const std::vector<KeyedRecord>& records) { applyOperatorRecords(records, false); },
+        [this] {
+            if (m_scheduler)
+                m_scheduler->onStreamRead();
+        });
 }
 
 void BatchTask::startDirectory(std::uint64_t term)
@@ -157,7 +162,7 @@
         [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, false); },
         [this] {
             if (m_scheduler)
-                m_scheduler->onDirectoryRead();
+                m_scheduler->onStreamRead();
         });
     m_directoryReader->start();
 }
@@ -215,6 +220,8 @@
             .authorised = [this, term] { return m_leadership->term() == term && m_leadership->authorised(); },
             .mayRenew = [this, term] { return m_leadership->term() == term && m_leadership->mayRenew(); },
             .directoryCurrent = [this] { return directoryCurrent(); },
+            .evacuationsCurrent = [this] { return evacuationsCurrent(); },
+            .evacuated = [this](const state::DataCentreId& dataCentre) { return m_evacuations.contains(dataCentre); },
             .storeTasks
             = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
             .onFenced =
@@ -367,6 +374,19 @@
     return current && m_environment.monotonicClock() - *current < m_options.directoryStaleAfter;
 }
 
+bool BatchTask::evacuationsCurrent() const
+{
+    if (m_options.evacuationLimit.count() == 0)
+        return true;
+    std::chrono::milliseconds allowedAge = allowedEvacuationAge({
+        .limit = m_options.evacuationLimit,
+        .startTimeout = m_options.startTimeout,
+        .regularAge = 2 * m_options.directoryWait + m_options.readTimeout,
+    });
+    std::optional<state::MonotonicTime> complete = m_configurationReader->completeAsOf();
+    return complete && m_environment.monotonicClock() - *complete < allowedAge;
+}
+
 void BatchTask::updateReadiness()
 {
     bool ready = !m_draining && m_configuration && journalCurrent();
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -8,6 +8,7 @@
 #include "coordination/batch/BatchPlatform.h"
 #include "coordination/decisions/batch/InstanceRanking.h"
 #include "state/batch/BatchTable.h"
+#include "state/batch/Evacuations.h"
 #include "state/batch/LeaderRecord.h"
 #include "transport/Task.h"
 
@@ -59,6 +60,9 @@
     void applyJournal(const std::vector<KeyedRecord>& records, bool listing);
     void applyRecord(const KeyedRecord& record, bool listing);
     void applyDirectory(const std::vector<KeyedRecord>& records, bool listing);
+    /// Applies the records of the operator's stream.
+    void applyOperatorRecords(const std::vector<KeyedRecord>& records, bool listing);
+    void applyEvacuations(const std::vector<KeyedRecord>& records, bool listing);
     /// Puts the newest readable version of the records into force; decoding a large version takes long.
     void applyConfiguration(const std::vector<KeyedRecord>& records);
 
@@ -87,6 +91,8 @@
     bool journalCurrent() const;
     /// @return whether the view of the directory is recent enough to start tasks.
     bool directoryCurrent() const;
+    /// @return whether the view of the operator's stream is recent enough to start tasks.
+    bool evacuationsCurrent() const;
     void updateReadiness();
     void watchReadiness();
     void recordStreamAges();
@@ -98,6 +104,7 @@
     state::batch::BatchTable m_table;
     std::map<state::WorkerId, state::batch::BatchWorker> m_workers;
     std::shared_ptr<const state::batch::BatchConfiguration> m_configuration;
+    state::batch::Evacuations m_evacuations;
     std::unique_ptr<SharedAppender> m_sharedAppender;
     std::unique_ptr<KeyedReader> m_journalReader;
     std::unique_ptr<KeyedReader> m_directoryReader;
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -10,11 +10,14 @@
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lentilsaddle::coordination::batch {
 
 using state::batch::BatchTaskId;
+using state::batch::EvacuationRecord;
 using transport::LogLevel;
 using transport::writeLog;
 
@@ -110,11 +113,44 @@
         m_scheduler->onWorkers(m_workers);
 }
 
+void BatchTask::applyOperatorRecords(const std::vector<KeyedRecord>& records, bool listing)
+{
+    // First, because a large configuration takes long.
+    applyEvacuations(records, listing);
+    applyConfiguration(records);
+}
+
+void BatchTask::applyEvacuations(const std::vector<KeyedRecord>& records, bool listing)
+{
+    std::vector<EvacuationRecord> decoded;
+    for (const KeyedRecord& record : records) {
+        if (std::optional<state::DataCentreId> dataCentre = m_platform.decodeEvacuation(record.key))
+            decoded.push_back(
+                { .dataCentre = *dataCentre, .requested = record.value.has_value(), .offset = record.offset });
+    }
+    std::vector<EvacuationRecord> changes;
+    if (listing)
+        changes = m_evacuations.replace(decoded);
+    else
+        std::copy_if(decoded.begin(), decoded.end(), std::back_inserter(changes),
+            [this](const EvacuationRecord& record) { return m_evacuations.apply(record); });
+    for (const EvacuationRecord& change : changes) {
+        writeLog(LogLevel::Info, "scheduler", change.requested ? "data centre evacuated" : "evacuation ended",
+            { { "data_centre", change.dataCentre.value() }, { "offset", std::to_string(change.offset) } });
+        m_environment.metrics->setGauge(
+            "lentilsaddle_batch_evacuated", change.requested ? 1 : 0, { { "data_centre", change.dataCentre.value() } });
+    }
+    if (m_scheduler && !changes.empty())
+        m_scheduler->onEvacuationsChanged();
+}
+
 void BatchTask::applyConfiguration(const std::vector<KeyedRecord>& records)
 {
     for (auto record = records.rbegin(); record != records.rend(); ++record) {
         if (!record->value)
             continue;
+        if (m_platform.decodeEvacuation(record->key))
+            continue;
         std::optional<state::batch::BatchConfiguration> configuration
             = m_platform.decodeConfiguration(record->key, *record->value);
         if (!configuration)
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -151,6 +151,7 @@
     // A response that does not reach the end of the stream lacks the records that follow.
     if (m_position >= result.end) {
         m_currentAsOf = m_hooks.clock();
+        m_completeAsOf = sent;
         completeWaiters(sent);
     }
     transport::runGuarded("read", m_hooks.afterRead);
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -86,6 +86,10 @@
     /// @return when the last response that reached the end of the stream arrived; empty before the first.
     std::optional<state::MonotonicTime> currentAsOf() const { return m_currentAsOf; }
 
+    /// @return when the read was sent whose response last reached the end of the stream; empty before the first. All
+    /// records that were stored before then have been delivered, however long the response took.
+    std::optional<state::MonotonicTime> completeAsOf() const { return m_completeAsOf; }
+
     /// @return whether the last call succeeded; false before the first.
     bool reachable() const { return m_reachable == true; }
 
@@ -121,6 +125,7 @@
     std::vector<KeyedRecord> m_listing;
     std::optional<std::uint64_t> m_listingEnd;
     std::optional<state::MonotonicTime> m_currentAsOf;
+    std::optional<state::MonotonicTime> m_completeAsOf;
     std::optional<bool> m_reachable;
     /// Current limit of the records in a response.
     std::size_t m_readBytes = 0;
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -26,6 +26,7 @@
     , m_clock(options.maximumClockDrift)
     , m_termStart(m_hooks.clock())
 {
+    updateColdUntil();
 }
 
 WorkerSession::~WorkerSession()
@@ -36,8 +37,13 @@
 void WorkerSession::update(const state::batch::BatchWorker& description, bool listed)
 {
     bool changed = description.draining != m_description.draining || listed != m_listed;
+    bool coldChanged = description.coldRemaining != m_description.coldRemaining
+        || description.incarnation != m_description.incarnation;
     m_description = description;
     m_listed = listed;
+    // An unchanged entry is older than this call.
+    if (coldChanged)
+        updateColdUntil();
     // Entries may lag behind the responses of the worker.
     if (description.incarnation > m_incarnation && !m_endedIncarnations.contains(description.incarnation))
         updateIncarnation(description.incarnation);
@@ -45,6 +51,11 @@
         m_hooks.onChanged();
 }
 
+void WorkerSession::updateColdUntil()
+{
+    m_coldUntil = m_hooks.clock() + m_description.coldRemaining;
+}
+
 void WorkerSession::setListed(bool listed)
 {
     if (m_listed == listed)
@@ -134,10 +145,10 @@
     if (allocation.phase != Phase::Starting)
         return;
     // The incarnation recognises a run that it already has, so the start can be retried there, and only there.
-    // If no earlier attempt was executed, a retry is new work: on a worker that drains now, or over a capacity that has
-    // shrunk since.
-    bool open = m_listed && !m_description.draining;
-    bool fits = m_hooks.directoryCurrent() && state::batch::Resources {}.fitsInto(freeCapacity());
+    // If no earlier attempt was executed, a retry is new work: on a worker that drains now, in a data centre that is
+    // evacuated now, or over a capacity that has shrunk since.
+    bool open = m_listed && !m_description.draining && !evacuated();
+    bool fits = m_hooks.mayStart() && state::batch::Resources {}.fitsInto(freeCapacity());
     bool retry = open && fits && m_hooks.clock() - allocation.since < m_options.startRetryLimit && m_hooks.authorised()
         && !startedOnEarlierIncarnation(allocation);
     if (retry) {
@@ -425,14 +436,14 @@
     m_hooks.onLost(node.mapped(), loss);
 }
 
-bool WorkerSession::acceptsStarts() const
+bool WorkerSession::reachable() const
 {
     return m_listed && !m_description.draining && m_fencingTokenConfirmed && m_reachable && m_clock.known();
 }
 
-bool WorkerSession::usable(state::MonotonicTime now) const
+bool WorkerSession::responsive(state::MonotonicTime now) const
 {
-    if (!acceptsStarts())
+    if (!reachable())
         return false;
     if (m_pausedUntil && now < *m_pausedUntil)
         return false;
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -39,8 +39,10 @@
         std::function<bool()> authorised;
         /// Whether leases may be renewed now.
         std::function<bool()> mayRenew;
-        /// Whether the known capacity of the worker is recent enough to start tasks.
-        std::function<bool()> directoryCurrent;
+        /// Whether the known capacity of the worker and the known evacuations are recent enough to start tasks.
+        std::function<bool()> mayStart;
+        /// Whether nothing may start in a data centre.
+        std::function<bool(const state::DataCentreId&)> evacuated;
         /// The worker has seen the fencing token of a later term.
         std::function<void()> onFenced;
         /// A run ended. The end stays listed until acknowledge().
@@ -96,10 +98,16 @@
     /// no lease expires for want of a renewal.
     void resumeObservation();
 
-    /// @return whether a start may be sent to the worker, if it fits.
-    bool acceptsStarts() const;
+    /// @return whether the worker is listed, responds and is not draining.
+    bool reachable() const;
+    /// @return whether nothing may start in the data centre of the worker.
+    bool evacuated() const { return m_hooks.evacuated(m_description.dataCentre); }
+    /// @return whether the worker is reachable, has responded recently and is not paused.
+    bool responsive(state::MonotonicTime now) const;
     /// @return whether new work may be planned for the worker.
-    bool usable(state::MonotonicTime now) const;
+    bool usable(state::MonotonicTime now) const { return responsive(now) && !evacuated(); }
+    /// @return whether the worker is slow because it has started a short time ago.
+    bool cold(state::MonotonicTime now) const { return now < m_coldUntil; }
     /// @return whether the worker has not responded recently, so that only an observation can make it usable.
     bool needsObservation(state::MonotonicTime now) const;
 
@@ -122,6 +130,8 @@
         std::uint64_t fencingToken = 0;
     };
 
+    /// Computes the end of the slow time from the directory entry, which was read now.
+    void updateColdUntil();
     RequestOrigin requestOrigin() const;
     /// @return the result; if the worker refused the request only for a higher token of this session, as one that was
     /// not delivered.
@@ -185,6 +195,8 @@
     std::int64_t m_incarnation = 0;
     /// Incarnations that another one has followed, which an old entry of the directory may name.
     std::set<std::int64_t> m_endedIncarnations;
+    /// Until when the worker is slow after its start, from the directory entry that last stated another time.
+    state::MonotonicTime m_coldUntil {};
     WorkerClock m_clock;
     /// Highest lease end ever sent under this term, on the worker's clock.
     std::chrono::milliseconds m_latestLeaseEnd { 0 };
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -20,6 +20,8 @@
     constexpr double coreWeight = 0.5;
     // A worker that is slower by half is penalised like four left-over accelerators.
     constexpr double slownessWeight = 8;
+    // Above the differences in fit, so that urgent work starts on a cold worker only where no other fits.
+    constexpr double coldPenalty = 500;
     // Above every other score, so that a worker where the step failed comes last.
     constexpr double failedBeforePenalty = 1'000;
 
@@ -123,6 +125,8 @@
         if (allowed <= 0 || startsOverlap(unit, view))
             continue;
         double penalty = slownessWeight * (view.slowness - 1);
+        if (view.cold && (unit.guaranteed || unit.priority == 0))
+            penalty += coldPenalty;
         if (!unit.avoidedWorkers.empty() && unit.avoidedWorkers.contains(view.worker.id))
             penalty += failedBeforePenalty;
         if (unit.isolatedStart)
--- a/coordination/decisions/batch/StartCheck.cpp
+++ b/coordination/decisions/batch/StartCheck.cpp
@@ -19,6 +19,8 @@
             worker.free += start.resources;
         if (!worker.available)
             decisions.push_back(StartDecision::WorkerUnavailable);
+        else if (worker.evacuated)
+            decisions.push_back(StartDecision::DataCentreEvacuated);
         else
             decisions.push_back(fits ? StartDecision::Start : StartDecision::InsufficientCapacity);
     }
@@ -36,8 +38,12 @@
         return "start";
     case StartDecision::WorkerUnavailable:
         return "worker_unavailable";
+    case StartDecision::DataCentreEvacuated:
+        return "data_centre_evacuated";
     case StartDecision::StaleDirectory:
         return "stale_directory";
+    case StartDecision::StaleEvacuations:
+        return "stale_evacuations";
     case StartDecision::InsufficientCapacity:
         return "insufficient_capacity";
     case StartDecision::GangIncomplete:
--- a/coordination/decisions/batch/StartCheck.h
+++ b/coordination/decisions/batch/StartCheck.h
@@ -18,8 +18,10 @@
 
 /// What a worker offers to the tasks that are claimed for it.
 struct StartCapacity {
-    /// The worker accepts starts: it is listed, responds and is not draining.
+    /// The worker is listed, responds and is not draining.
     bool available = false;
+    /// Nothing may start in the data centre of the worker.
+    bool evacuated = false;
     /// Capacity without that of all allocations, the due starts among them; negative amounts are a shortage.
     state::batch::Resources free;
 };
@@ -28,8 +30,11 @@
 enum class StartDecision {
     Start,
     WorkerUnavailable,
+    DataCentreEvacuated,
     /// The capacity of the worker may have changed unseen.
     StaleDirectory,
+    /// The data centre of the worker may have been evacuated unseen.
+    StaleEvacuations,
     /// The start would bring the worker over its capacity.
     InsufficientCapacity,
     /// Another member of the gang cannot start.
--- a/coordination/decisions/batch/WorkerView.h
+++ b/coordination/decisions/batch/WorkerView.h
@@ -32,6 +32,8 @@
     bool isolatedStartPending = false;
     /// Run time of tasks relative to other workers; 1 is normal.
     double slowness = 1;
+    /// The worker has started a short time ago and is slow until it is warm.
+    bool cold = false;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -135,6 +135,8 @@
                 [](Settings& s, long v) { s.batch.stopGrace = milliseconds(v); }),
             integerKey("batch.gang_timeout_ms", 500, 600'000, "milliseconds",
                 [](Settings& s, long v) { s.batch.gangTimeout = milliseconds(v); }),
+            integerKey("batch.evacuation_limit_ms", 0, 600'000, "milliseconds, 0 for no limit",
+                [](Settings& s, long v) { s.batch.evacuationLimit = milliseconds(v); }),
             textKey(
                 "batch.processors", false, "a number of processors such as 0.25, at most 1024",
                 [](const std::string& v) { return parseProcessors(v).has_value(); },
--- a/state/batch/BatchWorker.h
+++ b/state/batch/BatchWorker.h
@@ -27,6 +27,8 @@
     bool draining = false;
     /// Minimum time for which a draining worker remains available.
     std::chrono::milliseconds drainRemaining { 0 };
+    /// How much longer the worker is slow after its start, from when its entry was read.
+    std::chrono::milliseconds coldRemaining { 0 };
     /// Identifies one process lifetime of the worker; 0 if the directory does not state it.
     std::int64_t incarnation = 0;
 
--- a/tests/coordination/batch/BatchTaskFixture.h
+++ b/tests/coordination/batch/BatchTaskFixture.h
@@ -31,6 +31,8 @@
 inline constexpr std::string_view acceleratorsPrefix = "accelerators=";
 inline constexpr std::string_view addressPrefix = "address=";
 inline constexpr std::string_view incarnationPrefix = "incarnation=";
+inline constexpr std::string_view dataCentrePrefix = "data_centre=";
+inline constexpr std::string_view evacuationKeyPrefix = "evacuate/";
 
 /// Short limits, in the proportions of the defaults.
 inline BatchOptions shortOptions()
@@ -145,6 +147,8 @@
                             worker.address = word.substr(addressPrefix.size());
                         else if (word.starts_with(incarnationPrefix))
                             worker.incarnation = std::stoll(word.substr(incarnationPrefix.size()));
+                        else if (word.starts_with(dataCentrePrefix))
+                            worker.dataCentre = state::DataCentreId(word.substr(dataCentrePrefix.size()));
                     }
                     return std::optional(worker);
                 },
@@ -153,6 +157,12 @@
                     ++m_decodedConfigurations;
                     return std::optional(state::batch::BatchConfiguration { .version = std::stoul(value) });
                 },
+            .decodeEvacuation =
+                [](const std::string& key) {
+                    bool evacuation = key.starts_with(evacuationKeyPrefix);
+                    return evacuation ? std::optional(state::DataCentreId(key.substr(evacuationKeyPrefix.size())))
+                                      : std::nullopt;
+                },
             .owner = nullptr,
         };
     }
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -83,6 +83,30 @@
 
 } // namespace
 
+// Guards against urgent work on workers that are slow after their start while others fit, as after an evacuation.
+TEST(BatchPlanner, UrgentWorkAvoidsColdWorkers)
+{
+    PlanInput input { .workers = { makeWorker("cold"), makeWorker("warm") } };
+    input.workers[0].cold = true;
+    // Without regard to the cold, the fuller worker fits better.
+    addRun(input, 0, 0, 4);
+    input.groups.push_back({ .priority = 1 });
+    auto workersOf = [&](BatchUnit unit) {
+        PlanInput copy = input;
+        copy.units = { std::move(unit) };
+        std::vector<std::size_t> workers;
+        for (const Placement& placement : plan(std::move(copy)).placements)
+            workers.push_back(placement.worker);
+        return workers;
+    };
+    EXPECT_EQ(workersOf(makeUnit("urgent", 1, 1, 0)), std::vector<std::size_t> { 1 });
+    BatchUnit guaranteed = makeUnit("guaranteed", 1, 1);
+    guaranteed.guaranteed = true;
+    EXPECT_EQ(workersOf(guaranteed), std::vector<std::size_t> { 1 });
+    EXPECT_EQ(workersOf(makeUnit("other", 1, 1)), std::vector<std::size_t> { 0 });
+    EXPECT_EQ(workersOf(makeUnit("large", 3, 4, 0)), (std::vector<std::size_t> { 1, 1, 0 }));
+}
+
 // Guards against a gang of which only some members are placed.
 TEST(BatchPlanner, GangIsPlacedAsAWholeOrNotAtAll)
 {
--- a/tests/coordination/decisions/batch/StartCheckTest.cpp
+++ b/tests/coordination/decisions/batch/StartCheckTest.cpp
@@ -57,6 +57,19 @@
     EXPECT_EQ(decideStarts(starts, workers, false), std::vector { StartDecision::WorkerUnavailable });
 }
 
+// Guards against a start in a data centre that was evacuated after the claim, and against a gang that starts without
+// the members there.
+TEST(StartCheck, EvacuatedDataCentreGetsNothing)
+{
+    std::vector<DueStart> starts { makeStart("w1", 1), makeStart("w2", 1) };
+    std::map<WorkerId, StartCapacity> workers { { WorkerId("w1"), { .available = true, .evacuated = true } },
+        { WorkerId("w2"), { .available = true } } };
+    EXPECT_EQ(decideStarts(starts, workers, false),
+        (std::vector { StartDecision::DataCentreEvacuated, StartDecision::Start }));
+    EXPECT_EQ(decideStarts(starts, workers, true),
+        (std::vector { StartDecision::DataCentreEvacuated, StartDecision::GangIncomplete }));
+}
+
 // Guards against starts that bring a worker over its capacity, and against giving tasks back although all fit.
 RC_GTEST_PROP(StartCheck, StartsNeverExceedTheCapacity, ())
 {
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/BatchConfigurationCodec.h"
 #include "platform/DirectoryCodec.h"
+#include "platform/EvacuationCodec.h"
 #include "platform/JobCodec.h"
 #include "platform/StoreCodec.h"
 #include "platform/WorkerCodec.h"
@@ -160,6 +161,24 @@
     EXPECT_FALSE(decodeWorkerEntry("i-1", unknownState));
 }
 
+// Guards against an evacuation that is not recognised, and against a key that takes the reader of the stream down.
+TEST(EvacuationCodec, DecodesKeys)
+{
+    EXPECT_EQ(decodeEvacuationKey("evacuate/norte-ovi"), state::DataCentreId("norte-ovi"));
+    for (const char* key :
+        { "config", "wave/1", "evacuate", "evacuate/", "evacuate/a/b", "evacuate/a b", "evacuate/\xff" })
+        EXPECT_FALSE(decodeEvacuationKey(key)) << key;
+}
+
+// Guards against a worker that counts as warm although its entry says that it is slow for some time.
+TEST(DirectoryCodec, DecodesHowLongAWorkerIsCold)
+{
+    std::string cold = entry;
+    cold.insert(cold.find('{') + 1, R"("cold_left_ms":1500,)");
+    ASSERT_TRUE(decodeWorkerEntry("i-1", cold));
+    EXPECT_EQ(decodeWorkerEntry("i-1", cold)->coldRemaining, milliseconds(1'500));
+}
+
 TEST(BatchConfigurationCodec, DecodesQueuesAndAccounts)
 {
     auto configuration = decodeConfigurationRecord("config",
