soak: evacuate data centres

The operator evacuates a data centre at seeded times, drawn from a random stream of their own, for longer than the limit. A start that arrives there after the limit and before the end is a violation, unless the worker's proxy may have held it back.

--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -137,4 +137,34 @@
     return violations;
 }
 
+std::vector<std::string> checkEvacuations(const EvacuationCheck& check, const json& workerJournal)
+{
+    // Longer than a proxy holds a request back.
+    constexpr std::chrono::milliseconds holdLimit { 9'000 };
+    std::vector<std::string> violations;
+    for (const json& span : workerJournal.at("spans")) {
+        auto worker = span.at("worker").get<std::string>();
+        std::chrono::steady_clock::time_point arrival { std::chrono::milliseconds(
+            span.at("arrival_ms").get<std::int64_t>()) };
+        bool heldBack = std::any_of(
+            check.disturbances.begin(), check.disturbances.end(), [&](const SoakDisturbance& disturbance) {
+                return disturbance.worker == worker && disturbance.begin < arrival
+                    && (disturbance.end >= arrival || arrival - disturbance.end < holdLimit);
+            });
+        if (heldBack)
+            continue;
+        for (const SoakEvacuation& evacuation : check.evacuations) {
+            bool evacuated = evacuation.dataCentre == check.dataCentreOf(worker)
+                && arrival > evacuation.acknowledged + check.limit && arrival < evacuation.ended;
+            if (evacuated)
+                violations.push_back(span.at("task").get<std::string>() + " was started on " + worker + ' '
+                    + std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(arrival - evacuation.acknowledged)
+                            .count())
+                    + " ms after the evacuation of " + evacuation.dataCentre);
+        }
+    }
+    return violations;
+}
+
 } // namespace lentilsaddle::soak
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -3,6 +3,7 @@
 #include "tests/process/BlockingHttp.h"
 #include "tests/process/FreePorts.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -93,7 +94,9 @@
         + endpoint(portAt(m_firstStoreProxyPort, daemon)) + "\nbatch:\n  front: " + endpoint(frontPort(daemon))
         + "\n  ready: " + endpoint(portAt(m_firstReadyPort, daemon));
     return text
-        + "\n  worker_lease_limit_ms: 6000\n  stop_grace_ms: 100\n  gang_timeout_ms: 3000\nshutdown:\n  notice_ms: "
+        + "\n  worker_lease_limit_ms: 6000\n  stop_grace_ms: 100\n  gang_timeout_ms: 3000\n  evacuation_limit_ms: "
+        + std::to_string(evacuationLimit.count())
+        + "\nshutdown:\n  notice_ms: "
           "300\n"
           "  limit_s: 3\n";
 }
@@ -149,6 +152,13 @@
 
 void SoakCluster::setWorkerProxy(int worker, FaultProxyMode mode)
 {
+    std::string name = "w-" + std::to_string(worker);
+    for (SoakDisturbance& disturbance : m_disturbances) {
+        if (disturbance.worker == name)
+            disturbance.end = std::min(disturbance.end, std::chrono::steady_clock::now());
+    }
+    if (mode.kind != FaultProxyMode::Kind::Pass)
+        m_disturbances.push_back({ .worker = name, .begin = std::chrono::steady_clock::now() });
     m_workerProxies.at(static_cast<std::size_t>(worker))->post(mode);
 }
 
@@ -176,8 +186,8 @@
     auto index = static_cast<std::size_t>(worker);
     json incarnation = workerJournal().at("runners").at(index).at("born");
     json entry { { "service", "s" }, { "addr", "127.0.0.1:" + std::to_string(portAt(m_firstWorkerProxyPort, worker)) },
-        { "zone", "dc-0" }, { "state", "ready" }, { "seq", 1 }, { "born", incarnation },
-        { "labels", json::array({ "a", "r-" + std::to_string(worker / 3) }) },
+        { "zone", dataCentreOf(worker) }, { "state", "ready" }, { "seq", 1 }, { "born", incarnation },
+        { "labels", json::array({ "a", "r-" + std::to_string(worker / workersPerRack) }) },
         { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", m_accelerators.at(index) } } } };
     putRecord("keyed.servers", "w-" + std::to_string(worker), entry.dump());
     m_listed.at(index) = true;
@@ -189,6 +199,26 @@
     putRecord("keyed.servers", "w-" + std::to_string(worker), "");
 }
 
+void SoakCluster::requestEvacuation(const std::string& dataCentre)
+{
+    bool evacuated = std::any_of(m_evacuations.begin(), m_evacuations.end(), [&](const SoakEvacuation& evacuation) {
+        return evacuation.dataCentre == dataCentre && evacuation.ended == std::chrono::steady_clock::time_point::max();
+    });
+    if (evacuated)
+        return;
+    putRecord("keyed.op", "evacuate/" + dataCentre, "{}");
+    m_evacuations.push_back({ .dataCentre = dataCentre, .acknowledged = std::chrono::steady_clock::now() });
+}
+
+void SoakCluster::endEvacuation(const std::string& dataCentre)
+{
+    for (SoakEvacuation& evacuation : m_evacuations) {
+        if (evacuation.dataCentre == dataCentre)
+            evacuation.ended = std::min(evacuation.ended, std::chrono::steady_clock::now());
+    }
+    putRecord("keyed.op", "evacuate/" + dataCentre, "");
+}
+
 void SoakCluster::writeConfiguration(int version, int unusedQueues) const
 {
     auto queue = [](const std::string& name, int priority) {
@@ -211,8 +241,10 @@
     controlWorkers({ { "late", 0.0 } });
     for (auto& proxy : m_storeProxies)
         proxy->post({});
-    for (auto& proxy : m_workerProxies)
-        proxy->post({});
+    for (int worker = 0; worker < m_options.workers; ++worker)
+        setWorkerProxy(worker, {});
+    for (int dataCentre = 0; dataCentre < dataCentres(); ++dataCentre)
+        endEvacuation("dc-" + std::to_string(dataCentre));
     m_listed.assign(m_listed.size(), true);
     for (int worker = 0; worker < m_options.workers; ++worker) {
         setWorkerRequestFaults(worker, 0, 0);
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -4,6 +4,7 @@
 
 #include "tests/process/ChildProcess.h"
 #include "tests/soak/FaultProxy.h"
+#include "tests/soak/SoakEvacuation.h"
 
 #include <nlohmann/json.hpp>
 
@@ -56,14 +57,26 @@
     void announceWorker(int worker);
     void removeWorker(int worker);
 
+    /// Time from an evacuation after which nothing may start in the data centre.
+    static constexpr std::chrono::milliseconds evacuationLimit { 5'000 };
+    /// @return name of the data centre of a worker; the workers of a rack share one.
+    static std::string dataCentreOf(int worker) { return "dc-" + std::to_string(worker / workersPerRack); }
+    int dataCentres() const { return (m_options.workers + workersPerRack - 1) / workersPerRack; }
+    /// Requests the evacuation of a data centre, as the operator does; no effect if it is evacuated.
+    void requestEvacuation(const std::string& dataCentre);
+    void endEvacuation(const std::string& dataCentre);
+    const std::vector<SoakEvacuation>& evacuations() const { return m_evacuations; }
+    /// Faults of the proxies of workers.
+    const std::vector<SoakDisturbance>& disturbances() const { return m_disturbances; }
+
     /// Writes a configuration version with the queues `q0` and `q1` and a queue `v<version>` that only this version
     /// has.
     /// @param unusedQueues number of further queues, which make the version large.
     void writeConfiguration(int version, int unusedQueues = 0) const;
 
     /// Ends all faults: proxies forward without a fault, the store responds normally, all workers are listed as ready
-    /// with all their accelerators, and all daemons run. Waits for daemons that are shutting down and starts them
-    /// again.
+    /// with all their accelerators, no data centre is evacuated, and all daemons run. Waits for daemons that are
+    /// shutting down and starts them again.
     void clearFaults();
 
     nlohmann::json workerJournal() const;
@@ -82,7 +95,11 @@
     /// @return false if it does not within the start timeout.
     bool pollUntilOk(std::uint16_t port, const std::string& path) const;
 
+    static constexpr int workersPerRack = 3;
+
     Options m_options;
+    std::vector<SoakEvacuation> m_evacuations;
+    std::vector<SoakDisturbance> m_disturbances;
     /// By worker.
     std::vector<int> m_accelerators;
     /// By worker: whether the directory lists it.
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -18,6 +18,7 @@
     , m_random(seed)
     , m_capacityRandom(seed + 1)
     , m_outageRandom(seed + 2)
+    , m_evacuationRandom(seed + 3)
     , m_startTime(steady_clock::now())
 {
 }
@@ -52,6 +53,7 @@
     injectCapacityChange();
     injectPartialStoreOutage();
     injectUnhealthyWorker();
+    injectEvacuation();
     while (steady_clock::now() < end) {
         injectRandomFault();
         Time next = steady_clock::now() + drawDuration(150, 1'400);
@@ -257,6 +259,24 @@
     schedule(milliseconds(200 + drawForOutage(1'000)), [this] { injectUnhealthyWorker(); });
 }
 
+void SoakFaults::injectEvacuation()
+{
+    auto draw
+        = [this](int limit) { return static_cast<int>(m_evacuationRandom() % static_cast<std::uint64_t>(limit)); };
+    milliseconds begin(draw(2'000));
+    milliseconds duration = SoakCluster::evacuationLimit + milliseconds(500 + draw(4'000));
+    std::string dataCentre = "dc-" + std::to_string(draw(m_cluster.dataCentres()));
+    schedule(begin, [this, dataCentre, duration] {
+        recordFault(dataCentre + " evacuated");
+        m_cluster.requestEvacuation(dataCentre);
+        schedule(duration, [this, dataCentre] {
+            recordFault("evacuation of " + dataCentre + " ended");
+            m_cluster.endEvacuation(dataCentre);
+            injectEvacuation();
+        });
+    });
+}
+
 void SoakFaults::injectConfigurationChanges()
 {
     int versions = 1 + draw(4);
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -47,6 +47,9 @@
     void failStoreFor(int daemon, std::chrono::milliseconds duration);
     /// Makes a worker refuse requests and lose responses, or its proxy cut them, and schedules the next such fault.
     void injectUnhealthyWorker();
+    /// Evacuates a data centre for longer than the limit in which the request must be in force, and schedules the next
+    /// evacuation.
+    void injectEvacuation();
     void beginStoreFault(nlohmann::json faults, std::chrono::milliseconds duration);
     void recordFault(const std::string& description);
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
@@ -63,6 +66,7 @@
     /// Separate, so that a seed keeps its other faults.
     std::mt19937_64 m_capacityRandom;
     std::mt19937_64 m_outageRandom;
+    std::mt19937_64 m_evacuationRandom;
     Time m_startTime;
     std::multimap<Time, std::function<void()>> m_scheduledActions;
     std::vector<std::string> m_history;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -137,8 +137,18 @@
     waitUntilEnded(jobs, cluster, result);
     std::this_thread::sleep_for(drainDelay);
     checkLargeConfiguration(cluster, result);
-    std::vector<std::string> violations
-        = checkGuarantees(jobs, cluster.workerJournal(), cluster.recordHistory("leader"));
+    nlohmann::json workerJournal = cluster.workerJournal();
+    std::vector<std::string> violations = checkGuarantees(jobs, workerJournal, cluster.recordHistory("leader"));
+    result.violations.insert(result.violations.end(), violations.begin(), violations.end());
+    violations = checkEvacuations(
+        {
+            .evacuations = cluster.evacuations(),
+            .disturbances = cluster.disturbances(),
+            .dataCentreOf
+            = [](const std::string& worker) { return SoakCluster::dataCentreOf(std::stoi(worker.substr(2))); },
+            .limit = SoakCluster::evacuationLimit,
+        },
+        workerJournal);
     result.violations.insert(result.violations.end(), violations.begin(), violations.end());
     result.faults = faults.history();
     result.jobs = jobs.size();
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -21,8 +21,8 @@
 } // namespace
 
 // Guards against overlapping faults that make real processes violate a guarantee to clients: lost jobs, rejected jobs
-// that run, tasks that run twice at the same time, worker capacity exceeded, two leaders in a term, and a large
-// configuration that is not in force in time.
+// that run, tasks that run twice at the same time, worker capacity exceeded, two leaders in a term, work in an
+// evacuated data centre, and a large configuration that is not in force in time.
 TEST_P(SoakTest, GuaranteesHoldUnderRandomFaults)
 {
     std::signal(SIGPIPE, SIG_IGN);
--- a/tests/standin/BatchRunner.cpp
+++ b/tests/standin/BatchRunner.cpp
@@ -124,7 +124,7 @@
     for (const auto& [name, other] : m_runs)
         used += other.accelerators;
     m_overloads += used > acceleratorsForStart(arrival) ? 1 : 0;
-    m_spans.push_back({ .task = task, .run = number, .payload = payload, .begin = now });
+    m_spans.push_back({ .task = task, .run = number, .payload = payload, .arrival = arrival, .begin = now });
     m_runs[task] = std::move(run);
     return makeResponse(200, now);
 }
--- a/tests/standin/BatchRunner.h
+++ b/tests/standin/BatchRunner.h
@@ -23,6 +23,8 @@
         std::string task;
         std::int64_t run = 0;
         std::string payload;
+        /// When the start arrived; it may have been executed later.
+        Time arrival {};
         Time begin {};
         Time end = Time::max();
         std::string outcome;
--- a/tests/standin/BatchRunnerHostTask.cpp
+++ b/tests/standin/BatchRunnerHostTask.cpp
@@ -191,9 +191,9 @@
         for (const BatchRunner::Span& span : runner.spans()) {
             bool open = span.end == BatchRunner::Time::max();
             spans.push_back({ { "worker", runner.id() }, { "task", span.task }, { "run", span.run },
-                { "payload", span.payload }, { "begin_ms", toJournalTime(span.begin) },
-                { "end_ms", open ? json() : json(toJournalTime(span.end)) }, { "how", span.outcome },
-                { "acknowledged", span.acknowledged } });
+                { "payload", span.payload }, { "arrival_ms", toJournalTime(span.arrival) },
+                { "begin_ms", toJournalTime(span.begin) }, { "end_ms", open ? json() : json(toJournalTime(span.end)) },
+                { "how", span.outcome }, { "acknowledged", span.acknowledged } });
         }
     }
     return { { "runners", std::move(runners) }, { "spans", std::move(spans) } };
