protocol: treat a setting without a value as absent

Cause: the daemon did not start when the template of its settings had no value for an optional key. An unquoted placeholder that is left as it is reads as a YAML mapping and was reported as an unknown key; an empty value was reported as invalid.

Change: an optional key with an empty value or with a placeholder that was not filled in keeps its default, and the daemon logs a warning with the key. A required key without a value stays an error.

SettingsCodec.OptionalKeyWithoutAValueIsAbsent fails without the change.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -96,6 +96,9 @@
     {
         sigset_t signals = blockSignals();
         transport::configureLogging(settings.instance.value(), parseLogLevel(settings.logLevel));
+        for (const std::string& key : settings.unsetKeys)
+            transport::writeLog(
+                transport::LogLevel::Warning, "daemon", "setting has no value; its default holds", { { "key", key } });
         return settings.batch.enabled() ? runUntilSignal<BatchDaemon>(settings, signals)
                                         : runUntilSignal<Daemon>(settings, signals);
     }
--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -31,6 +31,20 @@
         std::function<bool(Settings&, const std::string&)> assign;
     };
 
+    // Whether the template of the settings had no value for a key: the scalar is empty, or the placeholder was left as
+    // it is, which YAML reads as a mapping with a mapping as its key unless it is quoted.
+    bool isUnset(const YAML::Node& value)
+    {
+        if (value.IsNull())
+            return true;
+        if (value.IsMap())
+            return value.size() == 1 && value.begin()->first.IsMap();
+        if (!value.IsScalar())
+            return false;
+        const std::string& text = value.Scalar();
+        return text.empty() || (text.starts_with("{{") && text.ends_with("}}"));
+    }
+
     std::optional<long> parseInteger(const std::string& text)
     {
         try {
@@ -230,7 +244,7 @@
             for (const auto& entry : map) {
                 std::string path = prefix + entry.first.Scalar();
                 int line = entry.first.Mark().line + 1;
-                if (entry.second.IsMap()) {
+                if (entry.second.IsMap() && !isUnset(entry.second)) {
                     if (!isSection(path))
                         fail(path, line, "is unknown");
                     readMap(entry.second, path + ".");
@@ -256,6 +270,12 @@
                     continue;
                 if (!m_seen.insert(path).second)
                     fail(path, line, "is given twice");
+                if (isUnset(value)) {
+                    if (key.required)
+                        fail(path, line, "is required; expected " + key.allowed);
+                    m_settings.unsetKeys.push_back(path);
+                    return;
+                }
                 if (!value.IsScalar() || !key.assign(m_settings, value.Scalar()))
                     fail(path, line,
                         "must be " + key.allowed + (value.IsScalar() ? ", got '" + value.Scalar() + "'" : ""));
--- a/state/Settings.h
+++ b/state/Settings.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace lentilsaddle::state {
 
@@ -45,6 +46,9 @@
     std::chrono::seconds shutdownLimit { 60 };
 
     batch::BatchSettings batch;
+
+    /// Keys that the file names without a value, so that their defaults hold.
+    std::vector<std::string> unsetKeys;
 };
 
 } // namespace lentilsaddle::state
--- a/tests/protocol/SettingsCodecTest.cpp
+++ b/tests/protocol/SettingsCodecTest.cpp
@@ -52,6 +52,24 @@
     EXPECT_NE(errorOf(required + "batch:\n  descriptors: many\n").find("must be an integer"), std::string::npos);
 }
 
+// Guards against a daemon that does not start because the template of its settings had no value for an optional key,
+// and against one that starts without a required value.
+TEST(SettingsCodec, OptionalKeyWithoutAValueIsAbsent)
+{
+    for (const char* value : { "", "\"\"", "~", "{{limits.max_fds}}", "\"{{limits.max_fds}}\"" }) {
+        state::Settings settings
+            = parseSettings(required + "batch:\n  descriptors: " + value + "\n  stop_grace_ms: 700\n", "s.yaml");
+        EXPECT_EQ(settings.batch.descriptors, 0U) << value;
+        EXPECT_EQ(settings.batch.stopGrace, std::chrono::milliseconds(700)) << value;
+        EXPECT_EQ(settings.unsetKeys, std::vector<std::string> { "batch.descriptors" }) << value;
+        EXPECT_EQ(errorOf(std::string("data_centre: d\ninstance: ") + value + "\nplatform:\n  url: http://h:1\n"),
+            "s.yaml:2: instance: is required; expected 1 to 63 characters of a-z, 0-9 and -")
+            << value;
+    }
+    EXPECT_NE(errorOf(required + "batch:\n  descriptors: {a: 1}\n").find("is unknown"), std::string::npos);
+    EXPECT_NE(errorOf(required + "batch:\n  descriptors: [1]\n").find("must be an integer"), std::string::npos);
+}
+
 // Guards against leases that expire after a single lost renewal.
 TEST(SettingsCodec, LeaseMustOutliveTwoRenewals)
 {
