--- a/coordination/batch/BatchMessage.h
+++ b/coordination/batch/BatchMessage.h
@@ -18,7 +18,7 @@
 enum class ChangeOutcome {
     /// The change is durable.
     Done,
-    /// The change was not made and will not be made.
+    /// The change was not made and will not be made; also if it is not known whether the job exists.
     Refused,
     /// The change may be durable now or later.
     Unknown,
--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -126,8 +126,9 @@
         .duration = std::chrono::seconds(8),
         .maximumDuration = std::chrono::minutes(10),
     };
-    /// Longest wait of a query or cancellation for the read that may bring an unknown job.
-    std::chrono::milliseconds lookupTimeout { 300 };
+    /// Longest wait of a query or cancellation for the read that shows whether an unknown job exists. Covers a long
+    /// poll of the journal that is in flight and the read that follows it.
+    std::chrono::milliseconds lookupTimeout { 600 };
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -152,7 +152,7 @@
             applyDirectory(records, true);
             startScheduler(term);
             // Nothing starts before a read follows the listing, so the read must not wait for the next record.
-            m_directoryReader->refresh(m_options.lookupTimeout, [] {});
+            m_directoryReader->refresh(m_options.lookupTimeout, [](bool) {});
         },
         [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, false); },
         [this] {
@@ -187,7 +187,7 @@
         return;
     }
     // The next read may still be delayed by the interval of followers.
-    m_journalReader->refresh(m_options.readTimeout, [] {});
+    m_journalReader->refresh(m_options.readTimeout, [](bool) {});
     startDirectory(term);
 }
 
@@ -257,7 +257,8 @@
         return;
     }
     // An earlier attempt without a response may have stored the job, which the journal shows.
-    m_journalReader->refresh(m_options.queryRefreshTimeout, [this, submit = std::move(submit)] { storeJob(submit); });
+    m_journalReader->refresh(
+        m_options.queryRefreshTimeout, [this, submit = std::move(submit)](bool) { storeJob(submit); });
 }
 
 void BatchTask::storeJob(BatchMessage::Submit submit)
@@ -289,11 +290,11 @@
     m_sharedAppender->append({ .record = std::move(record), .reply = std::move(reply) });
 }
 
-void BatchTask::afterLookup(const state::JobId& job, const std::function<void()>& callback)
+void BatchTask::afterLookup(const state::JobId& job, const std::function<void(bool upToDate)>& callback)
 {
     const state::batch::BatchJobEntry* entry = m_table.find(job);
     if (entry && entry->finished()) {
-        callback();
+        callback(true);
         return;
     }
     m_journalReader->refresh(entry ? m_options.queryRefreshTimeout : m_options.lookupTimeout, callback);
@@ -301,7 +302,7 @@
 
 void BatchTask::handle(const BatchMessage::Cancel& cancel)
 {
-    afterLookup(cancel.job, [this, cancel] {
+    afterLookup(cancel.job, [this, cancel](bool upToDate) {
         const state::batch::BatchJobEntry* entry = m_table.find(cancel.job);
         if (entry && entry->cancelled())
             cancel.reply(ChangeOutcome::Done);
@@ -310,7 +311,7 @@
         else if (m_sharedAppender->unresolved(makeKey(jobKeyPrefix, cancel.job.value())))
             cancel.reply(ChangeOutcome::Unknown);
         else
-            cancel.reply(journalCurrent() ? ChangeOutcome::NoSuchJob : ChangeOutcome::Refused);
+            cancel.reply(upToDate ? ChangeOutcome::NoSuchJob : ChangeOutcome::Refused);
     });
 }
 
@@ -332,12 +333,12 @@
 
 void BatchTask::handle(const BatchMessage::Query& query)
 {
-    afterLookup(query.job, [this, query] {
+    afterLookup(query.job, [this, query](bool upToDate) {
         const state::batch::BatchJobEntry* entry = m_table.find(query.job);
         if (entry)
             query.reply({ .phase = entry->phase() });
         else
-            query.reply({ .noSuchJob = journalCurrent() });
+            query.reply({ .noSuchJob = upToDate });
     });
 }
 
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -71,7 +71,8 @@
     /// Confirms the submission of a known job and stores an unknown one.
     void storeJob(BatchMessage::Submit submit);
     /// Calls back at once if the job has ended, otherwise when the journal has been read up to now or a timeout passes.
-    void afterLookup(const state::JobId& job, const std::function<void()>& callback);
+    /// @param callback receives whether an unknown job was not in the journal at the time of the call.
+    void afterLookup(const state::JobId& job, const std::function<void(bool upToDate)>& callback);
     /// Announces the processors of this instance in the journal, unless the announcement is already there.
     void announceInstance();
     /// Repeats the announcement of this instance, once a term, if it has more processors than the leader, which then
--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -96,7 +96,7 @@
     });
 }
 
-void KeyedReader::refresh(std::chrono::milliseconds limit, std::function<void()> callback)
+void KeyedReader::refresh(std::chrono::milliseconds limit, std::function<void(bool upToDate)> callback)
 {
     m_waiters.push_back({ .id = ++m_lastWaiter, .since = m_hooks.clock(), .callback = std::move(callback) });
     m_loop.startTimer(limit, [this, id = m_lastWaiter, alive = std::weak_ptr(m_alive)] {
@@ -114,9 +114,9 @@
     auto waiter = std::find_if(m_waiters.begin(), m_waiters.end(), [id](const Waiter& w) { return w.id == id; });
     if (waiter == m_waiters.end())
         return;
-    std::function<void()> callback = std::move(waiter->callback);
+    auto callback = std::move(waiter->callback);
     m_waiters.erase(waiter);
-    callback();
+    callback(false);
 }
 
 void KeyedReader::completeWaiters(state::MonotonicTime sent)
@@ -126,7 +126,7 @@
     std::vector<Waiter> served(std::make_move_iterator(current), std::make_move_iterator(m_waiters.end()));
     m_waiters.erase(current, m_waiters.end());
     for (const Waiter& waiter : served)
-        waiter.callback();
+        waiter.callback(true);
 }
 
 void KeyedReader::onRead(state::MonotonicTime sent, const ReadResult& result)
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -79,9 +79,10 @@
 
     void start();
 
-    /// Calls back when everything that was stored before the call has been read, at the latest after the limit. Reads
-    /// at once if the next read is delayed.
-    void refresh(std::chrono::milliseconds limit, std::function<void()> callback);
+    /// Reads at once if the next read is delayed.
+    /// @param callback called when everything that was stored before the call has been read, at the latest after the
+    /// limit. It receives false if the limit passed before.
+    void refresh(std::chrono::milliseconds limit, std::function<void(bool upToDate)> callback);
 
     /// @return when the last response that reached the end of the stream arrived; empty before the first.
     std::optional<state::MonotonicTime> currentAsOf() const { return m_currentAsOf; }
@@ -98,7 +99,7 @@
     struct Waiter {
         std::uint64_t id = 0;
         state::MonotonicTime since {};
-        std::function<void()> callback;
+        std::function<void(bool upToDate)> callback;
     };
 
     void read();
--- a/coordination/batch/Leadership.cpp
+++ b/coordination/batch/Leadership.cpp
@@ -189,7 +189,7 @@
     drawJitter();
     // The journal holds a record that this instance has not read, so the claim is retried after the read.
     if (result.status == AppendResult::Status::ConditionFailed)
-        m_reader.refresh(m_options.readTimeout, [] {});
+        m_reader.refresh(m_options.readTimeout, [](bool) {});
 }
 
 void Leadership::beginTerm(std::uint64_t term, std::uint64_t sequence)
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -383,6 +383,23 @@
     EXPECT_TRUE(query(*second, jobId).phase.has_value());
 }
 
+// Guards against "no such job" from an instance that lost the store before another one accepted the job, while its view
+// is still recent enough for readiness: the caller would take the job for cancelled, and it would run on.
+TEST_F(BatchTaskTest, InstanceThatHasJustLostTheStoreDoesNotDenyAJob)
+{
+    m_options.staleAfter = std::chrono::seconds(10);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).noSuchJob; }));
+    m_store.setUnresponsive(true);
+    // Longer than a long poll that was sent before.
+    std::this_thread::sleep_for(m_options.journalWait * 2);
+    m_store.put(Stream::Journal, makeKey(jobKeyPrefix, jobId.value()), protocol::batch::encodeJob(makeJob()));
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::Refused);
+    EXPECT_FALSE(query(*task, jobId).noSuchJob);
+    m_store.setUnresponsive(false);
+    EXPECT_TRUE(waitUntil([&] { return cancel(*task, jobId) == ChangeOutcome::Done; }));
+}
+
 // Guards against a claim behind a completion that the store refuses at first, so that the table shows the task as
 // queued.
 TEST_F(BatchTaskTest, QueuedTaskIsNotClaimedWhileItsCompletionIsRefused)
