--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -58,6 +58,7 @@
         .onLost = [this, worker](const Allocation& lost, RunLoss loss) { onLost(worker, lost, loss); },
         .onRestarted = [this, worker](std::int64_t incarnation,
                            bool startPending) { onRestarted(worker, incarnation, startPending); },
+        .onBegun = [this](const BatchTaskId& task) { onBegun(task.job); },
         .onRunning = [this, worker](const Allocation& allocation) { onRunning(worker, allocation); },
         .onUnknownRun = [this, worker](const RunningTask& running) { onUnknownRun(worker, running); },
         .onChanged = [this] { requestPlan(); },
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -53,6 +53,8 @@
         std::function<void(std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>> states,
             std::function<void()> onStored)>
             storeTasks;
+        /// Records that a worker has begun a task of a job, in the table at once and in the journal soon.
+        std::function<void(const state::JobId& job)> storeStart;
         /// A worker has seen a later term.
         std::function<void()> onFenced;
         /// Accelerators guaranteed to an account.
@@ -155,6 +157,8 @@
     /// Stores states of queued tasks, which are not claimed until then.
     void storeLateStates(TaskStates states);
     void onRunning(const state::WorkerId& worker, const Allocation& allocation);
+    /// A worker has begun a task of a job.
+    void onBegun(const state::JobId& job) const;
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     /// Stores the states that follow from ends listed by an incarnation of a worker, then acknowledges the ends.
     void storeEnd(const state::WorkerId& worker, std::int64_t incarnation, TaskStates states);
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -103,6 +103,13 @@
     m_speed.recordCompletion(worker, entry->job().queue.name, duration, step.runTimeEstimate);
 }
 
+void BatchScheduler::onBegun(const state::JobId& job) const
+{
+    const BatchJobEntry* entry = m_table.find(job);
+    if (entry && !entry->started() && !entry->finished())
+        m_hooks.storeStart(job);
+}
+
 void BatchScheduler::onRunning(const state::WorkerId& worker, const Allocation& allocation)
 {
     const BatchJobEntry* entry = m_table.find(allocation.task.job);
@@ -121,6 +128,7 @@
             { "worker", worker.value() }, { "how", endReasonName(ended.reason) },
             { "known", allocation ? "true" : "false" } });
     m_metrics.increment("lentilsaddle_batch_runs_ended_total", { { "how", endReasonName(ended.reason) } });
+    onBegun(ended.task.job);
     updateQuarantine(worker, ended);
     if (allocation && ended.reason == EndedTask::Reason::Done)
         recordSpeed(worker, *allocation);
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -217,6 +217,7 @@
             .directoryCurrent = [this] { return directoryCurrent(); },
             .storeTasks
             = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
+            .storeStart = [this](const state::JobId& job) { storeStart(job); },
             .onFenced =
                 [this, term] {
                     if (m_leadership->term() == term)
@@ -245,6 +246,12 @@
     });
 }
 
+void BatchTask::storeStart(const state::JobId& job)
+{
+    m_table.applyStart(job);
+    m_leadership->appendWithNext({ .key = makeKey(startKeyPrefix, job.value()), .value = "1" });
+}
+
 void BatchTask::onMessage(BatchMessage message)
 {
     std::visit([this](auto&& body) { handle(std::forward<decltype(body)>(body)); }, std::move(message.body));
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -85,6 +85,7 @@
     void onLeadershipLost();
     void startScheduler(std::uint64_t term);
     void storeTasks(const TaskStates& states, const std::function<void()>& onStored);
+    void storeStart(const state::JobId& job);
     bool journalCurrent() const;
     /// @return whether the view of the directory is recent enough to start tasks.
     bool directoryCurrent() const;
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -61,6 +61,8 @@
         } else if (record.key.starts_with(cancellationKeyPrefix)) {
             m_table.applyCancellation(state::JobId(std::string(withoutPrefix(record.key, cancellationKeyPrefix))));
             m_sharedAppender->onRecordRead(record.key);
+        } else if (record.key.starts_with(startKeyPrefix)) {
+            m_table.applyStart(state::JobId(std::string(withoutPrefix(record.key, startKeyPrefix))));
         } else if (record.key.starts_with(instanceKeyPrefix)) {
             state::InstanceId id { std::string(withoutPrefix(record.key, instanceKeyPrefix)) };
             int processors = protocol::batch::decodeInstance(*record.value);
--- a/coordination/batch/JournalKeys.h
+++ b/coordination/batch/JournalKeys.h
@@ -10,6 +10,8 @@
 inline constexpr std::string_view jobKeyPrefix = "j/";
 inline constexpr std::string_view cancellationKeyPrefix = "c/";
 inline constexpr std::string_view taskKeyPrefix = "t/";
+/// A worker has begun a task of the job.
+inline constexpr std::string_view startKeyPrefix = "s/";
 /// Announcement of an instance, with its processors.
 inline constexpr std::string_view instanceKeyPrefix = "i/";
 inline constexpr std::string_view leaderKey = "leader";
--- a/coordination/batch/LeaderAppender.cpp
+++ b/coordination/batch/LeaderAppender.cpp
@@ -31,6 +31,7 @@
     m_term = 0;
     m_current.reset();
     m_queue.clear();
+    m_deferred.clear();
     m_lastConfirmed.reset();
 }
 
@@ -65,18 +66,27 @@
 
 LeaderAppender::Batch LeaderAppender::takeBatch()
 {
+    auto sizeOf = [this](const KeyedRecord& record) {
+        return record.key.size() + (record.value ? record.value->size() : 0) + m_options.recordOverhead;
+    };
     Batch batch;
     std::size_t bytes = 0;
+    for (const KeyedRecord& record : m_deferred)
+        bytes += sizeOf(record);
     while (!m_queue.empty()) {
         Entry& entry = m_queue.front();
         for (const KeyedRecord& record : entry.records)
-            bytes += record.key.size() + (record.value ? record.value->size() : 0) + m_options.recordOverhead;
+            bytes += sizeOf(record);
         if (!batch.records.empty() && bytes > m_options.appendBytes)
             break;
         batch.callbacks.emplace_back(std::move(entry.onStored), batch.records.size());
         std::move(entry.records.begin(), entry.records.end(), std::back_inserter(batch.records));
         m_queue.pop_front();
     }
+    if (!batch.records.empty()) {
+        std::move(m_deferred.begin(), m_deferred.end(), std::back_inserter(batch.records));
+        m_deferred.clear();
+    }
     return batch;
 }
 
--- a/coordination/batch/LeaderAppender.h
+++ b/coordination/batch/LeaderAppender.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lentilsaddle::transport {
@@ -50,6 +51,9 @@
     /// @param records may be empty; then `onStored` follows those of all earlier calls.
     void append(std::vector<KeyedRecord> records, StoredCallback onStored);
 
+    /// Stores a record with the next append; it causes none of its own. Dropped at the end of the term.
+    void appendWithNext(KeyedRecord record) { m_deferred.push_back(std::move(record)); }
+
     /// @return when the last acknowledged append was first sent; empty before the first of the term.
     std::optional<state::MonotonicTime> lastConfirmed() const { return m_lastConfirmed; }
 
@@ -83,6 +87,7 @@
     std::uint64_t m_sequence = 0;
     std::optional<Batch> m_current;
     std::deque<Entry> m_queue;
+    std::vector<KeyedRecord> m_deferred;
     bool m_sendScheduled = false;
     std::optional<state::MonotonicTime> m_lastConfirmed;
     /// Calls in flight hold a weak reference, so that a response after the destruction is dropped.
--- a/coordination/batch/Leadership.h
+++ b/coordination/batch/Leadership.h
@@ -74,6 +74,9 @@
     /// Appends records under the term; only while leading.
     void append(std::vector<KeyedRecord> records, LeaderAppender::StoredCallback onStored);
 
+    /// Stores a record with the next append, at the latest with the next heartbeat; only while leading.
+    void appendWithNext(KeyedRecord record) { m_appender.appendWithNext(std::move(record)); }
+
 private:
     bool confirmedWithin(std::chrono::milliseconds limit) const;
     void claimIfDue();
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -206,6 +206,7 @@
             allocation.confirmableFrom = m_hooks.clock();
         if (!stopping)
             allocation.phase = Phase::Running;
+        m_hooks.onBegun(key.first);
         return;
     case Status::Unknown:
         onStartTimedOut(key, payload);
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -52,6 +52,8 @@
         /// @param incarnation incarnation that has ended.
         /// @param startPending whether a run there had not been listed, so that it may have been starting.
         std::function<void(std::int64_t incarnation, bool startPending)> onRestarted;
+        /// The worker has confirmed the start of a run, or lists it for the first time; may be called for both.
+        std::function<void(const state::batch::BatchTaskId& task)> onBegun;
         /// A run is listed as running.
         std::function<void(const Allocation& allocation)> onRunning;
         /// The worker lists a run for which there is no allocation.
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -224,6 +224,7 @@
             allocation.phase = Phase::Running;
             allocation.confirmableFrom = sent;
         }
+        m_hooks.onBegun(running.task);
         m_hooks.onRunning(allocation);
     }
     applyEnds(observation);
--- a/state/batch/BatchJobEntry.cpp
+++ b/state/batch/BatchJobEntry.cpp
@@ -55,14 +55,17 @@
     if (slot.state.phase == BatchTaskState::Phase::Done)
         --m_doneTasks;
     if (slot.state.run > 0)
-        --m_startedTasks;
+        --m_claimedTasks;
     updateCounts(task, slot.state, -1);
     slot = { .state = taskState, .offset = offset, .hasRecord = true };
     updateCounts(task, slot.state, 1);
     if (taskState.phase == BatchTaskState::Phase::Done)
         ++m_doneTasks;
     if (taskState.run > 0)
-        ++m_startedTasks;
+        ++m_claimedTasks;
+    // Only a run that has begun leaves one of these.
+    m_started = m_started || taskState.phase == BatchTaskState::Phase::Done || taskState.failures > 0
+        || !taskState.checkpoint.empty();
     if (taskState.givenUp || failures(task) >= m_job.queue.maximumAttempts)
         m_failed = true;
 }
@@ -75,7 +78,7 @@
         return Phase::Failed;
     if (m_cancelled)
         return Phase::Cancelled;
-    return m_startedTasks > 0 ? Phase::Running : Phase::Queued;
+    return m_claimedTasks > 0 ? Phase::Running : Phase::Queued;
 }
 
 bool BatchJobEntry::finished() const
--- a/state/batch/BatchJobEntry.h
+++ b/state/batch/BatchJobEntry.h
@@ -16,6 +16,7 @@
 class BatchJobEntry {
 public:
     enum class Phase {
+        /// No task has ever been claimed.
         Queued,
         Running,
         Completed,
@@ -51,7 +52,10 @@
 
     Phase phase() const;
     bool finished() const;
-    bool started() const { return m_startedTasks > 0; }
+
+    void setStarted() { m_started = true; }
+    /// @return whether a worker is known to have begun a task. A claim does not show that.
+    bool started() const { return m_started; }
 
     /// @return whether all tasks of the step's predecessors are done in this occurrence.
     bool predecessorsDone(int occurrence, int step) const;
@@ -92,7 +96,8 @@
     std::vector<TaskSlot> m_slots;
     std::vector<StepCounts> m_counts;
     std::size_t m_doneTasks = 0;
-    std::size_t m_startedTasks = 0;
+    std::size_t m_claimedTasks = 0;
+    bool m_started = false;
     bool m_cancelled = false;
     bool m_failed = false;
 };
--- a/state/batch/BatchTable.cpp
+++ b/state/batch/BatchTable.cpp
@@ -12,6 +12,8 @@
     BatchJobEntry& entry = found->second;
     if (m_earlyCancellations.erase(job.id) > 0)
         entry.cancel();
+    if (m_earlyStarts.erase(job.id) > 0)
+        entry.setStarted();
     auto early = m_earlyTasks.extract(job.id);
     if (early) {
         for (const TaskRecord& record : early.mapped()) {
@@ -33,6 +35,15 @@
     updateActive(found->second);
 }
 
+void BatchTable::applyStart(const JobId& job)
+{
+    auto found = m_jobs.find(job);
+    if (found == m_jobs.end())
+        m_earlyStarts.insert(job);
+    else
+        found->second.setStarted();
+}
+
 void BatchTable::applyTask(const BatchTaskId& task, const BatchTaskState& taskState, std::uint64_t offset)
 {
     auto found = m_jobs.find(task.job);
--- a/state/batch/BatchTable.h
+++ b/state/batch/BatchTable.h
@@ -28,13 +28,16 @@
     /// @param offset offset of the record in the journal.
     void applyTask(const BatchTaskId& task, const BatchTaskState& taskState, std::uint64_t offset);
 
+    /// Records that a worker has begun a task of the job, also before the job itself is known.
+    void applyStart(const JobId& job);
+
     /// @return null if the job is unknown. The pointer stays valid for the lifetime of the table.
     const BatchJobEntry* find(const JobId& job) const;
 
     /// @return jobs that are not finished, by identifier.
     const std::set<JobId>& activeJobs() const { return m_active; }
 
-    /// @return number of unfinished jobs of a queue of which no task has been started.
+    /// @return number of unfinished jobs of a queue of which no worker is known to have begun a task.
     std::size_t pendingCount(const std::string& queue) const;
 
 private:
@@ -51,8 +54,9 @@
     /// An unordered_map keeps the addresses of its entries.
     Jobs m_jobs;
     std::set<JobId> m_active;
-    /// Cancellations and task states of jobs that are not known yet.
+    /// Cancellations, starts and task states of jobs that are not known yet.
     std::set<JobId> m_earlyCancellations;
+    std::set<JobId> m_earlyStarts;
     std::map<JobId, std::vector<TaskRecord>> m_earlyTasks;
 };
 
--- a/tests/coordination/batch/BatchTaskFixture.h
+++ b/tests/coordination/batch/BatchTaskFixture.h
@@ -188,6 +188,14 @@
         return result->get_future().get();
     }
 
+    static std::size_t pendingCount(BatchTask& task, const std::string& queue)
+    {
+        auto result = std::make_shared<std::promise<std::size_t>>();
+        task.post({ .body = BatchMessage::CountPending {
+                        .queue = queue, .reply = [result](std::size_t value) { result->set_value(value); } } });
+        return result->get_future().get();
+    }
+
     /// Lists the workers `w1` to `wN` in the directory.
     void addWorkers(int count)
     {
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -400,6 +400,23 @@
     EXPECT_TRUE(waitUntil([&] { return cancel(*task, jobId) == ChangeOutcome::Done; }));
 }
 
+// Guards against a job that another instance does not count as pending although the start of its only task had no
+// response, and against one that counts as pending after its task has begun.
+TEST_F(BatchTaskTest, ClaimedJobIsPendingUntilItsTaskHasBegun)
+{
+    auto leader = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return !leaderRecords().empty(); }));
+    auto follower = startInstance("e-2");
+    m_workers.dropStarts(true);
+    ASSERT_EQ(submit(*leader, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntil([&] { return query(*follower, jobId).phase == BatchJobEntry::Phase::Running; }));
+    EXPECT_EQ(pendingCount(*leader, "q"), 1U);
+    EXPECT_EQ(pendingCount(*follower, "q"), 1U);
+    m_workers.dropStarts(false);
+    EXPECT_TRUE(waitUntil([&] { return pendingCount(*follower, "q") == 0; }));
+    EXPECT_FALSE(m_workers.running().empty());
+}
+
 // Guards against a claim behind a completion that the store refuses at first, so that the table shows the task as
 // queued.
 TEST_F(BatchTaskTest, QueuedTaskIsNotClaimedWhileItsCompletionIsRefused)
--- a/tests/coordination/batch/LeaderAppenderTest.cpp
+++ b/tests/coordination/batch/LeaderAppenderTest.cpp
@@ -86,6 +86,20 @@
     EXPECT_EQ(m_store.records(Stream::Journal).size(), 1U);
 }
 
+// Guards against a record that costs an append of its own, is lost, or shifts the offsets of the records of the append.
+TEST_F(LeaderAppenderTest, DeferredRecordIsStoredWithTheNextAppend)
+{
+    m_appender.appendWithNext({ .key = "later", .value = "v" });
+    runFor(milliseconds(30));
+    EXPECT_EQ(m_store.appends(), 0);
+    m_appender.append({ { .key = "a", .value = "v" } },
+        [this](std::uint64_t offset) { m_stored.push_back("a" + std::to_string(offset)); });
+    runFor(milliseconds(30));
+    EXPECT_EQ(m_stored, std::vector<std::string> { "a0" });
+    EXPECT_EQ(m_store.appends(), 1);
+    EXPECT_EQ(m_store.records(Stream::Journal).back().key, "later");
+}
+
 // Guards against records that are stored out of order.
 TEST_F(LeaderAppenderTest, KeepsTheOrderOfRecords)
 {
--- a/tests/state/batch/BatchTableTest.cpp
+++ b/tests/state/batch/BatchTableTest.cpp
@@ -106,6 +106,7 @@
     EXPECT_EQ(table.find(jobId)->phase(), Phase::Queued);
 }
 
+// Guards against a count of pending jobs that omits those whose claimed tasks no worker has begun.
 TEST(BatchTable, PendingCountsJobsWithoutAStartedTask)
 {
     BatchTable table;
@@ -113,7 +114,25 @@
     EXPECT_EQ(table.pendingCount("q"), 1U);
     EXPECT_EQ(table.pendingCount("other"), 0U);
     table.applyTask(taskId(1), { .phase = TaskPhase::Claimed, .run = 1 }, 1);
+    EXPECT_EQ(table.pendingCount("q"), 1U);
+    table.applyTask(taskId(1), { .phase = TaskPhase::Queued, .run = 1 }, 2);
+    EXPECT_EQ(table.pendingCount("q"), 1U);
+    table.applyStart(jobId);
+    EXPECT_EQ(table.pendingCount("q"), 0U);
+}
+
+// Guards against a started job that counts as pending because the record of its start was read before the job, or
+// because an earlier version has stored none.
+TEST(BatchTable, EarlyStartAndFailedRunShowThatAJobHasStarted)
+{
+    BatchTable table;
+    table.applyStart(jobId);
+    table.applyJob(makeJob(1));
     EXPECT_EQ(table.pendingCount("q"), 0U);
+    BatchTable earlier;
+    earlier.applyJob(makeJob(1));
+    earlier.applyTask(taskId(0), { .run = 1, .failures = 1, .failedRuns = { 1 } }, 1);
+    EXPECT_EQ(earlier.pendingCount("q"), 0U);
 }
 
 // Guards against a step that starts before all tasks of an earlier one are done.
