--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -157,7 +157,7 @@
             applyDirectory(records, true);
             startScheduler(term);
             // Nothing starts before a read follows the listing, so the read must not wait for the next record.
-            m_directoryReader->refresh(m_options.lookupTimeout, [] {});
+            m_directoryReader->refresh(m_options.lookupTimeout, [](bool) {});
         },
         [this](const std::vector<KeyedRecord>& records) { applyDirectory(records, false); },
         [this] {
@@ -192,7 +192,7 @@
         return;
     }
     // The next read may still be delayed by the interval of followers.
-    m_journalReader->refresh(m_options.readTimeout, [] {});
+    m_journalReader->refresh(m_options.readTimeout, [](bool) {});
     startDirectory(term);
 }
 
@@ -224,6 +224,7 @@
             .evacuated = [this](const state::DataCentreId& dataCentre) { return m_evacuations.contains(dataCentre); },
             .storeTasks
             = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
+            .storeStart = [this](const state::JobId& job) { storeStart(job); },
             .onFenced =
                 [this, term] {
                     if (m_leadership->term() == term)
@@ -252,6 +253,12 @@
     });
 }
 
+void BatchTask::storeStart(const state::JobId& job)
+{
+    m_table.applyStart(job);
+    m_leadership->appendWithNext({ .key = makeKey(startKeyPrefix, job.value()), .value = "1" });
+}
+
 void BatchTask::onMessage(BatchMessage message)
 {
     std::visit([this](auto&& body) { handle(std::forward<decltype(body)>(body)); }, std::move(message.body));
@@ -264,7 +271,8 @@
         return;
     }
     // An earlier attempt without a response may have stored the job, which the journal shows.
-    m_journalReader->refresh(m_options.queryRefreshTimeout, [this, submit = std::move(submit)] { storeJob(submit); });
+    m_journalReader->refresh(
+        m_options.queryRefreshTimeout, [this, submit = std::move(submit)](bool) { storeJob(submit); });
 }
 
 void BatchTask::storeJob(BatchMessage::Submit submit)
@@ -296,11 +304,11 @@
     m_sharedAppender->append({ .record = std::move(record), .reply = std::move(reply) });
 }
 
-void BatchTask::afterLookup(const state::JobId& job, const std::function<void()>& callback)
+void BatchTask::afterLookup(const state::JobId& job, const std::function<void(bool upToDate)>& callback)
 {
     const state::batch::BatchJobEntry* entry = m_table.find(job);
     if (entry && entry->finished()) {
-        callback();
+        callback(true);
         return;
     }
     m_journalReader->refresh(entry ? m_options.queryRefreshTimeout : m_options.lookupTimeout, callback);
@@ -308,7 +316,7 @@
 
 void BatchTask::handle(const BatchMessage::Cancel& cancel)
 {
-    afterLookup(cancel.job, [this, cancel] {
+    afterLookup(cancel.job, [this, cancel](bool upToDate) {
         const state::batch::BatchJobEntry* entry = m_table.find(cancel.job);
         if (entry && entry->cancelled())
             cancel.reply(ChangeOutcome::Done);
@@ -317,7 +325,7 @@
         else if (m_sharedAppender->unresolved(makeKey(jobKeyPrefix, cancel.job.value())))
             cancel.reply(ChangeOutcome::Unknown);
         else
-            cancel.reply(journalCurrent() ? ChangeOutcome::NoSuchJob : ChangeOutcome::Refused);
+            cancel.reply(upToDate ? ChangeOutcome::NoSuchJob : ChangeOutcome::Refused);
     });
 }
 
@@ -339,12 +347,12 @@
 
 void BatchTask::handle(const BatchMessage::Query& query)
 {
-    afterLookup(query.job, [this, query] {
+    afterLookup(query.job, [this, query](bool upToDate) {
         const state::batch::BatchJobEntry* entry = m_table.find(query.job);
         if (entry)
             query.reply({ .phase = entry->phase() });
         else
-            query.reply({ .noSuchJob = journalCurrent() });
+            query.reply({ .noSuchJob = upToDate });
     });
 }
 
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -383,6 +383,40 @@
     EXPECT_TRUE(query(*second, jobId).phase.has_value());
 }
 
+// Guards against "no such job" from an instance that lost the store before another one accepted the job, while its view
+// is still recent enough for readiness: the caller would take the job for cancelled, and it would run on.
+TEST_F(BatchTaskTest, InstanceThatHasJustLostTheStoreDoesNotDenyAJob)
+{
+    m_options.staleAfter = std::chrono::seconds(10);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).noSuchJob; }));
+    m_store.setUnresponsive(true);
+    // Longer than a long poll that was sent before.
+    std::this_thread::sleep_for(m_options.journalWait * 2);
+    m_store.put(Stream::Journal, makeKey(jobKeyPrefix, jobId.value()), protocol::batch::encodeJob(makeJob()));
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::Refused);
+    EXPECT_FALSE(query(*task, jobId).noSuchJob);
+    m_store.setUnresponsive(false);
+    EXPECT_TRUE(waitUntil([&] { return cancel(*task, jobId) == ChangeOutcome::Done; }));
+}
+
+// Guards against a job that another instance does not count as pending although the start of its only task had no
+// response, and against one that counts as pending after its task has begun.
+TEST_F(BatchTaskTest, ClaimedJobIsPendingUntilItsTaskHasBegun)
+{
+    auto leader = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return !leaderRecords().empty(); }));
+    auto follower = startInstance("e-2");
+    m_workers.dropStarts(true);
+    ASSERT_EQ(submit(*leader, makeJob()), ChangeOutcome::Done);
+    ASSERT_TRUE(waitUntil([&] { return query(*follower, jobId).phase == BatchJobEntry::Phase::Running; }));
+    EXPECT_EQ(pendingCount(*leader, "q"), 1U);
+    EXPECT_EQ(pendingCount(*follower, "q"), 1U);
+    m_workers.dropStarts(false);
+    EXPECT_TRUE(waitUntil([&] { return pendingCount(*follower, "q") == 0; }));
+    EXPECT_FALSE(m_workers.running().empty());
+}
+
 // Guards against a claim behind a completion that the store refuses at first, so that the table shows the task as
 // queued.
 TEST_F(BatchTaskTest, QueuedTaskIsNotClaimedWhileItsCompletionIsRefused)
