--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -360,6 +360,7 @@
     m_earlierClockRequest = m_latestLeaseRequest;
     m_seenEnd = 0;
     m_acknowledgedEnd = 0;
+    m_deliveredAcknowledgement = 0;
     repeatStops();
     // The new incarnation may have executed starts, so only its list shows which runs have ended.
     observeNow();
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -122,6 +122,8 @@
         /// Known incarnation of the worker.
         std::int64_t incarnation = 0;
         std::uint64_t fencingToken = 0;
+        /// Acknowledgement that the request carries; 0 if it carries none.
+        std::int64_t acknowledgedEnd = 0;
     };
 
     RequestOrigin requestOrigin() const;
@@ -205,6 +207,9 @@
     /// Ends up to this number have been passed to the hooks.
     std::int64_t m_seenEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
+    /// The known incarnation has received the acknowledgement up to this number. It is not sent again, because a later
+    /// incarnation numbers its ends from 1 and would forget some that it has not listed yet.
+    std::int64_t m_deliveredAcknowledgement = 0;
     /// Calls in flight hold a weak reference, so that a response after the destruction is dropped.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -59,13 +59,15 @@
     bool renew = m_clock.known() && !m_unresponsiveSince;
     ObserveRequest request {
         .fencingToken = m_fencingToken,
-        .acknowledgedEnd = m_acknowledgedEnd,
+        .acknowledgedEnd = m_acknowledgedEnd > m_deliveredAcknowledgement ? m_acknowledgedEnd : 0,
         .leaseEnd = renew ? std::optional(nextLeaseEnd()) : std::nullopt,
         .wait = wait ? m_options.observeWait : milliseconds(0),
     };
     m_observing = true;
+    RequestOrigin requested = requestOrigin();
+    requested.acknowledgedEnd = request.acknowledgedEnd;
     m_worker.observe(m_description, request, m_options.requestTimeout,
-        [this, origin = requestOrigin(), alive = std::weak_ptr(m_alive)](const Observation& observation) {
+        [this, origin = requested, alive = std::weak_ptr(m_alive)](const Observation& observation) {
             if (!alive.expired())
                 onObserved(origin, observation);
         });
@@ -114,6 +116,8 @@
     bool clockWasKnown = m_clock.known();
     updateFromResponse(origin, observation.result);
     confirmFencingToken(origin, observation.result);
+    if (origin.incarnation == m_incarnation)
+        m_deliveredAcknowledgement = std::max(m_deliveredAcknowledgement, origin.acknowledgedEnd);
     bool wasUsable = usable(m_hooks.clock());
     if (m_unresponsiveSince)
         writeLog(LogLevel::Info, "worker", "responds again", { { "worker", m_description.id.value() } });
--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -234,6 +234,22 @@
     EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
 }
 
+// Guards against a second run of a completed task: an acknowledgement for ends of the last incarnation made the next
+// one forget ends of its own with the same numbers, before they were listed.
+TEST_F(BatchTaskTest, AcknowledgementDoesNotReachTheEndsOfTheNextIncarnation)
+{
+    auto task = startInstance("e-1");
+    runFirstJob(*task);
+    m_workers.restart("w1");
+    m_workers.refuse("w1", { .observation = WorkerCallResult::Status::NotDelivered });
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    m_workers.refuse("w1", {});
+    EXPECT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_EQ(m_workers.starts(taskName), 1);
+}
+
 // Guards against the same, and against a second run at the same time elsewhere, if the directory shows the new
 // incarnation before a list of runs does.
 TEST_F(BatchTaskTest, DirectoryEntryOfTheNextIncarnationDoesNotEndARunThere)
