--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -73,6 +73,9 @@
     bool suspect = false;
     /// Share of the work that is done, 0 to 100.
     int percent = 0;
+    /// The same when a rate was last computed from it, and when that was.
+    int ratedPercent = 0;
+    state::MonotonicTime ratedAt {};
 
     /// @return whether a start request may still be executed, by this incarnation of the worker or by a later one.
     bool startOutstanding() const { return startInFlight || attemptTimedOut; }
--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -24,6 +24,12 @@
     /// Delay of a claim while an instance with more processors may claim. Covers the followers' read interval, by which
     /// that instance may have read the last leader record later, the jitter of its claim, and a store call.
     std::chrono::milliseconds outrankedDelay { 500 };
+    /// Whether speeds of workers are learned from runs and used to place work.
+    bool learnRunTimes = true;
+    /// Time between two summaries of the learned speeds, for the next leader. Every instance reads each of them.
+    std::chrono::milliseconds speedStoreInterval { 8'000 };
+    /// Workers in a summary; about 40 bytes each.
+    std::size_t maximumStoredSpeeds = 512;
     /// Processors of this instance, in thousandths; 0 if unknown.
     int processors = 0;
     /// Delay before an announcement that was not confirmed is retried.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -5,6 +5,7 @@
 #include "transport/Metrics.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lentilsaddle::coordination::batch {
@@ -35,8 +36,11 @@
 
 BatchScheduler::~BatchScheduler() = default;
 
-void BatchScheduler::start(const std::map<state::WorkerId, BatchWorker>& workers)
+void BatchScheduler::start(
+    const std::map<state::WorkerId, BatchWorker>& workers, const state::batch::WorkerSpeedSummary& speeds)
 {
+    if (m_options.learnRunTimes)
+        m_speed.restore(speeds, m_hooks.clock());
     inheritClaims(workers);
     onWorkers(workers);
     for (auto& [id, session] : m_sessions)
@@ -58,7 +62,7 @@
         .onLost = [this, worker](const Allocation& lost, RunLoss loss) { onLost(worker, lost, loss); },
         .onRestarted = [this, worker](std::int64_t incarnation,
                            bool startPending) { onRestarted(worker, incarnation, startPending); },
-        .onRunning = [this, worker](const Allocation& allocation) { onRunning(worker, allocation); },
+        .onRunning = [this, worker](Allocation& allocation) { onRunning(worker, allocation); },
         .onUnknownRun = [this, worker](const RunningTask& running) { onUnknownRun(worker, running); },
         .onChanged = [this] { requestPlan(); },
     };
@@ -227,10 +231,12 @@
         m_claiming.insert(id);
         states.emplace_back(id, claimed);
         tasks.emplace_back(id, worker);
+        long percent = std::lround(m_speed.relativeRunTime(worker, session.incarnation(), m_hooks.clock()) * 100);
         writeLog(LogLevel::Info, "scheduler", "claiming",
             { { "job", unit.job.value() }, { "task", id.toString() }, { "run", std::to_string(claimed.run) },
                 { "worker", worker.value() }, { "priority", std::to_string(unit.priority) },
-                { "guaranteed", unit.guaranteed ? "true" : "false" } });
+                { "guaranteed", unit.guaranteed ? "true" : "false" },
+                { "run_time_percent", std::to_string(percent) } });
     }
     m_hooks.storeTasks(std::move(states), [this, tasks = std::move(tasks), alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -15,7 +15,7 @@
 #include "coordination/decisions/batch/LagMonitor.h"
 #include "coordination/decisions/batch/RestartHistory.h"
 #include "coordination/decisions/batch/StartCheck.h"
-#include "coordination/decisions/batch/WorkerSpeed.h"
+#include "coordination/decisions/batch/WorkerSpeedModel.h"
 #include "state/Time.h"
 #include "state/batch/BatchTable.h"
 #include "state/batch/BatchWorker.h"
@@ -53,6 +53,8 @@
         std::function<void(std::vector<std::pair<state::batch::BatchTaskId, state::batch::BatchTaskState>> states,
             std::function<void()> onStored)>
             storeTasks;
+        /// Stores the learned speeds of the workers, for the next leader.
+        std::function<void(const state::batch::WorkerSpeedSummary& speeds)> storeSpeeds;
         /// A worker has seen a later term.
         std::function<void()> onFenced;
         /// Accelerators guaranteed to an account.
@@ -63,8 +65,9 @@
         std::uint64_t term, const state::batch::BatchTable& table, transport::Metrics& metrics, Hooks hooks);
     ~BatchScheduler();
 
-    /// Inherits the claims of earlier terms and observes all workers.
-    void start(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
+    /// Inherits the claims and the learned speeds of earlier terms and observes all workers.
+    void start(const std::map<state::WorkerId, state::batch::BatchWorker>& workers,
+        const state::batch::WorkerSpeedSummary& speeds);
 
     /// Applies a change of the directory.
     void onWorkers(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
@@ -154,7 +157,12 @@
     bool mayStoreLateChange(const state::batch::BatchTaskId& task) const;
     /// Stores states of queued tasks, which are not claimed until then.
     void storeLateStates(TaskStates states);
-    void onRunning(const state::WorkerId& worker, const Allocation& allocation);
+    void onRunning(const state::WorkerId& worker, Allocation& allocation);
+    /// Judges whether the workers differ in speed, and stores what is known if it has changed.
+    void updateSpeeds();
+    WorkerSpeedSample speedSample(const state::WorkerId& worker, const Allocation& allocation) const;
+    /// @param percent share of the work that is done.
+    void recordRate(const state::WorkerId& worker, const Allocation& allocation, int percent);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     /// Stores the states that follow from ends listed by an incarnation of a worker, then acknowledges the ends.
     void storeEnd(const state::WorkerId& worker, std::int64_t incarnation, TaskStates states);
@@ -235,7 +243,10 @@
     /// Since when a step has waited for workers on which its start shows whether it crashes them.
     std::map<StepKey, state::MonotonicTime> m_isolationSince;
     WorkerQuarantine m_quarantine;
-    WorkerSpeed m_speed;
+    WorkerSpeedModel m_speed;
+    state::MonotonicTime m_spreadJudged {};
+    state::MonotonicTime m_speedsStored {};
+    state::batch::WorkerSpeedSummary m_storedSpeeds;
     bool m_planRequested = false;
     /// When the requested planning round is due.
     state::MonotonicTime m_planDue {};
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -18,6 +18,12 @@
 
 namespace {
 
+    // Work between two observations of a task's rate. Progress is reported in hundredths.
+    constexpr int minimumRatedPercent = 10;
+
+    // Time between two judgements whether the workers differ in speed.
+    constexpr std::chrono::milliseconds spreadInterval { 250 };
+
     const char* endReasonName(EndedTask::Reason reason)
     {
         switch (reason) {
@@ -90,6 +96,48 @@
     }
 }
 
+void BatchScheduler::updateSpeeds()
+{
+    state::MonotonicTime now = m_hooks.clock();
+    if (!m_options.learnRunTimes || now - m_spreadJudged < spreadInterval)
+        return;
+    m_spreadJudged = now;
+    bool differed = m_speed.speedsDiffer();
+    m_speed.judgeSpread(now);
+    if (m_speed.speedsDiffer() != differed)
+        writeLog(LogLevel::Info, "scheduler",
+            differed ? "workers no longer differ in speed" : "workers differ in speed",
+            { { "term", std::to_string(m_term) } });
+    // Without a difference there is nothing that a new leader would have to know.
+    if (!m_speed.speedsDiffer() || now - m_speedsStored < m_options.speedStoreInterval)
+        return;
+    state::batch::WorkerSpeedSummary summary = m_speed.summary(m_options.maximumStoredSpeeds, now);
+    if (summary == m_storedSpeeds)
+        return;
+    m_speedsStored = now;
+    m_storedSpeeds = summary;
+    m_hooks.storeSpeeds(summary);
+}
+
+WorkerSpeedSample BatchScheduler::speedSample(const state::WorkerId& worker, const Allocation& allocation) const
+{
+    const state::batch::BatchJob& job = m_table.find(allocation.task.job)->job();
+    const BatchStep& step = job.steps[static_cast<std::size_t>(allocation.task.step)];
+    const WorkerSession& session = *m_sessions.at(worker);
+    bool far = !step.preferredRack.empty() && step.preferredRack != session.description().rack;
+    std::int64_t conditions = step.gang ? allocation.run : (far ? 1 : 0);
+    return {
+        .worker = worker,
+        .incarnation = session.incarnation(),
+        .siblings = { allocation.task.job, allocation.task.occurrence, allocation.task.step, conditions },
+        .siblingCount = step.taskCount,
+        .queue = job.queue.name,
+        .elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - allocation.since),
+        .percent = allocation.percent,
+        .estimate = step.runTimeEstimate,
+    };
+}
+
 void BatchScheduler::recordSpeed(const state::WorkerId& worker, const Allocation& allocation)
 {
     const BatchJobEntry* entry = m_table.find(allocation.task.job);
@@ -99,19 +147,33 @@
     // The members of a gang end together, so their run time reflects only the slowest one.
     if (step.gang && step.taskCount > 1)
         return;
-    auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - allocation.since);
-    m_speed.recordCompletion(worker, entry->job().queue.name, duration, step.runTimeEstimate);
+    recordRate(worker, allocation, 100);
+}
+
+void BatchScheduler::recordRate(const state::WorkerId& worker, const Allocation& allocation, int percent)
+{
+    if (!m_options.learnRunTimes)
+        return;
+    WorkerSpeedSample sample = speedSample(worker, allocation);
+    sample.percent = percent - allocation.ratedPercent;
+    // A member of a gang that has done its share waits for the others.
+    sample.atLeast = allocation.percent >= 100;
+    if (allocation.ratedPercent > 0)
+        sample.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - allocation.ratedAt);
+    m_speed.recordRate(sample, m_hooks.clock());
 }
 
-void BatchScheduler::onRunning(const state::WorkerId& worker, const Allocation& allocation)
+void BatchScheduler::onRunning(const state::WorkerId& worker, Allocation& allocation)
 {
     const BatchJobEntry* entry = m_table.find(allocation.task.job);
     if (!entry || !entry->contains(allocation.task) || !allocation.observedFromStart)
         return;
-    const BatchStep& step = entry->job().steps[static_cast<std::size_t>(allocation.task.step)];
-    auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - allocation.since);
-    m_speed.recordProgress(
-        worker, entry->job().queue.name, elapsed, allocation.percent, step.runTimeEstimate, m_hooks.clock());
+    m_speed.recordProgress(speedSample(worker, allocation), m_hooks.clock());
+    if (allocation.percent - allocation.ratedPercent < minimumRatedPercent)
+        return;
+    recordRate(worker, allocation, allocation.percent);
+    allocation.ratedPercent = allocation.percent;
+    allocation.ratedAt = m_hooks.clock();
 }
 
 void BatchScheduler::onEnded(const state::WorkerId& worker, const EndedTask& ended, const Allocation* allocation)
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -1,5 +1,7 @@
 #include "coordination/batch/BatchScheduler.h"
 
+#include "transport/Metrics.h"
+
 #include <algorithm>
 #include <unordered_map>
 #include <utility>
@@ -219,6 +221,7 @@
 
 void BatchScheduler::addWorkers(PlanInput& input, const RunOverview& overview)
 {
+    updateSpeeds();
     auto next = overview.runs().begin();
     for (const auto& [id, session] : m_sessions) {
         WorkerView view;
@@ -251,9 +254,16 @@
             if (run.stopping)
                 view.freeAfterStops += run.resources;
         }
-        view.slowness = m_speed.slowness(id, input.now);
+        view.relativeRunTime = m_speed.relativeRunTime(id, session->incarnation(), input.now);
+        view.slowness = m_speed.stragglerSlowness(id, input.now);
         input.workers.push_back(std::move(view));
     }
+    auto count = [&](auto&& matches) { return static_cast<double>(std::ranges::count_if(input.workers, matches)); };
+    PlannerOptions options;
+    m_metrics.setGauge("lentilsaddle_batch_slow_workers",
+        count([&](const WorkerView& view) { return view.relativeRunTime > options.slowRunTime; }));
+    m_metrics.setGauge("lentilsaddle_batch_fast_workers",
+        count([&](const WorkerView& view) { return view.relativeRunTime <= options.fastRunTime; }));
 }
 
 void BatchScheduler::markGuaranteed(PlanInput& input, const RunOverview& overview) const
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -217,6 +217,7 @@
             .directoryCurrent = [this] { return directoryCurrent(); },
             .storeTasks
             = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
+            .storeSpeeds = [this](const state::batch::WorkerSpeedSummary& speeds) { storeSpeeds(speeds); },
             .onFenced =
                 [this, term] {
                     if (m_leadership->term() == term)
@@ -227,7 +228,7 @@
                     return m_configuration ? m_configuration->guaranteedAccelerators(account) : 0;
                 },
         });
-    m_scheduler->start(m_workers);
+    m_scheduler->start(m_workers, m_speeds);
 }
 
 void BatchTask::storeTasks(const TaskStates& states, const std::function<void()>& onStored)
@@ -245,6 +246,13 @@
     });
 }
 
+void BatchTask::storeSpeeds(const state::batch::WorkerSpeedSummary& speeds)
+{
+    std::string value = protocol::batch::encodeWorkerSpeeds(speeds);
+    m_environment.metrics->increment("lentilsaddle_batch_speed_summary_bytes_total", {}, value.size());
+    m_leadership->append({ { .key = std::string(speedsKey), .value = std::move(value) } }, [](std::uint64_t) {});
+}
+
 void BatchTask::onMessage(BatchMessage message)
 {
     std::visit([this](auto&& body) { handle(std::forward<decltype(body)>(body)); }, std::move(message.body));
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -9,6 +9,7 @@
 #include "coordination/decisions/batch/InstanceRanking.h"
 #include "state/batch/BatchTable.h"
 #include "state/batch/LeaderRecord.h"
+#include "state/batch/WorkerSpeedSummary.h"
 #include "transport/Task.h"
 
 #include <functional>
@@ -84,6 +85,7 @@
     void onLeadershipLost();
     void startScheduler(std::uint64_t term);
     void storeTasks(const TaskStates& states, const std::function<void()>& onStored);
+    void storeSpeeds(const state::batch::WorkerSpeedSummary& speeds);
     bool journalCurrent() const;
     /// @return whether the view of the directory is recent enough to start tasks.
     bool directoryCurrent() const;
@@ -111,6 +113,8 @@
     bool m_leadershipRequestDue = false;
     std::unique_ptr<Leadership> m_leadership;
     std::unique_ptr<BatchScheduler> m_scheduler;
+    /// Newest speeds of the workers that a leader has stored.
+    state::batch::WorkerSpeedSummary m_speeds;
     /// Leader record of the listing that is being applied.
     std::optional<state::batch::LeaderRecord> m_listedLeader;
     bool m_journalListed = false;
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -70,6 +70,10 @@
                 m_outrankedTerm = m_requestedTerm;
                 m_leadership->stepDown();
             }
+        } else if (record.key == speedsKey) {
+            m_speeds = protocol::batch::decodeWorkerSpeeds(*record.value);
+            if (!listing)
+                m_leadership->onLeaderActivity();
         } else if (record.key.starts_with(taskKeyPrefix)) {
             auto id = BatchTaskId::parse(std::string(withoutPrefix(record.key, taskKeyPrefix)));
             if (!id)
--- a/coordination/batch/JournalKeys.h
+++ b/coordination/batch/JournalKeys.h
@@ -13,6 +13,8 @@
 /// Announcement of an instance, with its processors.
 inline constexpr std::string_view instanceKeyPrefix = "i/";
 inline constexpr std::string_view leaderKey = "leader";
+/// Learned speeds of the workers.
+inline constexpr std::string_view speedsKey = "l/speeds";
 
 inline std::string makeKey(std::string_view prefix, std::string_view name)
 {
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -53,7 +53,7 @@
         /// @param startPending whether a run there had not been listed, so that it may have been starting.
         std::function<void(std::int64_t incarnation, bool startPending)> onRestarted;
         /// A run is listed as running.
-        std::function<void(const Allocation& allocation)> onRunning;
+        std::function<void(Allocation& allocation)> onRunning;
         /// The worker lists a run for which there is no allocation.
         std::function<void(const RunningTask& running)> onUnknownRun;
         /// The free capacity or the usability has changed.
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -40,6 +40,11 @@
 BatchPlan BatchPlanner::plan()
 {
     for (std::size_t index : serviceOrder()) {
+        if (m_capacity.slowestRunTime() > m_options.slowRunTime) {
+            m_units[index].sparesFastWorkers = m_units[index].priority > 0 && completesOnSlowestWorkers(m_units[index]);
+            if (needsSpeed(m_units[index]) && placeOnFasterWorkers(index))
+                continue;
+        }
         if (m_units[index].gang)
             placeGang(index);
         else
@@ -102,6 +107,61 @@
     return m_capacity.selectWorkers(unit, m_capacity.allWorkers(), CapacityIndex::Free::Now, count);
 }
 
+bool BatchPlanner::completesOnSlowestWorkers(const BatchUnit& unit) const
+{
+    auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
+        unit.estimate * (m_capacity.slowestRunTime() * m_options.speedMargin));
+    return m_now + longest <= unit.deadline;
+}
+
+bool BatchPlanner::needsSpeed(const BatchUnit& unit) const
+{
+    return unit.priority == 0 && deadlineStateOf(unit, m_now) == DeadlineState::OnTime
+        && !completesOnSlowestWorkers(unit);
+}
+
+bool BatchPlanner::removePlaced(BatchUnit& unit, std::size_t count)
+{
+    unit.indices.erase(unit.indices.begin(), unit.indices.begin() + static_cast<std::ptrdiff_t>(count));
+    return unit.indices.empty();
+}
+
+bool BatchPlanner::waitsForSpeed(const BatchUnit& unit) const
+{
+    return !unit.guaranteed || m_now - unit.readySince < m_options.guaranteedSpeedWait;
+}
+
+bool BatchPlanner::placeOnFasterWorkers(std::size_t index)
+{
+    BatchUnit& unit = m_units[index];
+    std::size_t count = unit.indices.size();
+    for (double limit : { m_options.fastRunTime, m_options.slowRunTime }) {
+        unit.slowestWorker = limit;
+        Assignment assignment = selectLocal(unit, CapacityIndex::Free::Now, count);
+        if (unit.gang && assignment.size() < count)
+            continue;
+        place(index, assignment);
+        if (unit.gang || removePlaced(unit, assignment.size()))
+            return true;
+        count = unit.indices.size();
+    }
+    // Room that stops have freed, or soon free, for this unit.
+    if (Assignment assignment = selectLocal(unit, CapacityIndex::Free::AfterStops, count);
+        unit.gang && assignment.size() == count) {
+        reserveWorkers(unit, assignment);
+        return true;
+    }
+    unit.slowestWorker = std::numeric_limits<double>::infinity();
+    bool slowRoom = selectLocal(unit, CapacityIndex::Free::Now, count).size() == count;
+    if (slowRoom && waitsForSpeed(unit))
+        return true;
+    unit.slowestWorker = m_options.slowRunTime;
+    if (!slowRoom && unit.gang && mayPreempt(unit) && preempt(index, unit, false))
+        return true;
+    unit.slowestWorker = std::numeric_limits<double>::infinity();
+    return false;
+}
+
 void BatchPlanner::placeGang(std::size_t index)
 {
     const BatchUnit& unit = m_units[index];
@@ -134,11 +194,7 @@
 void BatchPlanner::placeTasks(std::size_t index)
 {
     BatchUnit& unit = m_units[index];
-    // Removes the first tasks of the unit, which are placed. The rest need as much each and would not fit either.
-    auto placed = [&unit](std::size_t count) {
-        unit.indices.erase(unit.indices.begin(), unit.indices.begin() + static_cast<std::ptrdiff_t>(count));
-        return unit.indices.empty();
-    };
+    auto placed = [&unit](std::size_t count) { return removePlaced(unit, count); };
     Assignment assignment = selectLocal(unit, CapacityIndex::Free::Now, unit.indices.size());
     place(index, assignment);
     if (placed(assignment.size()))
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -22,6 +22,14 @@
     std::chrono::milliseconds idleLocalityDelay { 1'200 };
     /// Units of one round that cannot start yet and get a capacity reservation.
     std::size_t maximumReservations = 6;
+    /// Workers on which tasks run longer than this, relative to the usual worker, are slow.
+    double slowRunTime = 1.2;
+    /// Workers on which tasks run at most this long are fast.
+    double fastRunTime = 0.83;
+    /// Factor on run times where a deadline must be kept, because estimates are rough.
+    double speedMargin = 1.25;
+    /// Longest wait of a guaranteed unit for workers that are not slow: a guarantee is a promise to start soon.
+    std::chrono::milliseconds guaranteedSpeedWait { 1'000 };
     /// Wait after which capacity is reserved for a unit that cannot start.
     std::chrono::milliseconds reservationDelay { 1'000 };
 };
@@ -77,6 +85,18 @@
     using Assignment = CapacityIndex::Assignment;
 
     std::vector<std::size_t> serviceOrder() const;
+    /// @return whether the unit completes in time on the slowest workers too, with a margin.
+    bool completesOnSlowestWorkers(const BatchUnit& unit) const;
+    /// @return whether the unit may miss its deadline on slow workers but can meet it on others.
+    bool needsSpeed(const BatchUnit& unit) const;
+    /// @return whether a unit that finds room on slow workers alone should wait for others.
+    bool waitsForSpeed(const BatchUnit& unit) const;
+    /// Removes the first tasks of a unit, which are placed.
+    /// @return whether none is left. The rest need as much each and would not fit either.
+    static bool removePlaced(BatchUnit& unit, std::size_t count);
+    /// Places a unit that needs speed on workers that are not slow.
+    /// @return whether nothing is left to place in this round.
+    bool placeOnFasterWorkers(std::size_t index);
     void placeGang(std::size_t index);
     void placeTasks(std::size_t index);
     /// @return workers in the unit's preferred rack, which is near its data, or in one rack for a gang that requires
--- a/coordination/decisions/batch/BatchUnit.h
+++ b/coordination/decisions/batch/BatchUnit.h
@@ -7,6 +7,7 @@
 #include "state/batch/Resources.h"
 
 #include <chrono>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -38,6 +39,10 @@
     std::map<state::WorkerId, int> runningOnWorker;
     /// Workers where a run of the step has failed; used only if no other worker fits.
     std::set<state::WorkerId> avoidedWorkers;
+    /// Workers on which tasks run longer than this, relative to the usual worker, are not eligible now.
+    double slowestWorker = std::numeric_limits<double>::infinity();
+    /// The unit completes in time on slow workers too and leaves fast ones to units that do not.
+    bool sparesFastWorkers = false;
     state::ServiceId service;
     int priority = 0;
     /// Whether the account's accelerator guarantee covers the unit.
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -1,6 +1,7 @@
 #include "coordination/decisions/batch/CapacityIndex.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <limits>
 #include <map>
@@ -20,6 +21,8 @@
     constexpr double coreWeight = 0.5;
     // A worker that is slower by half is penalised like four left-over accelerators.
     constexpr double slownessWeight = 8;
+    // The same for a fast worker that is left to units without slack.
+    constexpr double sparedSpeedWeight = 8;
     // Above every other score, so that a worker where the step failed comes last.
     constexpr double failedBeforePenalty = 1'000;
 
@@ -81,6 +84,7 @@
         rack.freeAccelerators += usableAccelerators(view);
         m_rackOf[worker] = position->second;
         m_unreserved.push_back(view.worker.capacity);
+        m_slowestRunTime = std::max(m_slowestRunTime, view.relativeRunTime);
         total += view.worker.capacity.accelerators;
         free += usableAccelerators(view);
     }
@@ -97,7 +101,7 @@
 bool CapacityIndex::eligible(const BatchUnit& unit, std::size_t worker) const
 {
     const WorkerView& view = m_workers[worker];
-    if (view.worker.service != unit.service)
+    if (view.worker.service != unit.service || view.relativeRunTime > unit.slowestWorker)
         return false;
     return unit.requiredLabel.empty() || view.worker.labels.contains(unit.requiredLabel);
 }
@@ -123,6 +127,8 @@
         if (allowed <= 0 || startsOverlap(unit, view))
             continue;
         double penalty = slownessWeight * (view.slowness - 1);
+        if (unit.sparesFastWorkers)
+            penalty -= sparedSpeedWeight * std::log2(view.relativeRunTime);
         if (!unit.avoidedWorkers.empty() && unit.avoidedWorkers.contains(view.worker.id))
             penalty += failedBeforePenalty;
         if (unit.isolatedStart)
--- a/coordination/decisions/batch/CapacityIndex.h
+++ b/coordination/decisions/batch/CapacityIndex.h
@@ -40,10 +40,13 @@
     /// @return the workers of a rack; empty if no worker is in it.
     const std::vector<std::size_t>& workersInRack(const std::string& rack) const;
 
+    /// @return greatest relative run time of a worker.
+    double slowestRunTime() const { return m_slowestRunTime; }
+
     /// @return share of the accelerators that was in use when the round began, 0 to 1.
     double utilisation() const { return m_utilisation; }
 
-    /// @return whether the worker has the unit's service and required label.
+    /// @return whether the worker has the unit's service and required label and is not too slow for it.
     bool eligible(const BatchUnit& unit, std::size_t worker) const;
 
     /// @return how many more tasks of the unit its limit per worker allows there, whatever the free capacity.
@@ -86,6 +89,7 @@
     std::vector<std::size_t> m_rackOf;
     std::vector<std::size_t> m_allWorkers;
     double m_utilisation = 0;
+    double m_slowestRunTime = 1;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/decisions/batch/WorkerView.h
+++ b/coordination/decisions/batch/WorkerView.h
@@ -30,7 +30,9 @@
     bool startPending = false;
     /// One of these runs may crash the worker, so no other run may start until it is listed.
     bool isolatedStartPending = false;
-    /// Run time of tasks relative to other workers; 1 is normal.
+    /// Run time of tasks relative to the usual worker, as learned; 1 if it is not known to differ.
+    double relativeRunTime = 1;
+    /// Run time of a straggler on the worker relative to its queue's usual one; 1 if there is none.
     double slowness = 1;
 };
 
--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -135,6 +135,10 @@
                 [](Settings& s, long v) { s.batch.stopGrace = milliseconds(v); }),
             integerKey("batch.gang_timeout_ms", 500, 600'000, "milliseconds",
                 [](Settings& s, long v) { s.batch.gangTimeout = milliseconds(v); }),
+            textKey(
+                "batch.learn_run_times", false, "true or false",
+                [](const std::string& v) { return v == "true" || v == "false"; },
+                [](Settings& s, const std::string& v) { s.batch.learnRunTimes = v == "true"; }),
             textKey(
                 "batch.processors", false, "a number of processors such as 0.25, at most 1024",
                 [](const std::string& v) { return parseProcessors(v).has_value(); },
--- a/protocol/batch/BatchRecordCodec.cpp
+++ b/protocol/batch/BatchRecordCodec.cpp
@@ -18,6 +18,7 @@
 using state::batch::BatchStep;
 using state::batch::BatchTaskState;
 using state::batch::LeaderRecord;
+using state::batch::WorkerSpeedSummary;
 using std::chrono::milliseconds;
 
 namespace {
@@ -226,4 +227,36 @@
     return decode(text, { 2 }, [](const json& record) { return record.at(1).get<int>(); });
 }
 
+std::string encodeWorkerSpeeds(const WorkerSpeedSummary& speeds)
+{
+    json entries = json::array();
+    for (const WorkerSpeedSummary::Entry& entry : speeds.entries) {
+        // In one flat array, without a bracket for each worker.
+        entries.push_back(entry.worker.value());
+        entries.push_back(entry.incarnation);
+        entries.push_back(entry.logarithm);
+        entries.push_back(entry.deviation);
+    }
+    return json::array({ layoutVersion, std::move(entries) }).dump();
+}
+
+WorkerSpeedSummary decodeWorkerSpeeds(const std::string& text)
+{
+    return decode(text, { 2 }, [](const json& record) {
+        constexpr std::size_t fields = 4;
+        const json& entries = record.at(1);
+        if (!entries.is_array() || entries.size() % fields != 0)
+            throw ProtocolError("record", "has an incomplete entry");
+        WorkerSpeedSummary speeds;
+        for (std::size_t first = 0; first < entries.size(); first += fields)
+            speeds.entries.push_back({
+                .worker = state::WorkerId(entries.at(first).get<std::string>()),
+                .incarnation = entries.at(first + 1).get<std::int64_t>(),
+                .logarithm = entries.at(first + 2).get<int>(),
+                .deviation = entries.at(first + 3).get<int>(),
+            });
+        return speeds;
+    });
+}
+
 } // namespace lentilsaddle::protocol::batch
--- a/protocol/batch/BatchRecordCodec.h
+++ b/protocol/batch/BatchRecordCodec.h
@@ -5,6 +5,7 @@
 #include "state/batch/BatchJob.h"
 #include "state/batch/BatchTaskState.h"
 #include "state/batch/LeaderRecord.h"
+#include "state/batch/WorkerSpeedSummary.h"
 
 #include <string>
 
@@ -25,4 +26,7 @@
 std::string encodeInstance(int processors);
 int decodeInstance(const std::string& text);
 
+std::string encodeWorkerSpeeds(const state::batch::WorkerSpeedSummary& speeds);
+state::batch::WorkerSpeedSummary decodeWorkerSpeeds(const std::string& text);
+
 } // namespace lentilsaddle::protocol::batch
--- a/state/batch/BatchSettings.h
+++ b/state/batch/BatchSettings.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds stopGrace { 900 };
     /// Time after which a worker stops its members of a gang that has not started completely.
     std::chrono::milliseconds gangTimeout { 3'000 };
+    /// Whether speeds of workers are learned from runs and used to place work.
+    bool learnRunTimes = true;
     /// Processors that this process may use; 0 if unknown.
     double processors = 0;
     /// Descriptors that this process may open; 0 if unknown.
--- a/tests/coordination/batch/BatchLeaderTest.cpp
+++ b/tests/coordination/batch/BatchLeaderTest.cpp
@@ -117,6 +117,21 @@
     EXPECT_TRUE(waitUntil([this] { return leaderRecords().back().find("e-2") != std::string::npos; }));
 }
 
+// Guards against a new leader that learns the speeds of the workers from nothing although an earlier one has stored
+// them.
+TEST_F(BatchTaskTest, NewLeaderKnowsTheStoredSpeeds)
+{
+    state::batch::WorkerSpeedSummary speeds { .entries
+        = {
+            { .worker = state::WorkerId("w1"), .incarnation = 0, .logarithm = 588, .deviation = 50 },
+        } };
+    m_store.put(Stream::Journal, std::string(speedsKey), protocol::batch::encodeWorkerSpeeds(speeds));
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    EXPECT_NE(m_metrics.render().find("lentilsaddle_batch_slow_workers 1\n"), std::string::npos);
+}
+
 // Guards against a new leader that restarts a task although it still runs, or never observes it.
 TEST_F(BatchTaskTest, NewLeaderAdoptsRunningTasks)
 {
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace lentilsaddle::coordination::batch {
 
@@ -357,6 +358,105 @@
     EXPECT_TRUE(plan(input).placements.empty());
 }
 
+namespace {
+
+    // Workers of which the first is fast, the second usual and the third slow, each with room for all tasks.
+    PlanInput threeSpeeds()
+    {
+        PlanInput input { .workers = { makeWorker("fast"), makeWorker("usual"), makeWorker("slow") } };
+        input.workers[0].relativeRunTime = 0.6;
+        input.workers[1].relativeRunTime = 1.0;
+        input.workers[2].relativeRunTime = 1.6;
+        return input;
+    }
+
+    // A gang that is late if one member runs on a slow worker.
+    BatchUnit urgentGang(int tasks, std::int64_t accelerators)
+    {
+        BatchUnit unit = makeUnit("urgent", tasks, accelerators, 0);
+        unit.gang = true;
+        unit.deadline = state::MonotonicTime(milliseconds(10'000) + unit.estimate * 3 / 2);
+        return unit;
+    }
+
+    std::set<std::string> placesOf(const PlanInput& input)
+    {
+        std::set<std::string> names;
+        for (const Placement& placement : plan(input).placements)
+            names.insert(input.workers[placement.worker].worker.id.value());
+        return names;
+    }
+
+} // namespace
+
+// Guards against an urgent gang that is late because of one member on a slow worker.
+TEST(BatchPlanner, UrgentGangKeepsOffSlowWorkers)
+{
+    PlanInput input = threeSpeeds();
+    input.units = { urgentGang(2, 4) };
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "fast" }));
+    // It is as slow as its slowest member, so usual workers serve a gang that does not fit the fast ones.
+    input.units = { urgentGang(2, 8) };
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "fast", "usual" }));
+}
+
+// Guards against an urgent gang that starts on slow workers in vain, and against one that waits beyond its guarantee or
+// for a deadline that it can no longer meet.
+TEST(BatchPlanner, UrgentGangWaitsShortlyForWorkersThatAreNotSlow)
+{
+    PlanInput input = threeSpeeds();
+    input.units = { urgentGang(3, 8) };
+    EXPECT_TRUE(placesOf(input).empty());
+    input.units[0].guaranteed = true;
+    EXPECT_TRUE(placesOf(input).empty());
+    input.now = state::MonotonicTime(milliseconds(11'000));
+    EXPECT_EQ(placesOf(input).size(), 3U);
+    input.units[0].guaranteed = false;
+    input.now = state::MonotonicTime(milliseconds(13'000));
+    EXPECT_EQ(placesOf(input).size(), 3U);
+}
+
+// Guards against work with slack on the fast workers that urgent work needs next, and against slow workers that stay
+// idle.
+TEST(BatchPlanner, UnitWithSlackTakesSlowWorkersFirst)
+{
+    PlanInput input = threeSpeeds();
+    input.units = { makeUnit("patient", 1, 8) };
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
+    input.units = { makeUnit("patient", 3, 8) };
+    EXPECT_EQ(placesOf(input).size(), 3U);
+    input.units[0].indices = { 0 };
+    input.units[0].deadline = state::MonotonicTime(milliseconds(15'100));
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "fast" }));
+}
+
+// Guards against another placement where the speeds of the workers differ by less than matters.
+RC_GTEST_PROP(BatchPlanner, SmallDifferencesOfSpeedChangeNothing, ())
+{
+    PlanInput input;
+    int workers = *rc::gen::inRange(1, 8);
+    for (int worker = 0; worker < workers; ++worker)
+        input.workers.push_back(makeWorker("w" + std::to_string(worker), "r" + std::to_string(worker / 2)));
+    int units = *rc::gen::inRange(1, 8);
+    for (int index = 0; index < units; ++index) {
+        BatchUnit unit = makeUnit(
+            "j" + std::to_string(index), *rc::gen::inRange(1, 5), *rc::gen::inRange(1, 9), *rc::gen::inRange(0, 3));
+        unit.gang = *rc::gen::arbitrary<bool>();
+        unit.guaranteed = unit.priority == 0 && *rc::gen::arbitrary<bool>();
+        input.units.push_back(unit);
+    }
+    auto places = [](const PlanInput& given) {
+        std::vector<std::tuple<std::size_t, int, std::size_t>> result;
+        for (const Placement& placement : plan(given).placements)
+            result.emplace_back(placement.unit, placement.index, placement.worker);
+        return result;
+    };
+    auto equal = places(input);
+    for (WorkerView& worker : input.workers)
+        worker.relativeRunTime = *rc::gen::inRange(85, 119) / 100.0;
+    RC_ASSERT(places(input) == equal);
+}
+
 // Guards against a unit that no worker can hold and that changes what else starts, whatever the mix of units.
 RC_GTEST_PROP(BatchPlanner, UnitThatCannotStartHoldsNothingBack, ())
 {
--- a/tests/protocol/SettingsCodecTest.cpp
+++ b/tests/protocol/SettingsCodecTest.cpp
@@ -52,6 +52,14 @@
     EXPECT_NE(errorOf(required + "batch:\n  descriptors: many\n").find("must be an integer"), std::string::npos);
 }
 
+// Guards against an operator who cannot switch off what is learned, or switches it off by a typing error.
+TEST(SettingsCodec, LearningIsOnUnlessSwitchedOff)
+{
+    EXPECT_TRUE(parseSettings(required, "s.yaml").batch.learnRunTimes);
+    EXPECT_FALSE(parseSettings(required + "batch:\n  learn_run_times: false\n", "s.yaml").batch.learnRunTimes);
+    EXPECT_NE(errorOf(required + "batch:\n  learn_run_times: no\n").find("must be true or false"), std::string::npos);
+}
+
 // Guards against leases that expire after a single lost renewal.
 TEST(SettingsCodec, LeaseMustOutliveTwoRenewals)
 {
--- a/tests/protocol/batch/BatchRecordCodecTest.cpp
+++ b/tests/protocol/batch/BatchRecordCodecTest.cpp
@@ -114,6 +114,23 @@
         decodeLeader(text);
     } catch (const ProtocolError&) {
     }
+    try {
+        decodeWorkerSpeeds(text);
+    } catch (const ProtocolError&) {
+    }
+}
+
+// Guards against a new leader that cannot read the speeds, and against a truncated summary that is taken for a whole
+// one.
+TEST(BatchRecordCodec, SpeedsOfWorkersAreReadAsWritten)
+{
+    state::batch::WorkerSpeedSummary speeds { .entries
+        = {
+            { .worker = state::WorkerId("w1"), .incarnation = 7, .logarithm = -510, .deviation = 60 },
+            { .worker = state::WorkerId("w2"), .incarnation = 0, .logarithm = 470, .deviation = 120 },
+        } };
+    EXPECT_EQ(decodeWorkerSpeeds(encodeWorkerSpeeds(speeds)), speeds);
+    EXPECT_THROW(decodeWorkerSpeeds(R"([1,["w1",7,-510]])"), ProtocolError);
 }
 
 } // namespace lentilsaddle::protocol::batch
