--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -225,6 +225,7 @@
             .storeTasks
             = [this](const TaskStates& states, const std::function<void()>& onStored) { storeTasks(states, onStored); },
             .storeStart = [this](const state::JobId& job) { storeStart(job); },
+            .storeSpeeds = [this](const state::batch::WorkerSpeedSummary& speeds) { storeSpeeds(speeds); },
             .onFenced =
                 [this, term] {
                     if (m_leadership->term() == term)
@@ -235,7 +236,7 @@
                     return m_configuration ? m_configuration->guaranteedAccelerators(account) : 0;
                 },
         });
-    m_scheduler->start(m_workers);
+    m_scheduler->start(m_workers, m_speeds);
 }
 
 void BatchTask::storeTasks(const TaskStates& states, const std::function<void()>& onStored)
@@ -259,6 +260,13 @@
     m_leadership->appendWithNext({ .key = makeKey(startKeyPrefix, job.value()), .value = "1" });
 }
 
+void BatchTask::storeSpeeds(const state::batch::WorkerSpeedSummary& speeds)
+{
+    std::string value = protocol::batch::encodeWorkerSpeeds(speeds);
+    m_environment.metrics->increment("lentilsaddle_batch_speed_summary_bytes_total", {}, value.size());
+    m_leadership->append({ { .key = std::string(speedsKey), .value = std::move(value) } }, [](std::uint64_t) {});
+}
+
 void BatchTask::onMessage(BatchMessage message)
 {
     std::visit([this](auto&& body) { handle(std::forward<decltype(body)>(body)); }, std::move(message.body));
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -10,6 +10,7 @@
 #include "state/batch/BatchTable.h"
 #include "state/batch/Evacuations.h"
 #include "state/batch/LeaderRecord.h"
+#include "state/batch/WorkerSpeedSummary.h"
 #include "transport/Task.h"
 
 #include <functional>
@@ -90,6 +91,7 @@
     void startScheduler(std::uint64_t term);
     void storeTasks(const TaskStates& states, const std::function<void()>& onStored);
     void storeStart(const state::JobId& job);
+    void storeSpeeds(const state::batch::WorkerSpeedSummary& speeds);
     bool journalCurrent() const;
     /// @return whether the view of the directory is recent enough to start tasks.
     bool directoryCurrent() const;
@@ -120,6 +122,8 @@
     bool m_leadershipRequestDue = false;
     std::unique_ptr<Leadership> m_leadership;
     std::unique_ptr<BatchScheduler> m_scheduler;
+    /// Newest speeds of the workers that a leader has stored.
+    state::batch::WorkerSpeedSummary m_speeds;
     /// Leader record of the listing that is being applied.
     std::optional<state::batch::LeaderRecord> m_listedLeader;
     bool m_journalListed = false;
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -57,7 +57,7 @@
         /// The worker has confirmed the start of a run, or lists it for the first time; may be called for both.
         std::function<void(const state::batch::BatchTaskId& task)> onBegun;
         /// A run is listed as running.
-        std::function<void(const Allocation& allocation)> onRunning;
+        std::function<void(Allocation& allocation)> onRunning;
         /// The worker lists a run for which there is no allocation.
         std::function<void(const RunningTask& running)> onUnknownRun;
         /// The free capacity or the usability has changed.
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -1,6 +1,7 @@
 #include "coordination/decisions/batch/CapacityIndex.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <limits>
 #include <map>
@@ -22,6 +23,8 @@
     constexpr double slownessWeight = 8;
     // Above the differences in fit, so that urgent work starts on a cold worker only where no other fits.
     constexpr double coldPenalty = 500;
+    // The same for a fast worker that is left to units without slack.
+    constexpr double sparedSpeedWeight = 8;
     // Above every other score, so that a worker where the step failed comes last.
     constexpr double failedBeforePenalty = 1'000;
 
@@ -83,6 +86,7 @@
         rack.freeAccelerators += usableAccelerators(view);
         m_rackOf[worker] = position->second;
         m_unreserved.push_back(view.worker.capacity);
+        m_slowestRunTime = std::max(m_slowestRunTime, view.relativeRunTime);
         total += view.worker.capacity.accelerators;
         free += usableAccelerators(view);
     }
@@ -99,7 +103,7 @@
 bool CapacityIndex::eligible(const BatchUnit& unit, std::size_t worker) const
 {
     const WorkerView& view = m_workers[worker];
-    if (view.worker.service != unit.service)
+    if (view.worker.service != unit.service || view.relativeRunTime > unit.slowestWorker)
         return false;
     return unit.requiredLabel.empty() || view.worker.labels.contains(unit.requiredLabel);
 }
@@ -127,6 +131,8 @@
         double penalty = slownessWeight * (view.slowness - 1);
         if (view.cold && (unit.guaranteed || unit.priority == 0))
             penalty += coldPenalty;
+        if (unit.sparesFastWorkers)
+            penalty -= sparedSpeedWeight * std::log2(view.relativeRunTime);
         if (!unit.avoidedWorkers.empty() && unit.avoidedWorkers.contains(view.worker.id))
             penalty += failedBeforePenalty;
         if (unit.isolatedStart)
--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -151,6 +151,10 @@
                 [](Settings& s, long v) { s.batch.gangTimeout = milliseconds(v); }),
             integerKey("batch.evacuation_limit_ms", 0, 600'000, "milliseconds, 0 for no limit",
                 [](Settings& s, long v) { s.batch.evacuationLimit = milliseconds(v); }),
+            textKey(
+                "batch.learn_run_times", false, "true or false",
+                [](const std::string& v) { return v == "true" || v == "false"; },
+                [](Settings& s, const std::string& v) { s.batch.learnRunTimes = v == "true"; }),
             textKey(
                 "batch.processors", false, "a number of processors such as 0.25, at most 1024",
                 [](const std::string& v) { return parseProcessors(v).has_value(); },
--- a/state/batch/BatchSettings.h
+++ b/state/batch/BatchSettings.h
@@ -23,6 +23,8 @@
     std::chrono::milliseconds gangTimeout { 3'000 };
     /// Time after an operator's request from which nothing may start in an evacuated data centre; 0 for no limit.
     std::chrono::milliseconds evacuationLimit { 0 };
+    /// Whether speeds of workers are learned from runs and used to place work.
+    bool learnRunTimes = true;
     /// Processors that this process may use; 0 if unknown.
     double processors = 0;
     /// Descriptors that this process may open; 0 if unknown.
