Tests of hostile clients on real processes; settings for the memory of the machine

A crowd of clients that send bodies and stop just short of their end makes a process take connections times the largest body. The tests start a batch daemon and an entry instance with the settings batch.memory_mb and http.memory_mb, which have no effect yet, and bound peak memory by them.

On the entry instance, connections whose end arrives together with their last bytes stay open for ever: libmicrohttpd clears its readiness flag after a short read and misses the end.

--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -117,6 +117,7 @@
     }
 
     constexpr long maximumDescriptors = 1'048'576;
+    constexpr long maximumMemoryMegabytes = 1'048'576;
 
     std::vector<Key> makeBatchKeys()
     {
@@ -141,6 +142,8 @@
                 [](Settings& s, const std::string& v) { s.batch.processors = *parseProcessors(v); }),
             integerKey("batch.descriptors", 0, maximumDescriptors, "0 if unknown",
                 [](Settings& s, long v) { s.batch.descriptors = static_cast<std::size_t>(v); }),
+            integerKey("batch.memory_mb", 0, maximumMemoryMegabytes, "megabytes, 0 if unknown",
+                [](Settings& s, long v) { s.batch.memoryMegabytes = static_cast<std::size_t>(v); }),
         };
     }
 
@@ -165,6 +168,8 @@
                 [](Settings& s, const std::string& v) { s.httpAddress = v; }),
             integerKey("http.port", 0, maximumPort, "0 picks a free port",
                 [](Settings& s, long v) { s.httpPort = static_cast<std::uint16_t>(v); }),
+            integerKey("http.memory_mb", 0, maximumMemoryMegabytes, "megabytes, 0 if unknown",
+                [](Settings& s, long v) { s.httpMemoryMegabytes = static_cast<std::size_t>(v); }),
             textKey("peer.address", false, addressRule, isIpv4Address,
                 [](Settings& s, const std::string& v) { s.peerAddress = v; }),
             integerKey("peer.port", 0, maximumPort, "0 picks a free port",
--- a/state/Settings.h
+++ b/state/Settings.h
@@ -19,6 +19,8 @@
 
     std::string httpAddress = "127.0.0.1";
     std::uint16_t httpPort = 0;
+    /// Memory that the process may use, in megabytes; 0 if unknown.
+    std::size_t httpMemoryMegabytes = 0;
 
     std::string peerAddress = "127.0.0.1";
     std::uint16_t peerPort = 0;
--- a/state/batch/BatchSettings.h
+++ b/state/batch/BatchSettings.h
@@ -25,6 +25,8 @@
     double processors = 0;
     /// Descriptors that this process may open; 0 if unknown.
     std::size_t descriptors = 0;
+    /// Memory of the machine in megabytes; 0 if unknown.
+    std::size_t memoryMegabytes = 0;
 
     /// @return connections to workers that the descriptors allow beside all other uses.
     std::size_t workerConnections() const;
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -149,7 +149,8 @@
     std::ostringstream text;
     text << "instance: " << entry.name << "\n"
          << "data_centre: " << m_dataCentres[static_cast<std::size_t>(entry.dataCentre)].name << "\n"
-         << "http: {address: 127.0.0.1, port: " << entry.httpPort << "}\n"
+         << "http: {address: 127.0.0.1, port: " << entry.httpPort << ", memory_mb: " << m_options.memoryMegabytes
+         << "}\n"
          << "peer: {address: 127.0.0.1, port: " << entry.peerPort << "}\n"
          << "platform: {url: \"http://" << loopback(static_cast<std::uint16_t>(m_platformPort + entry.dataCentre))
          << "\"}\n"
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -31,6 +31,8 @@
         int slotsPerServer = 8;
         std::chrono::milliseconds leaseDuration { 30'000 };
         std::chrono::milliseconds leaseRenewal { 500 };
+        /// Setting `http.memory_mb` of the entry instances.
+        std::size_t memoryMegabytes = 0;
     };
 
     /// Starts the stand-ins and publishes the instance list; startEntries() starts the entry instances.
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -48,6 +48,7 @@
     , m_firstWorkerPort(testing_support::findFreePorts(m_options.workers))
     , m_firstFrontPort(testing_support::findFreePorts(m_options.daemons))
     , m_firstReadyPort(testing_support::findFreePorts(m_options.daemons))
+    , m_firstMetricsPort(testing_support::findFreePorts(m_options.daemons))
     , m_firstStoreProxyPort(testing_support::findFreePorts(m_options.daemons))
     , m_firstWorkerProxyPort(testing_support::findFreePorts(m_options.workers))
     , m_daemons(static_cast<std::size_t>(m_options.daemons))
@@ -91,7 +92,8 @@
     auto endpoint = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
     std::string text = "instance: e-" + std::to_string(daemon) + "\ndata_centre: dc-0\nplatform:\n  url: http://"
         + endpoint(portAt(m_firstStoreProxyPort, daemon)) + "\nbatch:\n  front: " + endpoint(frontPort(daemon))
-        + "\n  ready: " + endpoint(portAt(m_firstReadyPort, daemon));
+        + "\n  ready: " + endpoint(readyPort(daemon)) + "\n  metrics: " + endpoint(metricsPort(daemon))
+        + "\n  memory_mb: " + std::to_string(m_options.memoryMegabytes);
     return text
         + "\n  worker_lease_limit_ms: 6000\n  stop_grace_ms: 100\n  gang_timeout_ms: 3000\nshutdown:\n  notice_ms: "
           "300\n"
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -26,6 +26,8 @@
         int workers = 6;
         int accelerators = 8;
         std::uint64_t seed = 1;
+        /// Setting `batch.memory_mb` of the daemons.
+        std::size_t memoryMegabytes = 0;
     };
 
     explicit SoakCluster(Options options);
@@ -34,6 +36,8 @@
     const Options& options() const { return m_options; }
     /// Port on which the daemon serves clients.
     std::uint16_t frontPort(int daemon) const { return static_cast<std::uint16_t>(m_firstFrontPort + daemon); }
+    std::uint16_t readyPort(int daemon) const { return static_cast<std::uint16_t>(m_firstReadyPort + daemon); }
+    std::uint16_t metricsPort(int daemon) const { return static_cast<std::uint16_t>(m_firstMetricsPort + daemon); }
 
     /// Waits until all daemons report that they are ready.
     /// @return false if one does not within the start timeout.
@@ -92,6 +96,7 @@
     std::uint16_t m_firstWorkerPort = 0;
     std::uint16_t m_firstFrontPort = 0;
     std::uint16_t m_firstReadyPort = 0;
+    std::uint16_t m_firstMetricsPort = 0;
     std::uint16_t m_firstStoreProxyPort = 0;
     std::uint16_t m_firstWorkerProxyPort = 0;
     std::unique_ptr<testing_support::ChildProcess> m_store;
