transport: bound the memory of unfinished requests

Cause: HttpServer kept the bodies of all requests that had not ended, connections times the largest body, and two copies of each response that a client did not read.

A body over the limit is refused by its announced length before it is read. Without room, the request that has made no progress for longest is dropped. What is not kept is discarded up to the largest body, then the connection is closed. Large responses are sent in blocks without a copy. A connection takes 16 KiB in libmicrohttpd and a receive buffer of fixed size. Connections whose end libmicrohttpd missed are found and closed. HttpClient fails a call whose response has over 64 MiB.

--- a/coordination/api/ApiTask.cpp
+++ b/coordination/api/ApiTask.cpp
@@ -42,7 +42,12 @@
     : m_environment(std::move(environment))
     , m_serverOptions(server)
     , m_hooks(std::move(hooks))
+    , m_refusals(*m_environment.metrics, "api")
 {
+    m_serverOptions.budget = std::make_shared<transport::BodyBudget>(
+        transport::BodyBudget::Options { .limitBytes = m_serverOptions.requestMemoryBytes });
+    m_serverOptions.onRefusal
+        = [this](const std::string& reason) { m_refusals.record(reason, std::chrono::steady_clock::now()); };
 }
 
 ApiTask::~ApiTask()
@@ -109,6 +114,8 @@
     Path path = splitPath(request.path);
     try {
         if (path.size() == 1 && path[0] == "metrics" && request.method == "GET") {
+            m_environment.metrics->setGauge(
+                "lentilsaddle_http_request_memory_bytes", static_cast<double>(m_serverOptions.budget->heldBytes()));
             respond({ .status = 200,
                 .headers = { { "content-type", "text/plain; version=0.0.4" } },
                 .body = m_environment.metrics->render() });
--- a/coordination/api/ApiTask.h
+++ b/coordination/api/ApiTask.h
@@ -6,6 +6,7 @@
 #include "coordination/api/ApiMessage.h"
 #include "coordination/api/ApiTaskHooks.h"
 #include "transport/HttpServer.h"
+#include "transport/RefusalRecorder.h"
 #include "transport/Task.h"
 
 #include <cstdint>
@@ -62,6 +63,7 @@
     TaskEnvironment m_environment;
     transport::HttpServerOptions m_serverOptions;
     ApiTaskHooks m_hooks;
+    transport::RefusalRecorder m_refusals;
     std::unique_ptr<transport::HttpServer> m_server;
     bool m_draining = false;
 };
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -197,7 +197,9 @@
 
 void Daemon::createApiTask()
 {
-    transport::HttpServerOptions server { .address = m_settings.httpAddress, .port = m_settings.httpPort };
+    transport::HttpServerOptions server { .address = m_settings.httpAddress,
+        .port = m_settings.httpPort,
+        .requestMemoryBytes = m_settings.requestMemoryBytes() };
     coordination::ApiTaskHooks hooks {
         .postRequest = [this](coordination::RequestMessage message) { m_requests->post(std::move(message)); },
         .postScheduler = [this](coordination::SchedulerMessage message) { m_scheduler->post(std::move(message)); },
--- a/state/Settings.h
+++ b/state/Settings.h
@@ -47,6 +47,9 @@
     std::chrono::seconds shutdownLimit { 60 };
 
     batch::BatchSettings batch;
+
+    /// @return bytes for the unfinished requests of the HTTP API.
+    std::size_t requestMemoryBytes() const;
 };
 
 } // namespace lentilsaddle::state
--- a/state/batch/BatchSettings.cpp
+++ b/state/batch/BatchSettings.cpp
@@ -12,6 +12,14 @@
     // A process with fewer descriptors still reaches some workers at a time.
     constexpr std::size_t minimumWorkerConnections = 64;
 
+    constexpr std::size_t megabyte = 1 << 20;
+    constexpr std::size_t unknownMemoryMegabytes = 256;
+    // The rest is for the state of the jobs and for what libraries and the system keep for each connection. An eighth
+    // of 120 MB holds the requests of 1,200 clients of 4,000 bytes each twice.
+    constexpr std::size_t partForRequests = 8;
+    // A single body of the largest size is accepted on any machine.
+    constexpr std::size_t minimumRequestMemory = 2 * megabyte;
+
 } // namespace
 
 std::size_t BatchSettings::workerConnections() const
@@ -21,4 +29,10 @@
                                                                    : minimumWorkerConnections;
 }
 
+std::size_t BatchSettings::requestMemoryBytes() const
+{
+    std::size_t memory = memoryMegabytes > 0 ? memoryMegabytes : unknownMemoryMegabytes;
+    return std::max(memory * megabyte / partForRequests, minimumRequestMemory);
+}
+
 } // namespace lentilsaddle::state::batch
--- a/state/batch/BatchSettings.h
+++ b/state/batch/BatchSettings.h
@@ -31,6 +31,9 @@
     /// @return connections to workers that the descriptors allow beside all other uses.
     std::size_t workerConnections() const;
 
+    /// @return bytes for the unfinished requests of all listeners.
+    std::size_t requestMemoryBytes() const;
+
     bool enabled() const { return !apiAddress.empty(); }
 };
 
--- a/tests/hostile/HostileClientsTest.cpp
+++ b/tests/hostile/HostileClientsTest.cpp
@@ -324,10 +324,11 @@
 // Guards against copies of large responses that are kept for clients that do not read them.
 TEST_F(HostileApiClientsTest, SlowReadersOfALargeConfiguration)
 {
-    nlohmann::json services = nlohmann::json::object();
-    for (int index = 0; index < 4'000; ++index)
-        services["service-with-a-name-of-many-letters-" + std::to_string(index)] = { { "slots_per_server", 1 } };
-    ASSERT_EQ(patch(0, "large", 1, { { "services", services } }).status, 200);
+    // Accounts, since an instance keeps a stream and its records for each service.
+    nlohmann::json accounts = nlohmann::json::object();
+    for (int index = 0; index < 8'000; ++index)
+        accounts["account-with-a-name-of-many-letters-" + std::to_string(index)] = { { "weight", 1 } };
+    ASSERT_EQ(patch(0, "large", 1, { { "accounts", accounts } }).status, 200);
     HostileCrowd::Plan crowd = plan();
     crowd.header = "GET /v1/configuration HTTP/1.1\r\nHost: a\r\n";
     crowd.sentBytes = 1;
--- a/tests/protocol/SettingsCodecTest.cpp
+++ b/tests/protocol/SettingsCodecTest.cpp
@@ -42,6 +42,15 @@
     EXPECT_EQ(errorOf(required + "log:\n  level: info\nlog:\n  level: debug\n"), "s.yaml:8: log.level: is given twice");
 }
 
+// Guards against a machine without room for a single body, or whose memory the requests alone can use up.
+TEST(SettingsCodec, PartOfTheMemoryIsForRequests)
+{
+    EXPECT_EQ(parseSettings(required + "batch:\n  memory_mb: 120\n", "s.yaml").batch.requestMemoryBytes(), 15U << 20);
+    EXPECT_EQ(parseSettings(required + "batch:\n  memory_mb: 1\n", "s.yaml").batch.requestMemoryBytes(), 2U << 20);
+    EXPECT_EQ(parseSettings(required + "http:\n  memory_mb: 512\n", "s.yaml").requestMemoryBytes(), 64U << 20);
+    EXPECT_EQ(parseSettings(required, "s.yaml").requestMemoryBytes(), 256U << 20);
+}
+
 // Guards against a leader of many workers that closes connections to them although it has the descriptors for more,
 // and against one that runs out of descriptors for its clients.
 TEST(SettingsCodec, DescriptorsBoundTheConnectionsToWorkers)
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -50,10 +50,27 @@
             });
         }
 
+        static int connectTo(std::uint16_t port)
+        {
+            int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_port = htons(port);
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            EXPECT_EQ(connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+            return descriptor;
+        }
+
+        static void sendText(int descriptor, const std::string& text)
+        {
+            EXPECT_EQ(::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+        }
+
         EventLoop m_loop { [] {} };
         HttpClient m_client { m_loop, {} };
         std::unique_ptr<HttpServer> m_server;
         std::size_t m_expected = 0;
+        bool m_opened = false;
         std::vector<HttpResult> m_results;
     };
 
@@ -140,6 +157,104 @@
     EXPECT_FALSE(handled);
 }
 
+// Guards against reading a body that is known to be refused: its client is still sending.
+TEST_F(HttpTest, AnnouncedBodyOverTheLimitIsRefusedBeforeItIsRead)
+{
+    serve([](const HttpRequest&, const HttpResponder& respond) { respond({}); }, 1000);
+    int descriptor = connectTo(m_server->port());
+    sendText(descriptor, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
+    std::string response;
+    m_loop.watchDescriptor(descriptor, true, false, [&](bool, bool) {
+        char buffer[4096];
+        ssize_t received = recv(descriptor, buffer, sizeof buffer, 0);
+        response.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
+        if (received <= 0)
+            m_loop.requestStop();
+    });
+    m_loop.run();
+    m_loop.unwatchDescriptor(descriptor);
+    close(descriptor);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 413 ")) << response;
+    EXPECT_NE(response.find("not-run"), std::string::npos) << response;
+}
+
+// Guards against refusing ordinary requests while stopped bodies hold all the memory, and against a refusal without
+// Retry-After or of a request that has run.
+TEST_F(HttpTest, StoppedBodiesLeaveRoomForOrdinaryRequests)
+{
+    auto budget = std::make_shared<BodyBudget>(BodyBudget::Options { .limitBytes = 100'000 });
+    std::vector<std::string> refusals;
+    std::size_t served = 0;
+    m_server = std::make_unique<HttpServer>(m_loop,
+        HttpServerOptions {
+            .budget = budget, .onRefusal = [&](const std::string& reason) { refusals.push_back(reason); } },
+        [&](const HttpRequest& request, const HttpResponder& respond) {
+            ++served;
+            respond({ .status = 200, .headers = {}, .body = std::to_string(request.body.size()) });
+        });
+    std::vector<int> stopped;
+    for (int index = 0; index < 20; ++index) {
+        stopped.push_back(connectTo(m_server->port()));
+        sendText(stopped.back(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000\r\n\r\n" + std::string(100, 'x'));
+    }
+    m_loop.startTimer(std::chrono::milliseconds(50), [&] {
+        EXPECT_GT(budget->heldBytes(), 60'000U);
+        EXPECT_LE(budget->heldBytes(), budget->limitBytes());
+        send(call(std::string(4'000, 'x')));
+        send(call(std::string(30'000, 'x')));
+    });
+    m_loop.run();
+    for (int descriptor : stopped)
+        close(descriptor);
+    std::sort(m_results.begin(), m_results.end(),
+        [](const HttpResult& a, const HttpResult& b) { return a.response.status < b.response.status; });
+    EXPECT_EQ(m_results[0].response.body, "4000");
+    EXPECT_EQ(m_results[1].response.status, 503);
+    EXPECT_EQ(m_results[1].response.headers["retry-after"], "1");
+    EXPECT_EQ(m_results[1].response.headers["request-outcome"], "not-run");
+    EXPECT_EQ(served, 1U);
+    EXPECT_FALSE(refusals.empty());
+}
+
+// Guards against connections that stay for ever because their end arrived together with their last bytes.
+TEST_F(HttpTest, ConnectionThatEndsWithinABodyIsClosed)
+{
+    auto budget = std::make_shared<BodyBudget>(BodyBudget::Options { .limitBytes = 100'000 });
+    m_server = std::make_unique<HttpServer>(m_loop, HttpServerOptions { .budget = budget },
+        [](const HttpRequest&, const HttpResponder& respond) { respond({}); });
+    for (int index = 0; index < 10; ++index) {
+        int descriptor = connectTo(m_server->port());
+        sendText(descriptor, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n" + std::string(100, 'x'));
+        close(descriptor);
+    }
+    std::function<void()> stopWhenEmpty = [&] {
+        if (m_opened && budget->requests() == 0)
+            m_loop.requestStop();
+        m_opened = m_opened || budget->requests() > 0;
+        m_loop.startTimer(std::chrono::milliseconds(20), stopWhenEmpty);
+    };
+    m_loop.startTimer(std::chrono::milliseconds(1), stopWhenEmpty);
+    m_loop.run();
+    EXPECT_EQ(budget->heldBytes(), 0U);
+}
+
+// Guards against a server that answers without end and fills the memory of its client.
+TEST_F(HttpTest, ResponseOverTheLimitFailsTheCall)
+{
+    serve([](const HttpRequest&, const HttpResponder& respond) {
+        respond({ .status = 200, .headers = {}, .body = std::string(100'000, 'x') });
+    });
+    HttpClient client(m_loop, { .maximumResponseBytes = 50'000 });
+    HttpResult result;
+    client.send(call(), [&](HttpResult received) {
+        result = std::move(received);
+        m_loop.requestStop();
+    });
+    m_loop.run();
+    EXPECT_EQ(result.failure, HttpFailure::ResponseLost);
+    EXPECT_LE(result.receivedBytes, 50'000U);
+}
+
 // Guards against NotSent being reported for a request that the server may have read.
 TEST_F(HttpTest, ClosedConnectionAfterSendingIsResponseLost)
 {
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -49,6 +49,7 @@
         bool headerComplete = false;
         /// A reused connection was closed before the response, and the request may not be sent again.
         bool connectionClosed = false;
+        bool responseTooLarge = false;
         /// Zero without a stall timeout.
         std::chrono::milliseconds stallTimeout { 0 };
         /// When the response must have begun; without a stall timeout, when it must be complete.
@@ -65,6 +66,7 @@
     struct Call : CallState {
         CURL* easy = nullptr;
         ConnectionRegistry* connections = nullptr;
+        std::size_t maximumResponseBytes = 0;
 
         Call() = default;
         Call(const Call&) = delete;
@@ -129,6 +131,9 @@
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* context)
     {
         auto* call = static_cast<Call*>(context);
+        call->responseTooLarge = call->response.body.size() + size * count > call->maximumResponseBytes;
+        if (call->responseTooLarge)
+            return 0;
         call->response.body.append(data, size * count);
         call->lastProgress = std::chrono::steady_clock::now();
         return size * count;
@@ -196,6 +201,8 @@
         result.failure = call.sendings > 0 ? HttpFailure::ResponseLost : HttpFailure::NotSent;
         if (call.connectionClosed)
             result.error = "connection closed without a response";
+        else if (call.responseTooLarge)
+            result.error = "the response body exceeds " + std::to_string(call.maximumResponseBytes) + " bytes";
         else
             result.error = code == CURLE_OK ? "connection closed within the response" : curl_easy_strerror(code);
         result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
@@ -223,6 +230,7 @@
     /// Outlives the connections, which libcurl closes with the groups.
     ConnectionRegistry connections;
     CallId nextCall = 1;
+    std::size_t maximumResponseBytes = 0;
     std::vector<std::unique_ptr<Group>> groups;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::vector<std::unique_ptr<Call>> idleCalls;
@@ -290,6 +298,7 @@
     curl_easy_setopt(call->easy, CURLOPT_CLOSESOCKETFUNCTION, &onCloseSocket);
     curl_easy_setopt(call->easy, CURLOPT_CLOSESOCKETDATA, &connections);
     call->connections = &connections;
+    call->maximumResponseBytes = maximumResponseBytes;
     curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, &onBody);
     curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call.get());
     curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, &onHeader);
@@ -427,6 +436,7 @@
     : m_implementation(std::make_unique<Implementation>(loop))
 {
     initialiseLibrary();
+    m_implementation->maximumResponseBytes = options.maximumResponseBytes;
     for (std::size_t index = 0; index < std::max<std::size_t>(options.connectionGroups, 1); ++index)
         m_implementation->addGroup(options);
 }
--- a/transport/HttpClient.h
+++ b/transport/HttpClient.h
@@ -63,6 +63,9 @@
     /// Number of groups that the servers are distributed over. The cost of a call grows with the connections and
     /// queued calls of its group; each group has an equal share of the maximum number of connections.
     std::size_t connectionGroups = 1;
+    /// A call whose response body is larger fails. Above all lists of the platform and batches of the store, so that
+    /// only a server that sends without end meets it.
+    std::size_t maximumResponseBytes = 64 << 20;
 };
 
 /// Asynchronous HTTP client that reuses connections. A request is sent once unless the call is repeatable. All methods
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cstring>
 #include <optional>
 #include <set>
@@ -32,13 +33,47 @@
     struct Exchange {
         HttpRequest request;
         MHD_Connection* connection = nullptr;
-        bool bodyTooLarge = false;
+        /// Number in the budget; 0 if the request has no memory.
+        BodyBudget::RequestId charge = 0;
+        /// Memory of the request without its body.
+        std::size_t overheadBytes = 0;
+        /// Length of the body in the header; 0 if it is chunked or absent.
+        std::size_t announcedBytes = 0;
+        /// Status of a request that is refused before it runs; 0 if it is not.
+        int refusal = 0;
+        /// Bytes of a refused body, which are read and not kept.
+        std::size_t discardedBytes = 0;
+        /// Dropped for another request; its connection is being closed.
+        bool dropped = false;
         bool handled = false;
+        /// The request has no effect, so that it may be refused after it has run.
+        bool readsOnly = false;
         bool suspended = false;
         bool closed = false;
         std::optional<HttpResponse> response;
     };
 
+    /// Response body that is sent in blocks, so that a client that stops reading is noticed.
+    struct BlockwiseBody {
+        std::string body;
+        std::shared_ptr<BodyBudget> budget;
+        BodyBudget::RequestId charge = 0;
+    };
+
+    // Objects that belong to one request.
+    constexpr std::size_t requestOverheadBytes = 1'024;
+    constexpr std::size_t headerOverheadBytes = 64;
+    constexpr std::size_t smallestBodyCapacity = 4'096;
+    // Larger responses are sent in blocks of this size.
+    constexpr std::size_t responseBlockBytes = 16'384;
+    // Pool of libmicrohttpd for a connection, which bounds the header of a request. A header above it gets status 431.
+    constexpr std::size_t connectionMemoryBytes = 16'384;
+    // Received bytes that have not been read count as memory of the process, and the system would let each connection
+    // have megabytes of them.
+    constexpr int receiveBufferBytes = 65'536;
+    constexpr std::chrono::seconds closedConnectionCheckInterval { 5 };
+    constexpr const char* retryAfterSeconds = "1";
+
     // Connections that libmicrohttpd may accept above the limit while excess connections are being closed.
     constexpr unsigned connectionsAboveLimit = 64;
 
@@ -48,8 +83,42 @@
         std::uint64_t lastUse = 0;
         bool requestInFlight = false;
         bool closing = false;
+        /// Address of the client.
+        std::string client;
+        /// Checks for an end of the connection since the last use.
+        int checks = 0;
     };
 
+    std::string addressOf(const sockaddr* address)
+    {
+        char text[INET_ADDRSTRLEN] = "";
+        if (address && address->sa_family == AF_INET)
+            inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address)->sin_addr, text, sizeof text);
+        return text;
+    }
+
+    std::size_t announcedLength(const HttpHeaders& headers)
+    {
+        auto found = headers.find("content-length");
+        if (found == headers.end())
+            return 0;
+        std::size_t length = 0;
+        const std::string& text = found->second;
+        // libmicrohttpd has refused a value that is not a number.
+        std::from_chars(text.data(), text.data() + text.size(), length);
+        return length;
+    }
+
+    ssize_t readBlock(void* context, std::uint64_t position, char* buffer, std::size_t size)
+    {
+        auto* content = static_cast<BlockwiseBody*>(context);
+        std::size_t count = std::min(size, content->body.size() - static_cast<std::size_t>(position));
+        std::memcpy(buffer, content->body.data() + position, count);
+        // A block is asked for when the one before has been sent.
+        content->budget->recordTransfer(content->charge, count, std::chrono::steady_clock::now());
+        return static_cast<ssize_t>(count);
+    }
+
 } // namespace
 
 struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
@@ -71,10 +140,29 @@
     std::unordered_map<MHD_Connection*, Connection> connections;
     /// Number of uses of all connections.
     std::uint64_t useCounter = 0;
+    std::shared_ptr<BodyBudget> budget;
+    EventLoop::TimerId closedConnectionTimer = 0;
 
     static void onConnection(void* context, MHD_Connection* connection, void**, MHD_ConnectionNotificationCode code);
     void closeLongestIdleConnection();
     void recordUse(MHD_Connection* connection, bool requestInFlight);
+    /// Ends the connections whose clients have closed them without libmicrohttpd noticing.
+    void endClosedConnections();
+    void scheduleClosedConnectionCheck();
+    void reportRefusal(const std::string& reason) const;
+
+    /// Asks the budget for the memory of a request with its announced body.
+    void charge(const std::shared_ptr<Exchange>& exchange);
+    /// Frees the body; what follows of it is not kept.
+    void refuse(Exchange& exchange, int status);
+    /// Ends a request that has been dropped from the budget.
+    void drop(Exchange& exchange);
+    MHD_Result receiveBody(Exchange& exchange, const char* data, std::size_t size);
+    bool growBody(Exchange& exchange, std::size_t size);
+    HttpResponse refusalResponse(int status) const;
+    /// Asks the budget for the memory of the response; without room, it is not sent.
+    void chargeResponse(Exchange& exchange);
+    MHD_Response* createResponse(Exchange& exchange);
 
     static MHD_Result onAccess(void* context, MHD_Connection* connection, const char* url, const char* method,
         const char*, const char* uploadData, std::size_t* uploadSize, void** exchangeSlot);
@@ -98,8 +186,11 @@
         return;
     }
     const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    self->connections[connection]
-        = { .socket = info ? info->connect_fd : MHD_INVALID_SOCKET, .lastUse = ++self->useCounter };
+    const MHD_ConnectionInfo* client = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    self->connections[connection] = { .socket = info ? info->connect_fd : MHD_INVALID_SOCKET,
+        .lastUse = ++self->useCounter,
+        .client = addressOf(client ? client->client_addr : nullptr) };
+    self->scheduleClosedConnectionCheck();
     if (self->connections.size() > self->options.connectionLimit)
         self->closeLongestIdleConnection();
 }
@@ -127,6 +218,82 @@
         return;
     known->second.lastUse = ++useCounter;
     known->second.requestInFlight = requestInFlight;
+    known->second.checks = 0;
+}
+
+// libmicrohttpd misses the end of a connection that arrives together with the last bytes, and would keep it for ever.
+void HttpServer::Implementation::endClosedConnections()
+{
+    closedConnectionTimer = 0;
+    std::set<MHD_Connection*> receiving;
+    for (const auto& exchange : exchanges) {
+        if (!exchange->handled)
+            receiving.insert(exchange->connection);
+    }
+    for (auto& [handle, connection] : connections) {
+        bool checkedWhileIdle = ++connection.checks > 2;
+        if (connection.requestInFlight || connection.closing || (checkedWhileIdle && !receiving.contains(handle)))
+            continue;
+        char byte = 0;
+        if (recv(connection.socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0)
+            continue;
+        connection.closing = true;
+        shutdown(connection.socket, SHUT_RDWR);
+    }
+    scheduleClosedConnectionCheck();
+}
+
+void HttpServer::Implementation::scheduleClosedConnectionCheck()
+{
+    if (closedConnectionTimer == 0 && !connections.empty())
+        closedConnectionTimer = loop.startTimer(closedConnectionCheckInterval, [this] { endClosedConnections(); });
+}
+
+void HttpServer::Implementation::reportRefusal(const std::string& reason) const
+{
+    if (options.onRefusal)
+        options.onRefusal(reason);
+}
+
+void HttpServer::Implementation::charge(const std::shared_ptr<Exchange>& exchange)
+{
+    exchange->overheadBytes = requestOverheadBytes + exchange->request.path.size();
+    for (const auto& [name, value] : exchange->request.headers)
+        exchange->overheadBytes += name.size() + value.size() + headerOverheadBytes;
+    for (const auto& [name, value] : exchange->request.query)
+        exchange->overheadBytes += name.size() + value.size() + headerOverheadBytes;
+    auto known = connections.find(exchange->connection);
+    std::string client = known == connections.end() ? "" : known->second.client;
+    std::weak_ptr<Exchange> weak = exchange;
+    exchange->charge = budget->open(
+        client, exchange->overheadBytes + exchange->announcedBytes, std::chrono::steady_clock::now(), [this, weak] {
+            if (auto dropped = weak.lock())
+                drop(*dropped);
+        });
+    if (exchange->charge == 0)
+        refuse(*exchange, 503);
+}
+
+void HttpServer::Implementation::refuse(Exchange& exchange, int status)
+{
+    exchange.refusal = status;
+    std::string().swap(exchange.request.body);
+    budget->close(exchange.charge);
+    exchange.charge = 0;
+    reportRefusal(status == 413 ? "body_too_large" : "no_room");
+}
+
+void HttpServer::Implementation::drop(Exchange& exchange)
+{
+    exchange.dropped = true;
+    exchange.charge = 0;
+    std::string().swap(exchange.request.body);
+    reportRefusal(exchange.handled ? "response_not_read" : "body_without_progress");
+    auto known = connections.find(exchange.connection);
+    if (known == connections.end())
+        return;
+    known->second.closing = true;
+    shutdown(known->second.socket, SHUT_RDWR);
 }
 
 MHD_Result HttpServer::Implementation::beginExchange(
@@ -150,11 +317,52 @@
             return MHD_YES;
         },
         &exchange->request.query);
+    exchange->announcedBytes = announcedLength(exchange->request.headers);
     *exchangeSlot = exchange.get();
-    exchanges.insert(std::move(exchange));
+    exchanges.insert(exchange);
+    if (exchange->announcedBytes <= options.maximumBodyBytes) {
+        charge(exchange);
+        return MHD_YES;
+    }
+    // The body is not read; libmicrohttpd closes the connection after the response.
+    refuse(*exchange, 413);
+    return dispatch(exchange);
+}
+
+MHD_Result HttpServer::Implementation::receiveBody(Exchange& exchange, const char* data, std::size_t size)
+{
+    if (exchange.dropped)
+        return MHD_NO;
+    std::string& body = exchange.request.body;
+    if (exchange.refusal == 0 && body.size() + size > options.maximumBodyBytes)
+        refuse(exchange, 413);
+    if (exchange.refusal == 0 && body.size() + size > body.capacity() && !growBody(exchange, body.size() + size))
+        refuse(exchange, 503);
+    if (exchange.refusal != 0) {
+        // A client that sends its whole body before it reads gets the response; one that sends on does not.
+        exchange.discardedBytes += size;
+        return exchange.discardedBytes <= options.maximumBodyBytes ? MHD_YES : MHD_NO;
+    }
+    body.append(data, size);
+    budget->recordTransfer(exchange.charge, size, std::chrono::steady_clock::now());
     return MHD_YES;
 }
 
+bool HttpServer::Implementation::growBody(Exchange& exchange, std::size_t size)
+{
+    std::string& body = exchange.request.body;
+    if (exchange.announcedBytes > 0) {
+        body.reserve(exchange.announcedBytes);
+        return true;
+    }
+    std::size_t capacity = std::max({ size, 2 * body.capacity(), smallestBodyCapacity });
+    capacity = std::max(size, std::min(capacity, options.maximumBodyBytes));
+    if (!budget->resize(exchange.charge, exchange.overheadBytes + capacity, std::chrono::steady_clock::now()))
+        return false;
+    body.reserve(capacity);
+    return true;
+}
+
 MHD_Result HttpServer::Implementation::onAccess(void* context, MHD_Connection* connection, const char* url,
     const char* method, const char*, const char* uploadData, std::size_t* uploadSize, void** exchangeSlot)
 {
@@ -163,12 +371,8 @@
         return self->beginExchange(connection, url, method, exchangeSlot);
     auto* raw = static_cast<Exchange*>(*exchangeSlot);
     if (*uploadSize > 0) {
-        if (raw->request.body.size() + *uploadSize > self->options.maximumBodyBytes)
-            raw->bodyTooLarge = true;
-        else
-            raw->request.body.append(uploadData, *uploadSize);
-        *uploadSize = 0;
-        return MHD_YES;
+        std::size_t size = std::exchange(*uploadSize, 0);
+        return self->receiveBody(*raw, uploadData, size);
     }
     if (raw->response)
         return self->sendResponse(*raw);
@@ -183,16 +387,15 @@
 {
     exchange->handled = true;
     recordUse(exchange->connection, true);
-    if (exchange->bodyTooLarge) {
-        exchange->response = HttpResponse {
-            .status = 413,
-            .headers = { { "content-type", "application/json" }, { "request-outcome", "not-run" } },
-            .body = R"({"error":"body_too_large","field":"body","reason":"the body exceeds )"
-                + std::to_string(options.maximumBodyBytes) + R"( bytes"})",
-        };
+    if (exchange->dropped)
+        return MHD_NO;
+    if (exchange->refusal != 0) {
+        exchange->response = refusalResponse(exchange->refusal);
         return sendResponse(*exchange);
     }
+    budget->startRunning(exchange->charge);
     auto self = shared_from_this();
+    exchange->readsOnly = exchange->request.method == "GET";
     bool handled = runGuarded("request", [&] {
         handler(std::move(exchange->request),
             [self, exchange](HttpResponse response) { self->respond(exchange, std::move(response)); });
@@ -207,13 +410,55 @@
     return MHD_YES;
 }
 
+HttpResponse HttpServer::Implementation::refusalResponse(int status) const
+{
+    HttpResponse response { .status = status,
+        .headers = { { "content-type", "application/json" }, { "request-outcome", "not-run" } } };
+    if (status == 413) {
+        response.body = R"({"error":"body_too_large","field":"body","reason":"the body exceeds )"
+            + std::to_string(options.maximumBodyBytes) + R"( bytes"})";
+    } else {
+        response.headers["retry-after"] = retryAfterSeconds;
+        response.body = R"({"error":"no_room","reason":"unfinished requests take all the memory; try again"})";
+    }
+    return response;
+}
+
+void HttpServer::Implementation::chargeResponse(Exchange& exchange)
+{
+    std::size_t size = exchange.overheadBytes + exchange.response->body.size();
+    if (exchange.charge == 0 || budget->resize(exchange.charge, size, std::chrono::steady_clock::now()))
+        return;
+    reportRefusal("response_no_room");
+    // A request that may have had an effect has no truthful refusal.
+    if (exchange.readsOnly)
+        exchange.response = refusalResponse(503);
+    else
+        exchange.response = HttpResponse { .dropConnection = true };
+}
+
+MHD_Response* HttpServer::Implementation::createResponse(Exchange& exchange)
+{
+    std::string& body = exchange.response->body;
+    if (body.size() > responseBlockBytes) {
+        auto* content = new BlockwiseBody { .body = std::move(body), .budget = budget, .charge = exchange.charge };
+        return MHD_create_response_from_callback(content->body.size(), responseBlockBytes, &readBlock, content,
+            [](void* context) { delete static_cast<BlockwiseBody*>(context); });
+    }
+    return MHD_create_response_from_buffer(body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
+}
+
 MHD_Result HttpServer::Implementation::sendResponse(Exchange& exchange)
 {
     const HttpResponse& content = *exchange.response;
-    if (content.dropConnection)
+    if (content.dropConnection || exchange.dropped)
+        return MHD_NO;
+    budget->startSending(exchange.charge, std::chrono::steady_clock::now());
+    // At the limit of connections, one whose client does not read its response may be closed.
+    recordUse(exchange.connection, false);
+    MHD_Response* response = createResponse(exchange);
+    if (!response)
         return MHD_NO;
-    MHD_Response* response = MHD_create_response_from_buffer(
-        content.body.size(), const_cast<char*>(content.body.data()), MHD_RESPMEM_MUST_COPY);
     for (const auto& [name, value] : content.headers)
         MHD_add_response_header(response, name.c_str(), value.c_str());
     MHD_Result result = MHD_queue_response(exchange.connection, static_cast<unsigned>(content.status), response);
@@ -226,6 +471,7 @@
     if (exchange->closed || exchange->response)
         return;
     exchange->response = std::move(response);
+    chargeResponse(*exchange);
     if (!exchange->suspended)
         return;
     exchange->suspended = false;
@@ -242,6 +488,7 @@
     if (!raw)
         return;
     raw->closed = true;
+    self->budget->close(raw->charge);
     std::erase_if(self->exchanges, [raw](const auto& exchange) { return exchange.get() == raw; });
     self->notifyIfIdle();
 }
@@ -275,6 +522,9 @@
 {
     Implementation& self = *m_implementation;
     self.options = options;
+    self.budget = options.budget
+        ? options.budget
+        : std::make_shared<BodyBudget>(BodyBudget::Options { .limitBytes = options.requestMemoryBytes });
     self.handler = std::move(handler);
     sockaddr_in address {};
     address.sin_family = AF_INET;
@@ -284,11 +534,15 @@
     self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, options.port, nullptr,
         nullptr, &Implementation::onAccess, &self, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
         options.connectionLimit + connectionsAboveLimit, MHD_OPTION_NOTIFY_CONNECTION, &Implementation::onConnection,
-        &self, MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(options.idleTimeout.count()),
-        MHD_OPTION_NOTIFY_COMPLETED, &Implementation::onCompleted, &self, MHD_OPTION_END);
+        &self, MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(options.idleTimeout.count()), MHD_OPTION_NOTIFY_COMPLETED, &Implementation::onCompleted,
+        &self, MHD_OPTION_END);
     if (!self.daemon)
         throw TransportError(
             "cannot listen on " + options.address + ":" + std::to_string(options.port) + ": " + std::strerror(errno));
+    // Accepted connections inherit it.
+    setsockopt(MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd, SOL_SOCKET, SO_RCVBUF,
+        &receiveBufferBytes, sizeof receiveBufferBytes);
     self.epollDescriptor = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     self.port = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     loop.watchDescriptor(self.epollDescriptor, true, false, [&self](bool, bool) { self.run(); });
@@ -300,6 +554,7 @@
     Implementation& self = *m_implementation;
     self.loop.unwatchDescriptor(self.epollDescriptor);
     self.loop.cancelTimer(self.runTimer);
+    self.loop.cancelTimer(self.closedConnectionTimer);
     // libmicrohttpd requires that no connection is suspended when the daemon stops.
     for (const auto& exchange : self.exchanges) {
         exchange->closed = true;
--- a/transport/HttpServer.h
+++ b/transport/HttpServer.h
@@ -2,6 +2,7 @@
 /// HTTP/1.1 server on libmicrohttpd, driven by an event loop.
 #pragma once
 
+#include "transport/BodyBudget.h"
 #include "transport/HttpMessage.h"
 
 #include <chrono>
@@ -33,6 +34,13 @@
     unsigned connectionLimit = 2'000;
     /// A connection without traffic for this long is closed; zero means never.
     std::chrono::seconds idleTimeout { 0 };
+    /// Memory of all unfinished requests; servers of one thread may share it. If empty, the server has its own with
+    /// `requestMemoryBytes`.
+    std::shared_ptr<BodyBudget> budget;
+    /// Allows 1,200 clients with small requests and some hundred bodies of the largest size at once.
+    std::size_t requestMemoryBytes = 256 << 20;
+    /// Called with the reason of each request that a limit of this server refused or dropped.
+    std::function<void(const std::string& reason)> onRefusal;
 };
 
 /// Asynchronous HTTP server. All methods must be called on the loop's thread.
