--- a/state/Settings.h
+++ b/state/Settings.h
@@ -20,6 +20,8 @@
 
     std::string httpAddress = "127.0.0.1";
     std::uint16_t httpPort = 0;
+    /// Memory that the process may use, in megabytes; 0 if unknown.
+    std::size_t httpMemoryMegabytes = 0;
 
     std::string peerAddress = "127.0.0.1";
     std::uint16_t peerPort = 0;
@@ -49,6 +51,8 @@
 
     /// Keys that the file names without a value, so that their defaults hold.
     std::vector<std::string> unsetKeys;
+    /// @return bytes for the unfinished requests of the HTTP API.
+    std::size_t requestMemoryBytes() const;
 };
 
 } // namespace lentilsaddle::state
