--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -113,8 +113,7 @@
     ssize_t readBlock(void* context, std::uint64_t position, char* buffer, std::size_t size)
     {
         auto* content = static_cast<BlockwiseBody*>(context);
-        std::size_t count = std::min(size, content->body.size() - static_cast<std::size_t>(position));
-        std::memcpy(buffer, content->body.data() + position, count);
+        std::size_t count = content->body.copy(buffer, size, static_cast<std::size_t>(position));
         // A block is asked for when the one before has been sent.
         content->budget->recordTransfer(content->charge, count, std::chrono::steady_clock::now());
         return static_cast<ssize_t>(count);
