coordination: bound the wait of gangs that miss their objective, except under lasting overload

Cause: a unit that can no longer meet its objective ranked behind all that can.

Change: ServiceAging, a decision of its own that BatchPlanner::serviceOrder calls. Of each priority, the gang that has waited longest goes first once it has waited for 0.6 of the time in which its result has value; after its start the next one waits for four times its run time.

The test's bound is 54 s, twice the time in which a result has value there.

--- a/bench/BatchBypassBench.cpp
+++ b/bench/BatchBypassBench.cpp
@@ -150,7 +150,7 @@
 
         void planRound(MonotonicTime now)
         {
-            PlanInput input { .workers = m_workers, .now = now };
+            PlanInput input { .workers = m_workers, .now = now, .aging = m_aging };
             std::vector<std::size_t> jobs;
             for (std::size_t job = 0; job < m_jobs.size() && m_jobs[job].unit.readySince <= now; ++job) {
                 if (m_jobs[job].started)
@@ -170,6 +170,7 @@
         {
             Job& job = m_jobs[index];
             job.started = true;
+            m_aging.recordStart(job.unit, now);
             const Resources& resources = job.unit.resources;
             for (std::size_t worker : workers) {
                 m_workers[worker].free -= resources;
@@ -220,6 +221,7 @@
         std::vector<Job> m_jobs;
         std::vector<coordination::batch::WorkerView> m_workers;
         std::vector<Run> m_runs;
+        coordination::batch::ServiceAging m_aging;
         /// Small jobs that started before a gang that arrived earlier, by gang.
         std::map<std::size_t, int> m_bypasses;
         milliseconds m_smallWaits { 0 };
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -434,8 +434,10 @@
     std::map<std::size_t, std::vector<std::pair<int, state::WorkerId>>> places;
     for (const Placement& placement : plan.placements)
         places[placement.unit].emplace_back(placement.index, planner.workers()[placement.worker].worker.id);
-    for (const auto& [unit, unitPlaces] : places)
+    for (const auto& [unit, unitPlaces] : places) {
+        m_aging.recordStart(planner.units()[unit], m_hooks.clock());
         claim(planner.units()[unit], unitPlaces);
+    }
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -14,6 +14,7 @@
 #include "coordination/decisions/batch/FencingTokens.h"
 #include "coordination/decisions/batch/LagMonitor.h"
 #include "coordination/decisions/batch/RestartHistory.h"
+#include "coordination/decisions/batch/ServiceAging.h"
 #include "coordination/decisions/batch/StartCheck.h"
 #include "coordination/decisions/batch/WorkerSpeed.h"
 #include "state/Time.h"
@@ -240,6 +241,7 @@
     std::map<StepKey, state::MonotonicTime> m_isolationSince;
     WorkerQuarantine m_quarantine;
     WorkerSpeed m_speed;
+    ServiceAging m_aging;
     bool m_planRequested = false;
     /// When the requested planning round is due.
     state::MonotonicTime m_planDue {};
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -48,7 +48,7 @@
 
 PlanInput BatchScheduler::makeInput(const RunOverview& overview)
 {
-    PlanInput input { .now = m_hooks.clock() };
+    PlanInput input { .now = m_hooks.clock(), .aging = m_aging };
     addUnits(input, overview);
     if (input.units.empty())
         return input;
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -32,6 +32,7 @@
     , m_units(std::move(input.units))
     , m_groups(std::move(input.groups))
     , m_now(input.now)
+    , m_aging(std::move(input.aging))
     , m_capacity(std::move(input.workers))
     , m_preemption(m_capacity, m_groups)
 {
@@ -50,7 +51,9 @@
 
 std::vector<std::size_t> BatchPlanner::serviceOrder() const
 {
-    using Key = std::tuple<bool, bool, int, DeadlineState, double, std::size_t>;
+    using Key = std::tuple<bool, bool, int, bool, DeadlineState, double, std::size_t>;
+    std::set<std::size_t> due = m_aging.select(m_units, m_capacity.workers(), m_now,
+        [this](const BatchUnit& unit) { return !selectReservation(unit).empty(); });
     std::vector<Key> keys;
     keys.reserve(m_units.size());
     for (std::size_t index = 0; index < m_units.size(); ++index) {
@@ -59,8 +62,9 @@
         double rank = deadlineState == DeadlineState::Late
             ? -unit.valueDensity
             : std::chrono::duration<double>((unit.deadline - unit.estimate).time_since_epoch()).count();
-        keys.emplace_back(
-            !unit.guaranteed, deadlineState == DeadlineState::Expired, unit.priority, deadlineState, rank, index);
+        bool dueByAge = due.contains(index);
+        keys.emplace_back(!unit.guaranteed, deadlineState == DeadlineState::Expired && !dueByAge, unit.priority,
+            !dueByAge, deadlineState, rank, index);
     }
     std::sort(keys.begin(), keys.end());
     std::vector<std::size_t> order;
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -6,6 +6,7 @@
 #include "coordination/decisions/batch/CapacityIndex.h"
 #include "coordination/decisions/batch/PreemptionSearch.h"
 #include "coordination/decisions/batch/RunningGroup.h"
+#include "coordination/decisions/batch/ServiceAging.h"
 #include "coordination/decisions/batch/WorkerView.h"
 #include "state/Time.h"
 
@@ -32,6 +33,7 @@
     std::vector<WorkerView> workers;
     std::vector<RunningGroup> groups;
     state::MonotonicTime now {};
+    ServiceAging aging;
 };
 
 /// A task to start on a worker.
@@ -100,6 +102,7 @@
     std::vector<BatchUnit> m_units;
     std::vector<RunningGroup> m_groups;
     state::MonotonicTime m_now;
+    ServiceAging m_aging;
     CapacityIndex m_capacity;
     PreemptionSearch m_preemption;
     BatchPlan m_plan;
--- a/tests/bench/BatchBypassRegressionTest.cpp
+++ b/tests/bench/BatchBypassRegressionTest.cpp
@@ -19,4 +19,12 @@
     }
 }
 
+// Guards against a gang that could start and waits behind small jobs without a bound. The longest time in which the
+// result of a gang has value here is 27 s; twice that leaves it the time to gather its workers behind one older gang.
+TEST(BatchBypassRegressionTest, GangWaitsForAtMostTwiceTheTimeInWhichItsResultHasValue)
+{
+    for (std::uint32_t seed = 1; seed <= 10; ++seed)
+        EXPECT_LE(simulateBatchBypass({ .seed = seed }).longestGangWait, std::chrono::seconds(54)) << "seed " << seed;
+}
+
 } // namespace lentilsaddle::bench
