--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -14,6 +14,7 @@
 #include "coordination/decisions/batch/FencingTokens.h"
 #include "coordination/decisions/batch/LagMonitor.h"
 #include "coordination/decisions/batch/RestartHistory.h"
+#include "coordination/decisions/batch/ServiceAging.h"
 #include "coordination/decisions/batch/StartCheck.h"
 #include "coordination/decisions/batch/WorkerSpeedModel.h"
 #include "state/Time.h"
@@ -259,6 +260,7 @@
     state::MonotonicTime m_spreadJudged {};
     state::MonotonicTime m_speedsStored {};
     state::batch::WorkerSpeedSummary m_storedSpeeds;
+    ServiceAging m_aging;
     bool m_planRequested = false;
     /// When the requested planning round is due.
     state::MonotonicTime m_planDue {};
