Give each stop of a run a typed reason, and count the work that it loses

Change: StopReason with one log line ("stopping": reason, job that gains, lost core-seconds, phase before the stop) and the counters lentilsaddle_batch_runs_stopped_total{reason} and lentilsaddle_batch_lost_core_seconds_total{reason}, which also count ends that no stop caused (lapsed leases, broken gangs, lost workers).

--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -59,6 +59,8 @@
     /// A start request had no response, so definite responses to its retries do not show whether it runs.
     bool attemptTimedOut = false;
     std::string checkpoint;
+    /// When the worker first listed the checkpoint; the epoch if it has listed none of this run.
+    state::MonotonicTime lastCheckpoint {};
     /// When the start was sent, or before that, when the allocation was added.
     state::MonotonicTime since {};
     /// When the start was confirmed or the stop acknowledged. Only observations sent later show whether the run has
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -53,6 +53,8 @@
         .mayRenew = m_hooks.mayRenew,
         .directoryCurrent = m_hooks.directoryCurrent,
         .onFenced = m_hooks.onFenced,
+        .onStopping = [this](const Allocation& allocation, const StopCause& cause,
+                          double lostWork) { onStopping(allocation, cause, lostWork); },
         .onEnded
         = [this, worker](const EndedTask& ended, const Allocation* allocation) { onEnded(worker, ended, allocation); },
         .onLost = [this, worker](const Allocation& lost, RunLoss loss) { onLost(worker, lost, loss); },
@@ -142,13 +144,13 @@
     for (const RunOverview::Run& run : overview.runs()) {
         const auto& [task, number] = *run.key;
         if (!run.entry)
-            run.session->stop(*run.key, "job is unknown");
+            run.session->stop(*run.key, { .reason = StopReason::JobUnknown });
         else if (run.entry->phase() == BatchJobEntry::Phase::Cancelled)
-            run.session->stop(*run.key, "job is cancelled");
+            run.session->stop(*run.key, { .reason = StopReason::JobCancelled });
         else if (run.entry->phase() == BatchJobEntry::Phase::Failed)
-            run.session->stop(*run.key, "job has failed");
+            run.session->stop(*run.key, { .reason = StopReason::JobFailed });
         else if (run.entry->task(task).phase == TaskPhase::Done && !m_doneRuns.contains(groupOf(task, number)))
-            run.session->stop(*run.key, "an earlier run has completed the task");
+            run.session->stop(*run.key, { .reason = StopReason::Superseded });
     }
 }
 
@@ -182,7 +184,7 @@
             continue;
         for (std::size_t position : group.runs) {
             const RunOverview::Run& run = overview.runs()[position];
-            run.session->stop(*run.key, "another member of the gang is missing");
+            run.session->stop(*run.key, { .reason = StopReason::GangIncomplete });
         }
     }
 }
@@ -422,11 +424,11 @@
 void BatchScheduler::executePlan(const BatchPlanner& planner, const RunOverview& overview, const BatchPlan& plan)
 {
     for (const Preemption& preemption : plan.preemptions) {
-        std::string reason = "preempted for job " + planner.units()[preemption.unit].job.value();
+        StopCause cause { .reason = StopReason::Preempted, .beneficiary = planner.units()[preemption.unit].job };
         m_metrics.increment("lentilsaddle_batch_preemptions_total");
         for (std::size_t position : overview.groups()[preemption.group].runs) {
             const RunOverview::Run& run = overview.runs()[position];
-            run.session->stop(*run.key, reason);
+            run.session->stop(*run.key, cause);
         }
     }
     // Gangs are claimed in one batch, so that a new leader sees all members or none.
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -117,6 +117,11 @@
     WorkerSession::Hooks sessionHooks(const state::WorkerId& worker);
     void inheritClaims(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
 
+    void onStopping(const Allocation& allocation, const StopCause& cause, double lostWork);
+    /// Counts a run that ended early, with the work that it lost, in core-seconds.
+    void countStoppedRun(const char* reason, double lostWork);
+    /// Counts a run that ended early although the leader did not stop it.
+    void countInterruptedRun(const Allocation& allocation, const char* reason);
     void onEnded(const state::WorkerId& worker, const EndedTask& ended, const Allocation* allocation);
     void recordSpeed(const state::WorkerId& worker, const Allocation& allocation);
     void onLost(const state::WorkerId& worker, const Allocation& lost, RunLoss loss);
@@ -189,7 +194,6 @@
     void addGroups(PlanInput& input, const RunOverview& overview) const;
     void addWorkers(PlanInput& input, const RunOverview& overview);
     void markGuaranteed(PlanInput& input, const RunOverview& overview) const;
-    static double lossOf(const Allocation& allocation, const state::batch::BatchStep& step, state::MonotonicTime now);
     void executePlan(const BatchPlanner& planner, const RunOverview& overview, const BatchPlan& plan);
     void claim(const BatchUnit& unit, const std::vector<std::pair<int, state::WorkerId>>& places);
     /// Starts the tasks of a unit whose claims have been stored, and gives back the claims that no longer fit.
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -1,5 +1,6 @@
 #include "coordination/batch/BatchScheduler.h"
 
+#include "coordination/batch/AllocationProgress.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
 
@@ -114,6 +115,26 @@
         worker, entry->job().queue.name, elapsed, allocation.percent, step.runTimeEstimate, m_hooks.clock());
 }
 
+void BatchScheduler::onStopping(const Allocation&, const StopCause& cause, double lostWork)
+{
+    countStoppedRun(stopReasonName(cause.reason), lostWork);
+}
+
+void BatchScheduler::countStoppedRun(const char* reason, double lostWork)
+{
+    m_metrics.increment("lentilsaddle_batch_runs_stopped_total", { { "reason", reason } });
+    m_metrics.increment("lentilsaddle_batch_lost_core_seconds_total", { { "reason", reason } }, lostWork);
+}
+
+void BatchScheduler::countInterruptedRun(const Allocation& allocation, const char* reason)
+{
+    // A run that was being stopped was counted then.
+    bool stopping
+        = allocation.phase == Allocation::Phase::Stopping || allocation.phase == Allocation::Phase::StopAcknowledged;
+    if (!stopping)
+        countStoppedRun(reason, unsavedWork(progressOf(allocation), m_hooks.clock()));
+}
+
 void BatchScheduler::onEnded(const state::WorkerId& worker, const EndedTask& ended, const Allocation* allocation)
 {
     writeLog(LogLevel::Info, "scheduler", "run ended",
@@ -122,6 +143,10 @@
             { "known", allocation ? "true" : "false" } });
     m_metrics.increment("lentilsaddle_batch_runs_ended_total", { { "how", endReasonName(ended.reason) } });
     updateQuarantine(worker, ended);
+    bool interrupted = ended.reason == EndedTask::Reason::LeaseLapsed || ended.reason == EndedTask::Reason::GangBroken
+        || ended.reason == EndedTask::Reason::GangIncomplete;
+    if (allocation && interrupted)
+        countInterruptedRun(*allocation, endReasonName(ended.reason));
     if (allocation && ended.reason == EndedTask::Reason::Done)
         recordSpeed(worker, *allocation);
     std::int64_t incarnation = m_sessions.at(worker)->incarnation();
@@ -192,6 +217,8 @@
 {
     m_quarantine.probeAbandoned(worker, lost.task.job);
     m_metrics.increment("lentilsaddle_batch_runs_lost_total");
+    if (lost.listed)
+        countInterruptedRun(lost, runLossName(loss));
     std::optional<BatchTaskState> current = claimedState(worker, lost);
     if (crashedUnder(worker, current ? current->workerIncarnation : 0, loss)) {
         addCrashedRun(worker, lost);
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -1,5 +1,7 @@
 #include "coordination/batch/BatchScheduler.h"
 
+#include "coordination/batch/AllocationProgress.h"
+
 #include <algorithm>
 #include <unordered_map>
 #include <utility>
@@ -15,10 +17,6 @@
 
 namespace {
 
-    // Cores that an accelerator counts as when work, or work lost to a stop, is computed.
-    constexpr double coresPerAccelerator = 8;
-    // Longest time since the last checkpoint of a task that writes checkpoints.
-    constexpr double checkpointedLossSeconds = 1.5;
     // Late results keep some value up to this multiple of the runtime objective.
     constexpr int lateFactor = 3;
 
@@ -38,9 +36,7 @@
 
     double coreSeconds(const BatchStep& step)
     {
-        double cores = static_cast<double>(step.resources.milliCores) / 1'000
-            + coresPerAccelerator * static_cast<double>(step.resources.accelerators);
-        return cores * static_cast<double>(step.taskCount)
+        return weightedCores(step.resources) * static_cast<double>(step.taskCount)
             * std::chrono::duration<double>(step.runTimeEstimate).count();
     }
 
@@ -190,16 +186,6 @@
     input.units.push_back(std::move(isolated));
 }
 
-double BatchScheduler::lossOf(const Allocation& allocation, const BatchStep& step, state::MonotonicTime now)
-{
-    double seconds = std::chrono::duration<double>(now - allocation.since).count();
-    if (step.writesCheckpoints)
-        seconds = std::min(seconds, checkpointedLossSeconds);
-    double cores = static_cast<double>(allocation.resources.milliCores) / 1'000
-        + coresPerAccelerator * static_cast<double>(allocation.resources.accelerators);
-    return cores * seconds;
-}
-
 void BatchScheduler::addGroups(PlanInput& input, const RunOverview& overview) const
 {
     input.groups.reserve(overview.groups().size());
@@ -211,7 +197,7 @@
                 continue;
             running.account = run.entry->job().account;
             running.priority = run.entry->job().queue.priority;
-            running.loss += lossOf(*run.allocation, run.step(), input.now);
+            running.loss += workLostByStop(progressOf(*run.allocation), input.now);
         }
         input.groups.push_back(std::move(running));
     }
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -1,5 +1,6 @@
 #include "coordination/batch/WorkerSession.h"
 
+#include "coordination/batch/AllocationProgress.h"
 #include "transport/EventLoop.h"
 #include "transport/Logger.h"
 
@@ -162,7 +163,7 @@
         return;
     allocation.phase = Phase::Uncertain;
     pause(m_options.refusalBackoff);
-    stop(key, "start request without a response");
+    stop(key, { .reason = StopReason::StartUnanswered });
 }
 
 void WorkerSession::updateFromResponse(const RequestOrigin& origin, const WorkerCallResult& result)
@@ -231,7 +232,7 @@
     }
 }
 
-void WorkerSession::stop(const AllocationKey& key, const std::string& reason)
+void WorkerSession::stop(const AllocationKey& key, const StopCause& cause)
 {
     auto found = m_allocations.find(key);
     if (found == m_allocations.end())
@@ -240,10 +241,15 @@
     if (allocation.phase == Phase::Claiming || allocation.phase == Phase::Stopping
         || allocation.phase == Phase::StopAcknowledged)
         return;
-    allocation.phase = Phase::Stopping;
+    double lostWork = workLostByStop(progressOf(allocation), m_hooks.clock());
+    m_hooks.onStopping(allocation, cause, lostWork);
     writeLog(LogLevel::Info, "worker", "stopping",
         { { "task", key.first.toString() }, { "run", std::to_string(key.second) },
-            { "worker", m_description.id.value() }, { "reason", reason } });
+            { "worker", m_description.id.value() }, { "reason", stopReasonName(cause.reason) },
+            { "for", cause.beneficiary.value() },
+            { "lost_core_seconds", std::to_string(static_cast<std::int64_t>(lostWork)) },
+            { "phase", allocationPhaseName(allocation.phase) } });
+    allocation.phase = Phase::Stopping;
     sendStop(key);
 }
 
@@ -263,7 +269,7 @@
         .checkpoint = running.checkpoint,
         .since = m_hooks.clock(),
     };
-    stop(key, "run has no claim");
+    stop(key, { .reason = StopReason::Unclaimed });
 }
 
 void WorkerSession::sendStop(const AllocationKey& key)
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -5,6 +5,7 @@
 #include "coordination/batch/Allocation.h"
 #include "coordination/batch/BatchOptions.h"
 #include "coordination/batch/RunLoss.h"
+#include "coordination/batch/StopReason.h"
 #include "coordination/batch/WorkerHooks.h"
 #include "coordination/decisions/batch/WorkerClock.h"
 #include "state/Time.h"
@@ -43,6 +44,9 @@
         std::function<bool()> directoryCurrent;
         /// The worker has seen the fencing token of a later term.
         std::function<void()> onFenced;
+        /// A run is to be stopped. The allocation shows its phase before.
+        /// @param lostWork work that the stop loses, in core-seconds.
+        std::function<void(const Allocation& allocation, const StopCause& cause, double lostWork)> onStopping;
         /// A run ended. The end stays listed until acknowledge().
         /// @param allocation allocation of the run, which has been removed; null if there was none.
         std::function<void(const EndedTask& ended, const Allocation* allocation)> onEnded;
@@ -82,7 +86,7 @@
     /// Releases a reservation for which no start was sent.
     void cancelReservation(const AllocationKey& key);
     /// Stops a run, or ensures that it cannot start.
-    void stop(const AllocationKey& key, const std::string& reason);
+    void stop(const AllocationKey& key, const StopCause& cause);
     /// Stops a run that holds capacity without a claim.
     void stopUnknown(const RunningTask& running, const state::batch::Resources& resources);
 
--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -212,8 +212,10 @@
             continue;
         }
         Allocation& allocation = found->second;
-        if (!running.checkpoint.empty())
+        if (!running.checkpoint.empty() && running.checkpoint != allocation.checkpoint) {
             allocation.checkpoint = running.checkpoint;
+            allocation.lastCheckpoint = m_hooks.clock();
+        }
         allocation.observedFromStart = allocation.observedFromStart && !allocation.inherited;
         allocation.inherited = false;
         allocation.incarnation = m_incarnation;
@@ -271,7 +273,7 @@
 {
     const Allocation& allocation = m_allocations.at(key);
     if (allocation.phase == Phase::Running && allocation.confirmableFrom < sent && !allocation.startInFlight)
-        stop(key, "start request without a response");
+        stop(key, { .reason = StopReason::StartUnanswered });
 }
 
 bool WorkerSession::endedUnlessListed(const Allocation& allocation, state::MonotonicTime sent) const
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -333,6 +333,23 @@
     EXPECT_EQ(query(*task, jobId).phase, BatchJobEntry::Phase::Cancelled);
 }
 
+// Guards against lost work whose cause no metric shows: a stop of the leader, and a gang that ended on its workers.
+TEST_F(BatchTaskTest, RunsThatEndEarlyAreCountedByTheirReason)
+{
+    auto count = [this](const std::string& reason) {
+        std::string line = "lentilsaddle_batch_runs_stopped_total{reason=\"" + reason + "\"} 1\n";
+        return m_metrics.render().find(line) != std::string::npos;
+    };
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_workers.finish("w1", taskName, EndedTask::Reason::GangBroken);
+    EXPECT_TRUE(waitUntil([&] { return count("gang_broken"); }));
+    ASSERT_TRUE(waitUntilRunning());
+    cancel(*task, jobId);
+    EXPECT_TRUE(waitUntil([&] { return count("job_cancelled"); }));
+}
+
 // Guards against more attempts than allowed, and against a failure that is never reported.
 TEST_F(BatchTaskTest, JobFailsAfterItsLastAttempt)
 {
