Withdraw a preempted run whose claim is still being stored

Cause: a stop was ignored for a run whose claim was being stored. The planner took its capacity for freed, the run was started, and the next round chose another victim. Found by reading the code while tracing preemptions; no log line shows how often it happened.

Change: such a run is marked as withdrawn, counts as stopping, and is given back in place of being started, a gang as a whole (claims_released_total{reason="withdrawn"}). It costs no work, so it is the first choice among victims.

--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -66,6 +66,8 @@
     /// When the start was confirmed or the stop acknowledged. Only observations sent later show whether the run has
     /// ended.
     state::MonotonicTime confirmableFrom {};
+    /// The run was preempted while its claim was being stored, so that it is not started.
+    bool withdrawn = false;
     bool stopInFlight = false;
     /// Stop requests that the worker has not acknowledged.
     int failedStops = 0;
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -283,9 +283,13 @@
     std::vector<DueStart> starts;
     std::map<state::WorkerId, StartCapacity> workers;
     for (const auto& [id, worker] : tasks) {
-        starts.push_back({ .worker = worker, .resources = step.resources });
-        if (auto found = m_sessions.find(worker); found != m_sessions.end())
+        DueStart start { .worker = worker, .resources = step.resources };
+        if (auto found = m_sessions.find(worker); found != m_sessions.end()) {
+            auto allocation = found->second->allocations().find({ id, m_table.find(id.job)->task(id).run });
+            start.withdrawn = allocation != found->second->allocations().end() && allocation->second.withdrawn;
             workers[worker] = { .available = found->second->acceptsStarts(), .free = found->second->freeCapacity() };
+        }
+        starts.push_back(start);
     }
     return decideStarts(starts, std::move(workers), step.gang);
 }
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -197,6 +197,9 @@
                 continue;
             running.account = run.entry->job().account;
             running.priority = run.entry->job().queue.priority;
+            // A claimed run is withdrawn without a loss before it starts.
+            if (run.allocation->phase == Allocation::Phase::Claiming)
+                continue;
             running.loss += workLostByStop(progressOf(*run.allocation), input.now);
         }
         input.groups.push_back(std::move(running));
@@ -211,7 +214,7 @@
         bool occupied = false;
         for (; next != overview.runs().end() && next->session == session.get(); ++next) {
             const Allocation& allocation = *next->allocation;
-            bool stopping = allocation.phase == Allocation::Phase::Stopping
+            bool stopping = allocation.withdrawn || allocation.phase == Allocation::Phase::Stopping
                 || allocation.phase == Allocation::Phase::StopAcknowledged;
             view.runs.push_back({ .group = next->group, .resources = allocation.resources, .stopping = stopping });
             occupied = true;
--- a/coordination/batch/WorkerSession.cpp
+++ b/coordination/batch/WorkerSession.cpp
@@ -238,8 +238,11 @@
     if (found == m_allocations.end())
         return;
     Allocation& allocation = found->second;
-    if (allocation.phase == Phase::Claiming || allocation.phase == Phase::Stopping
-        || allocation.phase == Phase::StopAcknowledged)
+    if (allocation.phase == Phase::Claiming) {
+        allocation.withdrawn = allocation.withdrawn || cause.reason == StopReason::Preempted;
+        return;
+    }
+    if (allocation.phase == Phase::Stopping || allocation.phase == Phase::StopAcknowledged)
         return;
     double lostWork = workLostByStop(progressOf(allocation), m_hooks.clock());
     m_hooks.onStopping(allocation, cause, lostWork);
--- a/coordination/batch/WorkerSession.h
+++ b/coordination/batch/WorkerSession.h
@@ -85,7 +85,7 @@
     void start(const AllocationKey& key, const std::string& payload);
     /// Releases a reservation for which no start was sent.
     void cancelReservation(const AllocationKey& key);
-    /// Stops a run, or ensures that it cannot start.
+    /// Stops a run, or ensures that it cannot start. A preempted run whose claim is being stored is withdrawn.
     void stop(const AllocationKey& key, const StopCause& cause);
     /// Stops a run that holds capacity without a claim.
     void stopUnknown(const RunningTask& running, const state::batch::Resources& resources);
--- a/coordination/decisions/batch/StartCheck.cpp
+++ b/coordination/decisions/batch/StartCheck.cpp
@@ -13,6 +13,11 @@
     decisions.reserve(starts.size());
     for (const DueStart& start : starts) {
         StartCapacity& worker = workers[start.worker];
+        if (start.withdrawn) {
+            worker.free += start.resources;
+            decisions.push_back(StartDecision::Withdrawn);
+            continue;
+        }
         bool fits = Resources {}.fitsInto(worker.free);
         // A task that does not start leaves its share to the others.
         if (!fits)
@@ -40,6 +45,8 @@
         return "stale_directory";
     case StartDecision::InsufficientCapacity:
         return "insufficient_capacity";
+    case StartDecision::Withdrawn:
+        return "withdrawn";
     case StartDecision::GangIncomplete:
         return "gang_incomplete";
     }
--- a/coordination/decisions/batch/StartCheck.h
+++ b/coordination/decisions/batch/StartCheck.h
@@ -14,6 +14,8 @@
 struct DueStart {
     state::WorkerId worker;
     state::batch::Resources resources;
+    /// The run was preempted while its claim was being stored.
+    bool withdrawn = false;
 };
 
 /// What a worker offers to the tasks that are claimed for it.
@@ -32,6 +34,8 @@
     StaleDirectory,
     /// The start would bring the worker over its capacity.
     InsufficientCapacity,
+    /// The run was preempted before its start.
+    Withdrawn,
     /// Another member of the gang cannot start.
     GangIncomplete,
 };
--- a/tests/coordination/decisions/batch/StartCheckTest.cpp
+++ b/tests/coordination/decisions/batch/StartCheckTest.cpp
@@ -41,6 +41,19 @@
         (std::vector { StartDecision::Start, StartDecision::InsufficientCapacity }));
 }
 
+// Guards against the start of a run that was preempted while its claim was being stored, which would be stopped at
+// once.
+TEST(StartCheck, WithdrawnRunIsNotStartedAndLeavesItsShare)
+{
+    std::vector<DueStart> starts { makeStart("w1", 4), makeStart("w1", 4) };
+    starts.front().withdrawn = true;
+    std::map<WorkerId, StartCapacity> workers { { WorkerId("w1"),
+        { .available = true, .free = { .accelerators = -4 } } } };
+    EXPECT_EQ(decideStarts(starts, workers, false), (std::vector { StartDecision::Withdrawn, StartDecision::Start }));
+    EXPECT_EQ(
+        decideStarts(starts, workers, true), (std::vector { StartDecision::Withdrawn, StartDecision::GangIncomplete }));
+}
+
 // Guards against a start of a task that needs none of the resource that its worker is short of.
 TEST(StartCheck, WorkerShortOfAnyResourceGetsNothing)
 {
