Hold the capacity that a preemption frees for the unit that preempted

Change: HeldCapacity, a module without a network. The planner returns holds, the scheduler gives them to the next round, and no other unit uses them. A guaranteed unit for which nothing else can be freed takes those of units without a guarantee. NeverExceedsAWorkersCapacity draws holds as well. New benchmark `preemption`.

Ruled out by trials: victims weighted by earlier runs and cores; capacity kept free for urgent work; holds that any guaranteed unit may use first.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 #include "bench/BatchPlanBench.h"
 #include "bench/OwnershipBench.h"
 #include "bench/PlacementBench.h"
+#include "bench/PreemptionBench.h"
 #include "bench/ScaleBench.h"
 
 #include <gflags/gflags.h>
@@ -26,7 +27,7 @@
 {
     using namespace lentilsaddle::bench; // NOLINT(google-build-using-namespace): local to main
     gflags::SetUsageMessage(
-        "[flags] placement|ownership|scale|batch|bypass\nWrites Markdown tables to standard output.");
+        "[flags] placement|ownership|scale|batch|bypass|preemption\nWrites Markdown tables to standard output.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string command = argc == 2 ? argv[1] : "";
     if (FLAGS_seeds < 1 || FLAGS_load <= 0)
@@ -45,8 +46,11 @@
         runBatchPlanBench(std::cout);
     } else if (command == "bypass") {
         runBatchBypassBench(FLAGS_seed, FLAGS_seeds, FLAGS_load, std::cout);
+    } else if (command == "preemption") {
+        runPreemptionBench(FLAGS_seed, FLAGS_seeds, FLAGS_load, std::cout);
     } else {
-        std::cerr << "lentilsaddle_bench: expected one of placement, ownership, scale, batch, bypass; --seeds >= 1, "
+        std::cerr << "lentilsaddle_bench: expected one of placement, ownership, scale, batch, bypass, preemption; "
+                     "--seeds >= 1, "
                      "--load > 0\n";
         return usageExitCode;
     }
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -396,6 +396,7 @@
     probeWorkers();
     BatchPlanner planner({}, std::move(input));
     BatchPlan result = planner.plan();
+    m_holds = std::move(result.holds);
     executePlan(planner, overview, result);
 }
 
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -240,6 +240,8 @@
     std::map<StepKey, state::MonotonicTime> m_isolationSince;
     WorkerQuarantine m_quarantine;
     WorkerSpeed m_speed;
+    /// Capacity that the last planning round holds for units while runs are stopped.
+    std::vector<CapacityHold> m_holds;
     bool m_planRequested = false;
     /// When the requested planning round is due.
     state::MonotonicTime m_planDue {};
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -51,6 +51,7 @@
     addGroups(input, overview);
     addWorkers(input, overview);
     markGuaranteed(input, overview);
+    input.holds = m_holds;
     return input;
 }
 
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -34,20 +34,74 @@
     , m_now(input.now)
     , m_capacity(std::move(input.workers))
     , m_preemption(m_capacity, m_groups)
+    , m_held(m_capacity, m_units)
 {
+    m_held.restore(input.holds, m_now, m_options.holdLimit);
 }
 
 BatchPlan BatchPlanner::plan()
 {
+    allocateHolds();
     for (std::size_t index : serviceOrder()) {
-        if (m_units[index].gang)
-            placeGang(index);
-        else
-            placeTasks(index);
+        serve(index);
+        // A guaranteed unit may use what other units hold, if nothing else can be freed for it.
+        if (m_units[index].guaranteed && !served(index) && m_held.count(index) == 0 && dropOtherHolds())
+            serve(index);
     }
+    m_plan.holds = m_held.list();
     return std::move(m_plan);
 }
 
+void BatchPlanner::serve(std::size_t index)
+{
+    if (m_units[index].gang)
+        placeGang(index);
+    else
+        placeTasks(index);
+}
+
+bool BatchPlanner::served(std::size_t index) const
+{
+    const BatchUnit& unit = m_units[index];
+    if (!unit.gang)
+        return unit.indices.empty();
+    bool placed = !m_plan.placements.empty() && m_plan.placements.back().unit == index;
+    return placed || m_held.count(index) == unit.indices.size();
+}
+
+void BatchPlanner::allocateHolds()
+{
+    for (bool guaranteed : { true, false }) {
+        for (std::size_t index = 0; index < m_units.size(); ++index) {
+            if (m_units[index].guaranteed != guaranteed || m_held.count(index) == 0)
+                continue;
+            if (mayPreempt(m_units[index]))
+                m_held.allocate(index);
+            else
+                m_held.drop(index);
+        }
+    }
+}
+
+bool BatchPlanner::dropOtherHolds()
+{
+    bool dropped = false;
+    for (std::size_t index = 0; index < m_units.size(); ++index) {
+        if (m_units[index].guaranteed || m_held.count(index) == 0)
+            continue;
+        m_held.release(index);
+        m_held.drop(index);
+        dropped = true;
+    }
+    return dropped;
+}
+
+void BatchPlanner::hold(std::size_t index, const BatchUnit& unit, const Assignment& assignment)
+{
+    reserveWorkers(unit, assignment);
+    m_held.add(index, assignment, m_now);
+}
+
 std::vector<std::size_t> BatchPlanner::serviceOrder() const
 {
     using Key = std::tuple<bool, bool, int, DeadlineState, double, std::size_t>;
@@ -106,14 +160,19 @@
 {
     const BatchUnit& unit = m_units[index];
     std::size_t count = unit.indices.size();
+    m_held.release(index);
     if (Assignment assignment = selectLocal(unit, CapacityIndex::Free::Now, count); assignment.size() == count) {
+        m_held.drop(index);
         place(index, assignment);
         return;
     }
+    m_held.allocate(index);
+    if (m_held.count(index) == count)
+        return;
     if (mayPreempt(unit)) {
         if (Assignment assignment = selectLocal(unit, CapacityIndex::Free::AfterStops, count);
             assignment.size() == count) {
-            reserveWorkers(unit, assignment);
+            hold(index, unit, assignment);
             return;
         }
         if (preempt(index, unit, false))
@@ -139,13 +198,19 @@
         unit.indices.erase(unit.indices.begin(), unit.indices.begin() + static_cast<std::ptrdiff_t>(count));
         return unit.indices.empty();
     };
+    m_held.release(index);
     Assignment assignment = selectLocal(unit, CapacityIndex::Free::Now, unit.indices.size());
     place(index, assignment);
-    if (placed(assignment.size()))
+    if (placed(assignment.size())) {
+        m_held.drop(index);
+        return;
+    }
+    m_held.allocate(index);
+    if (placed(m_held.count(index)))
         return;
     if (mayPreempt(unit)) {
         assignment = selectLocal(unit, CapacityIndex::Free::AfterStops, unit.indices.size());
-        reserveWorkers(unit, assignment);
+        hold(index, unit, assignment);
         if (placed(assignment.size()))
             return;
         BatchUnit single = unit;
@@ -220,7 +285,7 @@
             m_preemption.invalidateWorker(worker);
         });
     }
-    reserveWorkers(unit, best->workers);
+    hold(index, unit, best->workers);
     return true;
 }
 
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "coordination/decisions/batch/BatchUnit.h"
+#include "coordination/decisions/batch/CapacityHold.h"
 #include "coordination/decisions/batch/CapacityIndex.h"
+#include "coordination/decisions/batch/HeldCapacity.h"
 #include "coordination/decisions/batch/PreemptionSearch.h"
 #include "coordination/decisions/batch/RunningGroup.h"
 #include "coordination/decisions/batch/WorkerView.h"
@@ -24,6 +26,9 @@
     std::size_t maximumReservations = 6;
     /// Wait after which capacity is reserved for a unit that cannot start.
     std::chrono::milliseconds reservationDelay { 1'000 };
+    /// Time for which freed capacity is held for the unit that preempted. Longer than a worker takes to stop a run and
+    /// to list its end.
+    std::chrono::milliseconds holdLimit { 1'500 };
 };
 
 /// State on which a planning round decides.
@@ -32,6 +37,8 @@
     std::vector<WorkerView> workers;
     std::vector<RunningGroup> groups;
     state::MonotonicTime now {};
+    /// Holds that the last round returned.
+    std::vector<CapacityHold> holds;
 };
 
 /// A task to start on a worker.
@@ -57,6 +64,8 @@
 struct BatchPlan {
     std::vector<Placement> placements;
     std::vector<Preemption> preemptions;
+    /// Capacity that is held until the next round.
+    std::vector<CapacityHold> holds;
 };
 
 /// Runs one planning round. Units are placed in the order of guarantee, priority and urgency; those of priority 0 may
@@ -85,6 +94,16 @@
     Assignment selectAnywhere(const BatchUnit& unit, std::size_t count) const;
     bool mayPreempt(const BatchUnit& unit) const;
     bool nonLocalAllowed(const BatchUnit& unit) const;
+    void serve(std::size_t index);
+    /// @return whether all tasks of the unit are placed or have capacity that becomes free.
+    bool served(std::size_t index) const;
+    /// Allocates what the units hold, so that it goes to no other unit.
+    void allocateHolds();
+    /// Drops the holds of units without a guarantee.
+    /// @return whether there were any.
+    bool dropOtherHolds();
+    /// Holds capacity that becomes free by stops for a unit.
+    void hold(std::size_t index, const BatchUnit& unit, const Assignment& assignment);
     bool preempt(std::size_t index, const BatchUnit& unit, bool ignoreLocality);
     void place(std::size_t index, const Assignment& assignment);
     void reserveWorkers(const BatchUnit& unit, const Assignment& assignment);
@@ -102,6 +121,7 @@
     state::MonotonicTime m_now;
     CapacityIndex m_capacity;
     PreemptionSearch m_preemption;
+    HeldCapacity m_held;
     BatchPlan m_plan;
     std::size_t m_reservations = 0;
 };
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -233,6 +233,13 @@
     m_racks[m_rackOf[worker]].freeAccelerators += usableAccelerators(view) - usableBefore;
 }
 
+void CapacityIndex::release(std::size_t worker, const Resources& resources)
+{
+    Resources negative;
+    negative -= resources;
+    allocate(worker, negative);
+}
+
 void CapacityIndex::markStarting(std::size_t worker, const BatchUnit& unit)
 {
     WorkerView& view = m_workers[worker];
--- a/coordination/decisions/batch/CapacityIndex.h
+++ b/coordination/decisions/batch/CapacityIndex.h
@@ -66,6 +66,9 @@
     /// Allocates capacity of a worker for the rest of the round.
     void allocate(std::size_t worker, const state::batch::Resources& resources);
 
+    /// Reverts allocate().
+    void release(std::size_t worker, const state::batch::Resources& resources);
+
     /// The same for a task that has to wait for runs to end.
     void reserve(std::size_t worker, const state::batch::Resources& resources);
 
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -195,6 +195,58 @@
     EXPECT_TRUE(result.preemptions.empty());
 }
 
+// Guards against a gang that preempts one set of workers after the other, because another unit uses the workers that
+// are free already while the last victim is being stopped.
+TEST(BatchPlanner, FreedCapacityIsHeldForTheUnitThatPreempted)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2"), makeWorker("w3") } };
+    input.groups = { { .priority = 2, .loss = 1 }, { .priority = 2, .loss = 2 }, { .priority = 2, .loss = 9 } };
+    for (std::size_t worker = 0; worker < 3; ++worker)
+        addRun(input, worker, worker, 8);
+    input.units = { makeGang("gang", 2) };
+    input.units[0].priority = 0;
+    BatchPlan first = plan(input);
+    ASSERT_EQ(first.preemptions.size(), 2U);
+    ASSERT_EQ(first.holds.size(), 2U);
+
+    // The first victim has ended, the second one has not.
+    input.workers[0] = makeWorker("w1");
+    input.workers[1].runs[0].stopping = true;
+    input.workers[1].freeAfterStops = wholeWorker;
+    BatchUnit other = makeUnit("other", 1, 8, 0);
+    other.deadline -= milliseconds(50'000);
+    input.units.push_back(other);
+    input.holds = first.holds;
+    BatchPlan second = plan(input);
+    EXPECT_TRUE(second.placements.empty());
+    EXPECT_EQ(second.preemptions, (std::vector<Preemption> { { .group = 2, .unit = 1 } }));
+
+    input.workers[1] = makeWorker("w2");
+    input.units.pop_back();
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+}
+
+// Guards against a hold that keeps a unit waiting for a worker that has gone or does not stop its runs, and against one
+// that delays a guaranteed unit.
+TEST(BatchPlanner, HoldGivesWay)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.units = { makeGang("gang", 2), makeUnit("other", 1, 8, 0) };
+    input.units[0].priority = 0;
+    input.units[1].deadline += milliseconds(50'000);
+    input.workers[1].free = {};
+    input.workers[1].freeAfterStops = {};
+    for (const char* worker : { "w1", "w2", "w9" })
+        input.holds.push_back({ .job = state::JobId("gang"),
+            .worker = state::WorkerId(worker),
+            .since = state::MonotonicTime(milliseconds(9'900)) });
+    EXPECT_EQ(plan(input).placements.size(), 1U) << "a gang holds a part of what it needs";
+    input.workers[1].freeAfterStops = wholeWorker;
+    EXPECT_TRUE(plan(input).placements.empty());
+    input.units[1].guaranteed = true;
+    EXPECT_EQ(plan(input).placements.size(), 1U);
+}
+
 // Guards against preempting runs of equal priority for a unit that no guarantee covers.
 TEST(BatchPlanner, OnlyAGuaranteePreemptsTheSamePriority)
 {
@@ -411,6 +463,11 @@
         input.units.push_back(unit);
     }
     input.now = state::MonotonicTime(milliseconds(*rc::gen::inRange(10'000, 200'000)));
+    int holds = *rc::gen::inRange(0, 12);
+    for (int hold = 0; hold < holds; ++hold)
+        input.holds.push_back({ .job = state::JobId("j" + std::to_string(*rc::gen::inRange(0, units))),
+            .worker = state::WorkerId("w" + std::to_string(*rc::gen::inRange(0, workers))),
+            .since = input.now - milliseconds(*rc::gen::inRange(0, 2'000)) });
     BatchPlan result = plan(input);
     std::map<std::size_t, Resources> allocated;
     std::map<std::size_t, std::set<int>> placed;
@@ -420,6 +477,12 @@
     }
     for (const auto& [worker, resources] : allocated)
         RC_ASSERT(resources.fitsInto(input.workers[worker].free));
+    std::map<state::JobId, std::size_t> held;
+    for (const CapacityHold& hold : result.holds)
+        ++held[hold.job];
+    for (std::size_t unit = 0; unit < input.units.size(); ++unit)
+        RC_ASSERT(held[input.units[unit].job] + placed[unit].size() <= input.units[unit].indices.size());
+    std::erase_if(placed, [](const auto& entry) { return entry.second.empty(); });
     for (const auto& [unit, indices] : placed) {
         if (input.units[unit].gang)
             RC_ASSERT(indices.size() == input.units[unit].indices.size());
