Count the work of runs that an earlier leader started

Change: the loss of such a run is at least the progress that its worker reports, times the estimated run time; half of it before the worker has listed the run.

--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -52,6 +52,8 @@
     bool listed = false;
     /// Claimed by an earlier leader; the first observation in this term shows whether it runs.
     bool inherited = false;
+    /// Claimed by an earlier leader, so that the run began before `since`.
+    bool claimedEarlier = false;
     /// It is known whether the worker executed the start.
     bool startResolved = false;
     /// A start request has no response yet.
--- a/coordination/batch/AllocationProgress.cpp
+++ b/coordination/batch/AllocationProgress.cpp
@@ -12,9 +12,13 @@
         .since = allocation.since,
         .lastCheckpoint = allocation.lastCheckpoint,
     };
-    if (allocation.entry)
-        progress.writesCheckpoints
-            = allocation.entry->job().steps[static_cast<std::size_t>(allocation.task.step)].writesCheckpoints;
+    if (!allocation.entry)
+        return progress;
+    const state::batch::BatchStep& step = allocation.entry->job().steps[static_cast<std::size_t>(allocation.task.step)];
+    progress.writesCheckpoints = step.writesCheckpoints;
+    // A run of an earlier leader began before this one knew it. Before its worker has listed it, half is assumed.
+    if (allocation.claimedEarlier)
+        progress.earlierRunTime = step.runTimeEstimate * (allocation.listed ? allocation.percent : 50) / 100;
     return progress;
 }
 
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -103,6 +103,7 @@
                         .phase = Allocation::Phase::Uncertain,
                         .incarnation = claimed.workerIncarnation,
                         .inherited = true,
+                        .claimedEarlier = true,
                         .checkpoint = claimed.checkpoint,
                         .since = m_hooks.clock(),
                     };
--- a/coordination/decisions/batch/UnsavedWork.cpp
+++ b/coordination/decisions/batch/UnsavedWork.cpp
@@ -14,6 +14,11 @@
         return std::max(0.0, std::chrono::duration<double>(duration).count());
     }
 
+    state::MonotonicTime::duration runTime(const RunProgress& run, state::MonotonicTime now)
+    {
+        return std::max<state::MonotonicTime::duration>(now - run.since, run.earlierRunTime);
+    }
+
 } // namespace
 
 double weightedCores(const state::batch::Resources& resources)
@@ -24,13 +29,15 @@
 
 double unsavedWork(const RunProgress& run, state::MonotonicTime now)
 {
-    state::MonotonicTime saved = run.writesCheckpoints ? std::max(run.since, run.lastCheckpoint) : run.since;
-    return weightedCores(run.resources) * seconds(now - saved);
+    auto unsaved = runTime(run, now);
+    if (run.writesCheckpoints && run.lastCheckpoint >= run.since)
+        unsaved = now - run.lastCheckpoint;
+    return weightedCores(run.resources) * seconds(unsaved);
 }
 
 double workLostByStop(const RunProgress& run, state::MonotonicTime now)
 {
-    auto lost = now - run.since;
+    auto lost = runTime(run, now);
     if (run.writesCheckpoints)
         lost = std::min<state::MonotonicTime::duration>(lost, restoreTime);
     return weightedCores(run.resources) * seconds(lost);
--- a/coordination/decisions/batch/UnsavedWork.h
+++ b/coordination/decisions/batch/UnsavedWork.h
@@ -21,8 +21,10 @@
     state::MonotonicTime since {};
     /// The task writes checkpoints and can resume from them.
     bool writesCheckpoints = false;
-    /// When the newest checkpoint became known; `since` if there was none.
+    /// When the newest checkpoint became known; earlier than `since` if there was none.
     state::MonotonicTime lastCheckpoint {};
+    /// Least run time so far, if the run began before `since`.
+    std::chrono::milliseconds earlierRunTime { 0 };
 };
 
 /// @return core-seconds done since the last checkpoint, or since the start for a task that writes none.
--- a/tests/coordination/decisions/batch/UnsavedWorkTest.cpp
+++ b/tests/coordination/decisions/batch/UnsavedWorkTest.cpp
@@ -49,4 +49,15 @@
     EXPECT_DOUBLE_EQ(unsavedWork(run, now), 100);
 }
 
+// Guards against a new leader that preempts the longest runs, because it has known all of them for the same time.
+TEST(UnsavedWork, RunThatBeganBeforeItWasKnownLosesItsEarlierWork)
+{
+    RunProgress run = makeRun(false);
+    run.since = now - seconds(1);
+    run.earlierRunTime = seconds(8);
+    EXPECT_DOUBLE_EQ(workLostByStop(run, now), 80);
+    EXPECT_DOUBLE_EQ(unsavedWork(run, now), 80);
+    EXPECT_DOUBLE_EQ(workLostByStop(run, now + seconds(9)), 100);
+}
+
 } // namespace lentilsaddle::coordination::batch
