--- a/coordination/batch/Allocation.h
+++ b/coordination/batch/Allocation.h
@@ -52,6 +52,8 @@
     bool listed = false;
     /// Claimed by an earlier leader; the first observation in this term shows whether it runs.
     bool inherited = false;
+    /// Claimed by an earlier leader, so that the run began before `since`.
+    bool claimedEarlier = false;
     /// It is known whether the worker executed the start.
     bool startResolved = false;
     /// A start request has no response yet.
@@ -59,11 +61,15 @@
     /// A start request had no response, so definite responses to its retries do not show whether it runs.
     bool attemptTimedOut = false;
     std::string checkpoint;
+    /// When the worker first listed the checkpoint; the epoch if it has listed none of this run.
+    state::MonotonicTime lastCheckpoint {};
     /// When the start was sent, or before that, when the allocation was added.
     state::MonotonicTime since {};
     /// When the start was confirmed or the stop acknowledged. Only observations sent later show whether the run has
     /// ended.
     state::MonotonicTime confirmableFrom {};
+    /// The run was preempted while its claim was being stored, so that it is not started.
+    bool withdrawn = false;
     bool stopInFlight = false;
     /// Stop requests that the worker has not acknowledged.
     int failedStops = 0;
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -58,6 +58,8 @@
         .mayStart = [this] { return m_hooks.directoryCurrent() && m_hooks.evacuationsCurrent(); },
         .evacuated = m_hooks.evacuated,
         .onFenced = m_hooks.onFenced,
+        .onStopping = [this](const Allocation& allocation, const StopCause& cause,
+                          double lostWork) { onStopping(allocation, cause, lostWork); },
         .onEnded
         = [this, worker](const EndedTask& ended, const Allocation* allocation) { onEnded(worker, ended, allocation); },
         .onLost = [this, worker](const Allocation& lost, RunLoss loss) { onLost(worker, lost, loss); },
@@ -107,6 +109,7 @@
                         .phase = Allocation::Phase::Uncertain,
                         .incarnation = claimed.workerIncarnation,
                         .inherited = true,
+                        .claimedEarlier = true,
                         .checkpoint = claimed.checkpoint,
                         .since = m_hooks.clock(),
                     };
@@ -148,13 +151,13 @@
     for (const RunOverview::Run& run : overview.runs()) {
         const auto& [task, number] = *run.key;
         if (!run.entry)
-            run.session->stop(*run.key, "job is unknown");
+            run.session->stop(*run.key, { .reason = StopReason::JobUnknown });
         else if (run.entry->phase() == BatchJobEntry::Phase::Cancelled)
-            run.session->stop(*run.key, "job is cancelled");
+            run.session->stop(*run.key, { .reason = StopReason::JobCancelled });
         else if (run.entry->phase() == BatchJobEntry::Phase::Failed)
-            run.session->stop(*run.key, "job has failed");
+            run.session->stop(*run.key, { .reason = StopReason::JobFailed });
         else if (run.entry->task(task).phase == TaskPhase::Done && !m_doneRuns.contains(groupOf(task, number)))
-            run.session->stop(*run.key, "an earlier run has completed the task");
+            run.session->stop(*run.key, { .reason = StopReason::Superseded });
     }
 }
 
@@ -188,7 +191,7 @@
             continue;
         for (std::size_t position : group.runs) {
             const RunOverview::Run& run = overview.runs()[position];
-            run.session->stop(*run.key, "another member of the gang is missing");
+            run.session->stop(*run.key, { .reason = StopReason::GangIncomplete });
         }
     }
 }
@@ -291,13 +294,17 @@
     std::vector<DueStart> starts;
     std::map<state::WorkerId, StartCapacity> workers;
     for (const auto& [id, worker] : tasks) {
-        starts.push_back({ .worker = worker, .resources = step.resources });
-        if (auto found = m_sessions.find(worker); found != m_sessions.end())
+        DueStart start { .worker = worker, .resources = step.resources };
+        if (auto found = m_sessions.find(worker); found != m_sessions.end()) {
+            auto allocation = found->second->allocations().find({ id, m_table.find(id.job)->task(id).run });
+            start.withdrawn = allocation != found->second->allocations().end() && allocation->second.withdrawn;
             workers[worker] = {
                 .available = found->second->reachable(),
                 .evacuated = found->second->evacuated(),
                 .free = found->second->freeCapacity(),
             };
+        }
+        starts.push_back(start);
     }
     return decideStarts(starts, std::move(workers), step.gang);
 }
@@ -404,6 +411,7 @@
     probeWorkers();
     BatchPlanner planner({}, std::move(input));
     BatchPlan result = planner.plan();
+    m_holds = std::move(result.holds);
     executePlan(planner, overview, result);
 }
 
@@ -439,11 +447,11 @@
 void BatchScheduler::executePlan(const BatchPlanner& planner, const RunOverview& overview, const BatchPlan& plan)
 {
     for (const Preemption& preemption : plan.preemptions) {
-        std::string reason = "preempted for job " + planner.units()[preemption.unit].job.value();
+        StopCause cause { .reason = StopReason::Preempted, .beneficiary = planner.units()[preemption.unit].job };
         m_metrics.increment("lentilsaddle_batch_preemptions_total");
         for (std::size_t position : overview.groups()[preemption.group].runs) {
             const RunOverview::Run& run = overview.runs()[position];
-            run.session->stop(*run.key, reason);
+            run.session->stop(*run.key, cause);
         }
     }
     // Gangs are claimed in one batch, so that a new leader sees all members or none.
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -1,5 +1,6 @@
 #include "coordination/batch/BatchScheduler.h"
 
+#include "coordination/batch/AllocationProgress.h"
 #include "transport/Metrics.h"
 
 #include <algorithm>
@@ -17,10 +18,6 @@
 
 namespace {
 
-    // Cores that an accelerator counts as when work, or work lost to a stop, is computed.
-    constexpr double coresPerAccelerator = 8;
-    // Longest time since the last checkpoint of a task that writes checkpoints.
-    constexpr double checkpointedLossSeconds = 1.5;
     // Late results keep some value up to this multiple of the runtime objective.
     constexpr int lateFactor = 3;
 
@@ -40,9 +37,7 @@
 
     double coreSeconds(const BatchStep& step)
     {
-        double cores = static_cast<double>(step.resources.milliCores) / 1'000
-            + coresPerAccelerator * static_cast<double>(step.resources.accelerators);
-        return cores * static_cast<double>(step.taskCount)
+        return weightedCores(step.resources) * static_cast<double>(step.taskCount)
             * std::chrono::duration<double>(step.runTimeEstimate).count();
     }
 
@@ -57,6 +52,7 @@
     addGroups(input, overview);
     addWorkers(input, overview);
     markGuaranteed(input, overview);
+    input.holds = m_holds;
     return input;
 }
 
@@ -192,16 +188,6 @@
     input.units.push_back(std::move(isolated));
 }
 
-double BatchScheduler::lossOf(const Allocation& allocation, const BatchStep& step, state::MonotonicTime now)
-{
-    double seconds = std::chrono::duration<double>(now - allocation.since).count();
-    if (step.writesCheckpoints)
-        seconds = std::min(seconds, checkpointedLossSeconds);
-    double cores = static_cast<double>(allocation.resources.milliCores) / 1'000
-        + coresPerAccelerator * static_cast<double>(allocation.resources.accelerators);
-    return cores * seconds;
-}
-
 void BatchScheduler::addGroups(PlanInput& input, const RunOverview& overview) const
 {
     input.groups.reserve(overview.groups().size());
@@ -213,7 +199,10 @@
                 continue;
             running.account = run.entry->job().account;
             running.priority = run.entry->job().queue.priority;
-            running.loss += lossOf(*run.allocation, run.step(), input.now);
+            // A claimed run is withdrawn without a loss before it starts.
+            if (run.allocation->phase == Allocation::Phase::Claiming)
+                continue;
+            running.loss += workLostByStop(progressOf(*run.allocation), input.now);
         }
         input.groups.push_back(std::move(running));
     }
@@ -228,7 +217,7 @@
         bool occupied = false;
         for (; next != overview.runs().end() && next->session == session.get(); ++next) {
             const Allocation& allocation = *next->allocation;
-            bool stopping = allocation.phase == Allocation::Phase::Stopping
+            bool stopping = allocation.withdrawn || allocation.phase == Allocation::Phase::Stopping
                 || allocation.phase == Allocation::Phase::StopAcknowledged;
             view.runs.push_back({ .group = next->group, .resources = allocation.resources, .stopping = stopping });
             occupied = true;
