--- a/tests/coordination/batch/BatchEvacuationTest.cpp
+++ b/tests/coordination/batch/BatchEvacuationTest.cpp
@@ -166,6 +166,28 @@
     EXPECT_EQ(workerOf("00000000000000b2.0.0.0"), "w1");
 }
 
+// Guards against urgent work on a worker that is slow after its start, and against one that counts as slow for ever
+// because its entry stays.
+TEST_F(BatchEvacuationTest, UrgentJobAvoidsAColdWorkerUntilItIsWarm)
+{
+    // Without regard to the cold, the smaller worker fits better.
+    m_store.put(Stream::Directory, "w1", "accelerators=3 cold_ms=800");
+    auto task = startInstance("e-1");
+    auto jobOf = [](const std::string& id, int priority) {
+        state::batch::BatchJob job = makeJob();
+        job.id = state::JobId(id);
+        job.queue.priority = priority;
+        return job;
+    };
+    submit(*task, jobOf("00000000000000b1", 1));
+    ASSERT_TRUE(waitUntil([this] { return workerOf("00000000000000b1.0.0.0") == "w1"; }));
+    submit(*task, jobOf("00000000000000b2", 0));
+    ASSERT_TRUE(waitUntil([this] { return workerOf("00000000000000b2.0.0.0") == "w2"; }));
+    std::this_thread::sleep_for(milliseconds(900));
+    submit(*task, jobOf("00000000000000b3", 0));
+    EXPECT_TRUE(waitUntil([this] { return workerOf("00000000000000b3.0.0.0") == "w1"; }));
+}
+
 // Guards against a successor that starts work there because the leader was killed between the request and its effect.
 TEST_F(BatchEvacuationTest, SuccessorOfAKilledLeaderKnowsTheRequest)
 {
--- a/tests/coordination/batch/BatchTaskFixture.h
+++ b/tests/coordination/batch/BatchTaskFixture.h
@@ -32,6 +32,7 @@
 inline constexpr std::string_view addressPrefix = "address=";
 inline constexpr std::string_view incarnationPrefix = "incarnation=";
 inline constexpr std::string_view dataCentrePrefix = "data_centre=";
+inline constexpr std::string_view coldPrefix = "cold_ms=";
 inline constexpr std::string_view evacuationKeyPrefix = "evacuate/";
 
 /// Short limits, in the proportions of the defaults.
@@ -147,6 +148,9 @@
                             worker.address = word.substr(addressPrefix.size());
                         else if (word.starts_with(incarnationPrefix))
                             worker.incarnation = std::stoll(word.substr(incarnationPrefix.size()));
+                        else if (word.starts_with(coldPrefix))
+                            worker.coldRemaining
+                                = std::chrono::milliseconds(std::stoll(word.substr(coldPrefix.size())));
                         else if (word.starts_with(dataCentrePrefix))
                             worker.dataCentre = state::DataCentreId(word.substr(dataCentrePrefix.size()));
                     }
--- a/tests/coordination/batch/KeyedReaderTest.cpp
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -84,6 +84,16 @@
 
 } // namespace
 
+// Guards against a view that counts as recent although its response was long on the way.
+TEST_F(KeyedReaderTest, ViewIsCompleteOnlyAsOfTheRequest)
+{
+    startReader(shortOptions());
+    EXPECT_FALSE(m_reader->completeAsOf());
+    runFor(milliseconds(150));
+    ASSERT_TRUE(m_reader->completeAsOf());
+    EXPECT_GE(*m_reader->currentAsOf() - *m_reader->completeAsOf(), shortOptions().wait - milliseconds(10));
+}
+
 // Guards against keeping a removed key because the record of its removal has expired.
 TEST_F(KeyedReaderTest, ListsAgainAfterRecordsHaveExpired)
 {
--- a/tests/state/batch/EvacuationsTest.cpp
+++ b/tests/state/batch/EvacuationsTest.cpp
@@ -39,6 +39,7 @@
         const std::vector<std::tuple<bool, unsigned, unsigned>>& deliveries))
 {
     std::vector<EvacuationRecord> stream;
+    stream.reserve(changes.size());
     for (const auto& [first, requested] : changes)
         stream.push_back({ .dataCentre = first ? east : west, .requested = requested, .offset = stream.size() });
     Evacuations evacuations;
