Count workers as slow from 1.3 times the usual run time on, and forget idle ones

Cause: with a limit of 1.2, a site whose slow third takes 1.3 times as long moved urgent work about that would have been in time. A member of a gang that has done its share gives a bound, which taught something even if no sibling showed a rate. The model kept each worker that had ever been there.

--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -110,6 +110,14 @@
         state::MonotonicTime since {};
     };
 
+    /// Work that a run has done.
+    struct Progress {
+        /// In hundredths.
+        int percent = 0;
+        /// It was done some time before, at a time that is not known.
+        bool atLeast = false;
+    };
+
     /// Failure of a run that was listed after the run had been taken for lost.
     struct LateFailure {
         state::batch::BatchTaskId task;
@@ -161,8 +169,7 @@
     /// Judges whether the workers differ in speed, and stores what is known if it has changed.
     void updateSpeeds();
     WorkerSpeedSample speedSample(const state::WorkerId& worker, const Allocation& allocation) const;
-    /// @param percent share of the work that is done.
-    void recordRate(const state::WorkerId& worker, const Allocation& allocation, int percent);
+    void recordRate(const state::WorkerId& worker, const Allocation& allocation, const Progress& progress);
     void onUnknownRun(const state::WorkerId& worker, const RunningTask& running);
     /// Stores the states that follow from ends listed by an incarnation of a worker, then acknowledges the ends.
     void storeEnd(const state::WorkerId& worker, std::int64_t incarnation, TaskStates states);
--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -147,17 +147,16 @@
     // The members of a gang end together, so their run time reflects only the slowest one.
     if (step.gang && step.taskCount > 1)
         return;
-    recordRate(worker, allocation, 100);
+    recordRate(worker, allocation, { .percent = 100 });
 }
 
-void BatchScheduler::recordRate(const state::WorkerId& worker, const Allocation& allocation, int percent)
+void BatchScheduler::recordRate(const state::WorkerId& worker, const Allocation& allocation, const Progress& progress)
 {
     if (!m_options.learnRunTimes)
         return;
     WorkerSpeedSample sample = speedSample(worker, allocation);
-    sample.percent = percent - allocation.ratedPercent;
-    // A member of a gang that has done its share waits for the others.
-    sample.atLeast = allocation.percent >= 100;
+    sample.percent = progress.percent - allocation.ratedPercent;
+    sample.atLeast = progress.atLeast;
     if (allocation.ratedPercent > 0)
         sample.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - allocation.ratedAt);
     m_speed.recordRate(sample, m_hooks.clock());
@@ -171,7 +170,12 @@
     m_speed.recordProgress(speedSample(worker, allocation), m_hooks.clock());
     if (allocation.percent - allocation.ratedPercent < minimumRatedPercent)
         return;
-    recordRate(worker, allocation, allocation.percent);
+    // Only a member of a gang goes on after its share is done, because it waits for the others.
+    const BatchStep& step = entry->job().steps[static_cast<std::size_t>(allocation.task.step)];
+    bool waiting = allocation.percent >= 100;
+    if (waiting && !step.gang)
+        return;
+    recordRate(worker, allocation, { .percent = allocation.percent, .atLeast = waiting });
     allocation.ratedPercent = allocation.percent;
     allocation.ratedAt = m_hooks.clock();
 }
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -22,13 +22,15 @@
     std::chrono::milliseconds idleLocalityDelay { 1'200 };
     /// Units of one round that cannot start yet and get a capacity reservation.
     std::size_t maximumReservations = 6;
-    /// Workers on which tasks run longer than this, relative to the usual worker, are slow.
-    double slowRunTime = 1.2;
+    /// Workers on which tasks run longer than this, relative to the usual worker, are slow. Callers of urgent work
+    /// allow about half more than the estimate, so a smaller difference makes nothing late.
+    double slowRunTime = 1.3;
     /// Workers on which tasks run at most this long are fast.
     double fastRunTime = 0.83;
     /// Factor on run times where a deadline must be kept, because estimates are rough.
     double speedMargin = 1.25;
-    /// Longest wait of a guaranteed unit for workers that are not slow: a guarantee is a promise to start soon.
+    /// Longest wait of a guaranteed unit for workers that are not slow. A guarantee is a promise to start within some
+    /// seconds, of which stopping other runs after the wait takes more than one.
     std::chrono::milliseconds guaranteedSpeedWait { 1'000 };
     /// Wait after which capacity is reserved for a unit that cannot start.
     std::chrono::milliseconds reservationDelay { 1'000 };
--- a/coordination/decisions/batch/WorkerSpeedModel.cpp
+++ b/coordination/decisions/batch/WorkerSpeedModel.cpp
@@ -177,7 +177,9 @@
             precision += deviations[other].precision;
         }
         double difference = deviations[own].value - robustCentre(std::move(others));
-        if (observations[own].atLeast && difference >= 0)
+        // A bound says nothing about a worker that is taken to be as fast, or if no sibling shows what is usual.
+        bool compared = precision > 1 / jobVariance;
+        if (observations[own].atLeast && (difference >= 0 || !compared))
             continue;
         double variance = workers[own]->variance + observations[own].noise + 1 / precision;
         double gain = workers[own]->variance / variance;
@@ -257,6 +259,8 @@
 
 void WorkerSpeedModel::judgeSpread(state::MonotonicTime now)
 {
+    std::erase_if(m_workers, [&](const auto& entry) { return varianceAt(entry.second, now) >= unknownVariance; });
+    std::erase_if(m_suspicions, [&](const auto& entry) { return now >= entry.second.until; });
     double sum = 0;
     double squares = 0;
     double variances = 0;
--- a/coordination/decisions/batch/WorkerSpeedModel.h
+++ b/coordination/decisions/batch/WorkerSpeedModel.h
@@ -47,7 +47,8 @@
     /// @return whether the speeds of the workers are known to differ, beyond the error of the estimates.
     bool speedsDiffer() const { return m_differ; }
 
-    /// Judges again whether the speeds differ. Called seldom, because it looks at each worker.
+    /// Judges again whether the speeds differ, and forgets workers that have run nothing for long. Called seldom,
+    /// because it looks at each worker.
     void judgeSpread(state::MonotonicTime now);
 
     /// @return the workers whose speed is known best, at most `maximum`.
--- a/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
+++ b/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
@@ -197,6 +197,38 @@
     EXPECT_LE(fleet.learned(model, 0), 1);
 }
 
+// Guards against speeds from bounds alone: they show only that a member was not slower than others, not what is usual.
+TEST(WorkerSpeedModel, BoundsWithoutASiblingsRateTeachNothing)
+{
+    Fleet fleet(fleetOf(8, { 1.0 }));
+    WorkerSpeedModel model;
+    for (int step = 0; step < 20; ++step) {
+        for (std::size_t member = 0; member < 4; ++member) {
+            WorkerSpeedSample sample = progressOf(milliseconds(200), 100);
+            sample.worker = Fleet::worker(member);
+            sample.siblings = { state::JobId("j" + std::to_string(step)), 0, 0, 1 };
+            sample.siblingCount = 4;
+            sample.atLeast = true;
+            model.recordRate(sample, start);
+        }
+    }
+    EXPECT_EQ(fleet.learned(model, 0), 1);
+}
+
+// Guards against a model that grows with each worker that has ever been there.
+TEST(WorkerSpeedModel, ForgetsWorkersThatHaveRunNothingForLong)
+{
+    Fleet fleet(fleetOf(60, { 0.6, 1.0, 1.6 }));
+    WorkerSpeedModel model;
+    fleet.play(model, 300);
+    ASSERT_FALSE(model.summary(1'000, fleet.now).entries.empty());
+    fleet.now += seconds(600);
+    model.judgeSpread(fleet.now);
+    fleet.play(model, 0);
+    EXPECT_TRUE(model.summary(1'000, fleet.now).entries.empty());
+    EXPECT_EQ(fleet.learned(model, 2), 1);
+}
+
 // Guards against a new leader that begins with nothing, and against a summary that is applied to other hardware.
 TEST(WorkerSpeedModel, SummaryRestoresTheSpeedsOfTheSameIncarnations)
 {
