Recognise that a worker's speed has changed by two clamped observations in a row

Cause: a worker that was 5.7 times slower for six seconds kept its reputation for tens of seconds, because each newer sample counted as at most two standard deviations of an estimate that was sure of itself.

Change: after two such observations in one direction, what was learned before counts less.

--- a/coordination/decisions/batch/WorkerSpeedModel.cpp
+++ b/coordination/decisions/batch/WorkerSpeedModel.cpp
@@ -29,6 +29,10 @@
     // Deviations beyond this many standard deviations count as that many: one task in some tens runs several times as
     // long as its siblings on any worker.
     constexpr double clampedDeviations = 2;
+    // From this many clamped observations in a row on, in one direction, a worker has changed rather than met a rare
+    // long task, and what was learned before counts less by this variance.
+    constexpr int changedFrom = 2;
+    constexpr double changeVariance = 0.1;
     // Progress is reported in whole hundredths; below this share a rate is too coarse.
     constexpr int minimumPercent = 8;
     // Siblings are compared as soon as this many have reported, or after this time.
@@ -163,6 +167,8 @@
     struct Update {
         double change = 0;
         double gain = 0;
+        /// Sign of the difference if it was clamped, otherwise 0.
+        int direction = 0;
     };
     std::vector<Update> updates(observations.size());
     for (std::size_t own = 0; own < observations.size(); ++own) {
@@ -184,7 +190,8 @@
         double variance = workers[own]->variance + observations[own].noise + 1 / precision;
         double gain = workers[own]->variance / variance;
         double clamped = clampDeviation(difference, variance);
-        updates[own] = { .change = gain * clamped, .gain = gain };
+        int direction = difference > clamped ? 1 : (difference < clamped ? -1 : 0);
+        updates[own] = { .change = gain * clamped, .gain = gain, .direction = direction };
         // What the speeds and the common error leave unexplained. While these are vague, a difference of the workers
         // cannot be told from noise.
         double explained = variance - observations[own].noise;
@@ -203,8 +210,16 @@
     ++queue.samples;
     queue.logarithm += std::max(queueWeight, 1.0 / queue.samples) * (siblings.logarithm - queue.logarithm);
     for (std::size_t own = 0; own < observations.size(); ++own) {
-        workers[own]->logarithm += updates[own].change;
-        workers[own]->variance *= 1 - updates[own].gain;
+        Worker& worker = *workers[own];
+        worker.logarithm += updates[own].change;
+        worker.variance *= 1 - updates[own].gain;
+        int& row = worker.clampedInARow;
+        if (updates[own].direction == 0)
+            row = 0;
+        else
+            row = row * updates[own].direction > 0 ? row + updates[own].direction : updates[own].direction;
+        if (std::abs(row) >= changedFrom)
+            worker.variance = std::min(worker.variance + changeVariance, unknownVariance);
     }
 }
 
--- a/coordination/decisions/batch/WorkerSpeedModel.h
+++ b/coordination/decisions/batch/WorkerSpeedModel.h
@@ -63,6 +63,8 @@
         double logarithm = 0;
         double variance = 0;
         state::MonotonicTime updated {};
+        /// Latest observations in a row that were clamped, negative if the worker was faster than expected.
+        int clampedInARow = 0;
     };
 
     struct Suspicion {
--- a/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
+++ b/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
@@ -179,6 +179,21 @@
     EXPECT_LT(fleet.learned(model, 1), 1);
 }
 
+// Guards against a worker that was far slower for some seconds and is avoided for long after that.
+TEST(WorkerSpeedModel, WorkerThatWasSlowForAWhileIsSoonUsualAgain)
+{
+    Fleet fleet(fleetOf(40, { 1.0 }));
+    WorkerSpeedModel model;
+    fleet.play(model, 100);
+    fleet.setRunTime(0, 5.7);
+    fleet.play(model, 100);
+    ASSERT_GT(fleet.learned(model, 0), 2);
+    fleet.setRunTime(0, 1.0);
+    // Ten runs of each worker.
+    fleet.play(model, 100);
+    EXPECT_LT(fleet.learned(model, 0), 1.3);
+}
+
 // Guards against a member of a gang that waits for the others and looks slow because its progress stands still.
 TEST(WorkerSpeedModel, AMemberThatHasDoneItsShareIsNotSlower)
 {
