Preempt nothing until a new leader knows its workers

Cause: a new leader plans while only a part of its workers has responded.

Change: no preemption until all listed workers that are not draining have responded, or for 0.5 s of the term (takeoverSettleTime). A guaranteed unit waits as well; 0.5 s leaves 2.2 s of the shortest bound of 2.7 s.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -118,6 +118,9 @@
     int planIdleFactor = 4;
     /// Interval of planning rounds without an event; plans also depend on how long units have waited.
     std::chrono::milliseconds planRefreshInterval { 400 };
+    /// A new leader preempts nothing for this long, unless all workers have responded before. Until then it knows few
+    /// workers, and would stop whatever runs there.
+    std::chrono::milliseconds takeoverSettleTime { 500 };
     /// How early an occurrence may start before its due time.
     std::chrono::milliseconds earlyStart { 0 };
     /// Consecutive failures of different jobs after which a worker is quarantined, and the duration of a quarantine.
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -37,6 +37,7 @@
 
 void BatchScheduler::start(const std::map<state::WorkerId, BatchWorker>& workers)
 {
+    m_termStart = m_hooks.clock();
     inheritClaims(workers);
     onWorkers(workers);
     for (auto& [id, session] : m_sessions)
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -193,6 +193,8 @@
     void excludeAllocatedTasks(PlanInput& input, const RunOverview& overview) const;
     void addGroups(PlanInput& input, const RunOverview& overview) const;
     void addWorkers(PlanInput& input, const RunOverview& overview);
+    /// @return whether enough workers are known to choose the runs that are preempted.
+    bool preemptionAllowed(state::MonotonicTime now);
     void markGuaranteed(PlanInput& input, const RunOverview& overview) const;
     void executePlan(const BatchPlanner& planner, const RunOverview& overview, const BatchPlan& plan);
     void claim(const BatchUnit& unit, const std::vector<std::pair<int, state::WorkerId>>& places);
@@ -240,6 +242,9 @@
     std::map<StepKey, state::MonotonicTime> m_isolationSince;
     WorkerQuarantine m_quarantine;
     WorkerSpeed m_speed;
+    state::MonotonicTime m_termStart {};
+    /// All workers have responded in this term, or had time to do so.
+    bool m_workersKnown = false;
     /// Capacity that the last planning round holds for units while runs are stopped.
     std::vector<CapacityHold> m_holds;
     bool m_planRequested = false;
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -52,6 +52,7 @@
     addWorkers(input, overview);
     markGuaranteed(input, overview);
     input.holds = m_holds;
+    input.preemptionAllowed = preemptionAllowed(input.now);
     return input;
 }
 
@@ -246,6 +247,16 @@
     }
 }
 
+bool BatchScheduler::preemptionAllowed(state::MonotonicTime now)
+{
+    m_workersKnown = m_workersKnown || now - m_termStart >= m_options.takeoverSettleTime
+        || std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) {
+               const WorkerSession& session = *entry.second;
+               return !session.listed() || session.description().draining || session.acceptsStarts();
+           });
+    return m_workersKnown;
+}
+
 void BatchScheduler::markGuaranteed(PlanInput& input, const RunOverview& overview) const
 {
     std::map<state::AccountId, std::int64_t> remaining;
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -32,6 +32,7 @@
     , m_units(std::move(input.units))
     , m_groups(std::move(input.groups))
     , m_now(input.now)
+    , m_preemptionAllowed(input.preemptionAllowed)
     , m_capacity(std::move(input.workers))
     , m_preemption(m_capacity, m_groups)
     , m_held(m_capacity, m_units)
@@ -138,7 +139,8 @@
 bool BatchPlanner::mayPreempt(const BatchUnit& unit) const
 {
     // A unit that is placed after others must not preempt, because the others would get the freed capacity.
-    return unit.priority == 0 && (unit.guaranteed || deadlineStateOf(unit, m_now) != DeadlineState::Expired);
+    return m_preemptionAllowed && unit.priority == 0
+        && (unit.guaranteed || deadlineStateOf(unit, m_now) != DeadlineState::Expired);
 }
 
 BatchPlanner::Assignment BatchPlanner::selectLocal(
@@ -184,7 +186,7 @@
             return;
         }
     }
-    if (unit.guaranteed && preempt(index, unit, true))
+    if (unit.guaranteed && mayPreempt(unit) && preempt(index, unit, true))
         return;
     if (m_now - unit.readySince >= m_options.reservationDelay)
         reserveForBlocked(unit);
@@ -229,7 +231,7 @@
         if (placed(assignment.size()))
             return;
     }
-    if (unit.guaranteed) {
+    if (unit.guaranteed && mayPreempt(unit)) {
         BatchUnit single = unit;
         single.indices = { unit.indices.front() };
         while (preempt(index, single, true)) {
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -37,6 +37,8 @@
     std::vector<WorkerView> workers;
     std::vector<RunningGroup> groups;
     state::MonotonicTime now {};
+    /// False while the state of many workers is unknown, as at the begin of a term.
+    bool preemptionAllowed = true;
     /// Holds that the last round returned.
     std::vector<CapacityHold> holds;
 };
@@ -119,6 +121,7 @@
     std::vector<BatchUnit> m_units;
     std::vector<RunningGroup> m_groups;
     state::MonotonicTime m_now;
+    bool m_preemptionAllowed;
     CapacityIndex m_capacity;
     PreemptionSearch m_preemption;
     HeldCapacity m_held;
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -226,6 +226,22 @@
     EXPECT_EQ(plan(input).placements.size(), 2U);
 }
 
+// Guards against a new leader that stops a long run on one of the few workers that it knows yet.
+TEST(BatchPlanner, NothingIsPreemptedWhileWorkersAreUnknown)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2, .loss = 5 } };
+    addRun(input, 0, 0, 8);
+    input.units = { makeUnit("j", 1, 8, 0) };
+    input.units[0].guaranteed = true;
+    input.preemptionAllowed = false;
+    EXPECT_TRUE(plan(input).preemptions.empty());
+    input.units[0].gang = true;
+    EXPECT_TRUE(plan(input).preemptions.empty());
+    input.preemptionAllowed = true;
+    EXPECT_EQ(plan(input).preemptions.size(), 1U);
+}
+
 // Guards against a hold that keeps a unit waiting for a worker that has gone or does not stop its runs, and against one
 // that delays a guaranteed unit.
 TEST(BatchPlanner, HoldGivesWay)
