--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -41,6 +41,7 @@
 {
     if (m_options.learnRunTimes)
         m_speed.restore(speeds, m_hooks.clock());
+    m_termStart = m_hooks.clock();
     inheritClaims(workers);
     onWorkers(workers);
     for (auto& [id, session] : m_sessions)
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -49,6 +49,8 @@
     std::vector<RunningGroup> groups;
     state::MonotonicTime now {};
     ServiceAging aging;
+    /// False while the state of many workers is unknown, as at the begin of a term.
+    bool preemptionAllowed = true;
     /// Holds that the last round returned.
     std::vector<CapacityHold> holds;
 };
@@ -144,6 +146,7 @@
     std::vector<RunningGroup> m_groups;
     state::MonotonicTime m_now;
     ServiceAging m_aging;
+    bool m_preemptionAllowed;
     CapacityIndex m_capacity;
     PreemptionSearch m_preemption;
     HeldCapacity m_held;
