ServiceAging: limit its cost and preferences, and keep services apart

Cause, found by review of the merged code: each round searched all workers once for each old gang. A gang that the workers could hold when idle but that never got its room stayed first for good and reserved workers, and no other old gang of its priority was selected. Selection, overload and pause were common to all services. The wait counted from the first readiness of a step, so that a gang that had run for long and was broken was old at once. A pause was the multiple of the remaining critical path, began at the claim, also of one that was withdrawn, also for a gang that started by its rank, and a later short one replaced a longer one. m_readySince and m_failedOn grew for a whole term.

Change: one search a round for gangs that need the same, and only while it can change the selection. All rules hold by service and priority. ServiceAging keeps the waits itself, from the first round after the last start; readySince and its other users are unchanged. A start is recorded when the members are started, with the run time of the step, and pauses only after a gang that the last round selected; the latest end of a pause holds. Waits, readiness and failed workers are removed with their jobs. m_doneRuns stays: the ends of other members may follow the end of the job.

--- a/bench/BatchBypassBench.cpp
+++ b/bench/BatchBypassBench.cpp
@@ -150,7 +150,7 @@
 
         void planRound(MonotonicTime now)
         {
-            PlanInput input { .workers = m_workers, .now = now, .aging = m_aging };
+            PlanInput input { .workers = m_workers, .now = now };
             std::vector<std::size_t> jobs;
             for (std::size_t job = 0; job < m_jobs.size() && m_jobs[job].unit.readySince <= now; ++job) {
                 if (m_jobs[job].started)
@@ -159,7 +159,11 @@
                 jobs.push_back(job);
             }
             std::map<std::size_t, std::vector<std::size_t>> starts;
-            BatchPlan plan = BatchPlanner({}, std::move(input)).plan();
+            m_aging.recordWaiting(input.units, now);
+            input.aging = m_aging;
+            BatchPlanner planner({}, std::move(input));
+            BatchPlan plan = planner.plan();
+            m_aging.recordSelection(planner.units(), plan.preferred, now);
             for (const coordination::batch::Placement& placement : plan.placements)
                 starts[jobs[placement.unit]].push_back(placement.worker);
             for (auto& [job, workers] : starts)
@@ -170,7 +174,7 @@
         {
             Job& job = m_jobs[index];
             job.started = true;
-            m_aging.recordStart(job.unit, now);
+            m_aging.recordStart({ job.unit.job, job.unit.occurrence, job.unit.step }, job.runTime, now);
             const Resources& resources = job.unit.resources;
             for (std::size_t worker : workers) {
                 m_workers[worker].free -= resources;
--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -267,6 +267,10 @@
         return;
     }
     std::vector<StartDecision> decisions = checkStarts(due);
+    const BatchTaskId& first = due.front().first;
+    if (std::ranges::find(decisions, StartDecision::Start) != decisions.end())
+        m_aging.recordStart({ first.job, first.occurrence, first.step },
+            entry.job().steps[static_cast<std::size_t>(first.step)].runTimeEstimate, m_hooks.clock());
     TaskStates released;
     for (std::size_t index = 0; index < due.size(); ++index) {
         const auto& [id, worker] = due[index];
@@ -368,9 +372,21 @@
         session->checkLease();
         session->resumeObservation();
     }
+    removeEndedJobs();
     requestPlan();
 }
 
+void BatchScheduler::removeEndedJobs()
+{
+    auto ended = [this](const state::JobId& job) {
+        const BatchJobEntry* entry = m_table.find(job);
+        return !entry || entry->finished();
+    };
+    m_aging.removeJobs(ended);
+    std::erase_if(m_readySince, [&](const auto& ready) { return ended(std::get<state::JobId>(ready.first)); });
+    std::erase_if(m_failedOn, [&](const auto& failed) { return ended(std::get<state::JobId>(failed.first)); });
+}
+
 void BatchScheduler::plan()
 {
     state::MonotonicTime begin = m_hooks.clock();
@@ -447,6 +463,7 @@
 
 void BatchScheduler::executePlan(const BatchPlanner& planner, const RunOverview& overview, const BatchPlan& plan)
 {
+    m_aging.recordSelection(planner.units(), plan.preferred, m_hooks.clock());
     for (const Preemption& preemption : plan.preemptions) {
         StopCause cause { .reason = StopReason::Preempted, .beneficiary = planner.units()[preemption.unit].job };
         m_metrics.increment("lentilsaddle_batch_preemptions_total");
@@ -459,10 +476,8 @@
     std::map<std::size_t, std::vector<std::pair<int, state::WorkerId>>> places;
     for (const Placement& placement : plan.placements)
         places[placement.unit].emplace_back(placement.index, planner.workers()[placement.worker].worker.id);
-    for (const auto& [unit, unitPlaces] : places) {
-        m_aging.recordStart(planner.units()[unit], m_hooks.clock());
+    for (const auto& [unit, unitPlaces] : places)
         claim(planner.units()[unit], unitPlaces);
-    }
 }
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -198,6 +198,8 @@
 
     void requestPlan();
     void refresh();
+    /// Removes what only the planning of jobs that have ended needed.
+    void removeEndedJobs();
     void plan();
     /// Reports that the leader is behind, if the round that begins now is late.
     void recordLag(state::MonotonicTime begin);
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -45,10 +45,12 @@
 
 PlanInput BatchScheduler::makeInput(const RunOverview& overview)
 {
-    PlanInput input { .now = m_hooks.clock(), .aging = m_aging };
+    PlanInput input { .now = m_hooks.clock() };
     addUnits(input, overview);
     if (input.units.empty())
         return input;
+    m_aging.recordWaiting(input.units, input.now);
+    input.aging = m_aging;
     addGroups(input, overview);
     addWorkers(input, overview);
     markGuaranteed(input, overview);
--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -109,10 +109,10 @@
     m_held.add(index, assignment, m_now);
 }
 
-std::vector<std::size_t> BatchPlanner::serviceOrder() const
+std::vector<std::size_t> BatchPlanner::serviceOrder()
 {
     using Key = std::tuple<bool, bool, int, bool, DeadlineState, double, std::size_t>;
-    std::set<std::size_t> due = m_aging.select(m_units, m_capacity.workers(), m_now,
+    m_plan.preferred = m_aging.select(m_units, m_capacity.workers(), m_now,
         [this](const BatchUnit& unit) { return !selectReservation(unit).empty(); });
     std::vector<Key> keys;
     keys.reserve(m_units.size());
@@ -122,7 +122,7 @@
         double rank = deadlineState == DeadlineState::Late
             ? -unit.valueDensity
             : std::chrono::duration<double>((unit.deadline - unit.estimate).time_since_epoch()).count();
-        bool dueByAge = due.contains(index);
+        bool dueByAge = m_plan.preferred.contains(index);
         keys.emplace_back(!unit.guaranteed, deadlineState == DeadlineState::Expired && !dueByAge, unit.priority,
             !dueByAge, deadlineState, rank, index);
     }
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <set>
 #include <vector>
 
 namespace lentilsaddle::coordination::batch {
@@ -80,6 +81,8 @@
     std::vector<Preemption> preemptions;
     /// Capacity that is held until the next round.
     std::vector<CapacityHold> holds;
+    /// Indices of the units that were served first by their age.
+    std::set<std::size_t> preferred;
 };
 
 /// Runs one planning round. Units are placed in the order of guarantee, priority and urgency; those of priority 0 may
@@ -99,7 +102,7 @@
 private:
     using Assignment = CapacityIndex::Assignment;
 
-    std::vector<std::size_t> serviceOrder() const;
+    std::vector<std::size_t> serviceOrder();
     /// @return whether the unit completes in time on the slowest workers too, with a margin.
     bool completesOnSlowestWorkers(const BatchUnit& unit) const;
     /// @return whether the unit may miss its deadline on slow workers but can meet it on others.
--- a/coordination/decisions/batch/ServiceAging.cpp
+++ b/coordination/decisions/batch/ServiceAging.cpp
@@ -1,8 +1,7 @@
 #include "coordination/decisions/batch/ServiceAging.h"
 
 #include <algorithm>
-#include <chrono>
-#include <optional>
+#include <string>
 
 namespace lentilsaddle::coordination::batch {
 
@@ -11,67 +10,159 @@
 
 namespace {
 
-    // Old gangs of one priority.
-    struct Candidate {
-        std::optional<std::size_t> oldest;
-        Resources needed;
-    };
+    // What decides whether the workers can hold a unit. Units of one shape may differ in when they may leave their
+    // preferred rack; one that is selected too early is passed over after its preference has ended.
+    using Shape = std::tuple<state::ServiceId, Resources, std::size_t, bool, std::string, std::string, int>;
+
+    Shape shapeOf(const BatchUnit& unit)
+    {
+        return { unit.service, unit.resources, unit.indices.size(), unit.sameRack, unit.preferredRack,
+            unit.requiredLabel, unit.maximumPerWorker };
+    }
 
-    bool exceeds(const Resources& needed, const Resources& capacity)
+    ServiceAging::StepKey stepOf(const BatchUnit& unit)
     {
-        return needed.accelerators > capacity.accelerators || needed.milliCores > capacity.milliCores
-            || needed.memoryMegabytes > capacity.memoryMegabytes;
+        return { unit.job, unit.occurrence, unit.step };
+    }
+
+    Resources totalOf(const BatchUnit& unit)
+    {
+        auto count = static_cast<std::int64_t>(unit.indices.size());
+        return {
+            .milliCores = unit.resources.milliCores * count,
+            .memoryMegabytes = unit.resources.memoryMegabytes * count,
+            .accelerators = unit.resources.accelerators * count,
+        };
+    }
+
+    state::MonotonicTime::duration multiple(std::chrono::milliseconds time, double factor)
+    {
+        return std::chrono::duration_cast<state::MonotonicTime::duration>(FloatSeconds(time) * factor);
     }
 
 } // namespace
 
-bool ServiceAging::isOld(const BatchUnit& unit, state::MonotonicTime now) const
+void ServiceAging::recordWaiting(const std::vector<BatchUnit>& units, state::MonotonicTime now)
+{
+    for (const BatchUnit& unit : units) {
+        if (unit.gang)
+            m_waits.try_emplace(
+                stepOf(unit), Wait { .since = now, .serviceAndPriority = { unit.service, unit.priority } });
+    }
+}
+
+bool ServiceAging::isOld(const BatchUnit& unit, const Wait& wait, state::MonotonicTime now) const
 {
-    if (!unit.gang)
-        return false;
     // A step that becomes ready when its job has no value any more still waits for a time of its own.
-    FloatSeconds valuable = std::max<FloatSeconds>(unit.hardDeadline - unit.readySince, unit.estimate);
-    return now - unit.readySince >= valuable * m_options.waitFactor;
+    FloatSeconds valuable = std::max<FloatSeconds>(unit.hardDeadline - wait.since, unit.estimate);
+    return now - wait.since >= valuable * m_options.waitFactor;
+}
+
+bool ServiceAging::isPaused(const Class& serviceAndPriority, state::MonotonicTime now) const
+{
+    auto pause = m_pausedUntil.find(serviceAndPriority);
+    return pause != m_pausedUntil.end() && now < pause->second;
+}
+
+bool ServiceAging::isPassedOver(const BatchUnit& unit, state::MonotonicTime now) const
+{
+    const Wait& wait = m_waits.at(stepOf(unit));
+    return now >= wait.selectedUntil && now < wait.passedOverUntil;
 }
 
 std::set<std::size_t> ServiceAging::select(const std::vector<BatchUnit>& units, const std::vector<WorkerView>& workers,
     state::MonotonicTime now, const std::function<bool(const BatchUnit&)>& mayFit) const
 {
-    std::vector<std::size_t> old;
+    std::map<Class, std::vector<std::size_t>> old;
     for (std::size_t index = 0; index < units.size(); ++index) {
-        auto pause = m_pausedUntil.find(units[index].priority);
-        bool paused = pause != m_pausedUntil.end() && now < pause->second;
-        if (!paused && isOld(units[index], now))
-            old.push_back(index);
-    }
-    std::stable_sort(old.begin(), old.end(),
-        [&](std::size_t a, std::size_t b) { return units[a].readySince < units[b].readySince; });
-    Resources capacity;
-    for (const WorkerView& view : workers)
-        capacity += view.worker.capacity;
-    std::map<int, Candidate> candidates;
-    for (std::size_t index : old) {
-        Candidate& candidate = candidates[units[index].priority];
-        if (exceeds(candidate.needed, capacity) || !mayFit(units[index]))
+        if (!units[index].gang)
             continue;
-        candidate.oldest = candidate.oldest.value_or(index);
-        for (std::size_t task = 0; task < units[index].indices.size(); ++task)
-            candidate.needed += units[index].resources;
+        auto wait = m_waits.find(stepOf(units[index]));
+        if (wait != m_waits.end() && isOld(units[index], wait->second, now)
+            && !isPaused(wait->second.serviceAndPriority, now))
+            old[wait->second.serviceAndPriority].push_back(index);
     }
+    if (old.empty())
+        return {};
+    std::map<state::ServiceId, Resources> capacities;
+    for (const WorkerView& view : workers)
+        capacities[view.worker.service] += view.worker.capacity;
+    std::map<Shape, bool> fits;
+    auto shapeMayFit = [&](const BatchUnit& unit) {
+        auto [found, added] = fits.try_emplace(shapeOf(unit), false);
+        if (added)
+            found->second = mayFit(unit);
+        return found->second;
+    };
     std::set<std::size_t> selected;
-    for (const auto& [priority, candidate] : candidates) {
-        if (candidate.oldest && !exceeds(candidate.needed, capacity))
-            selected.insert(*candidate.oldest);
+    for (auto& [serviceAndPriority, gangs] : old) {
+        if (auto gang = selectAmong(std::move(gangs), units, capacities[serviceAndPriority.first], now, shapeMayFit))
+            selected.insert(*gang);
+    }
+    return selected;
+}
+
+std::optional<std::size_t> ServiceAging::selectAmong(std::vector<std::size_t> gangs,
+    const std::vector<BatchUnit>& units, const Resources& capacity, state::MonotonicTime now,
+    const std::function<bool(const BatchUnit&)>& mayFit) const
+{
+    Resources all;
+    std::erase_if(gangs, [&](std::size_t index) { return !totalOf(units[index]).fitsInto(capacity); });
+    for (std::size_t index : gangs)
+        all += totalOf(units[index]);
+    bool mayExceed = !all.fitsInto(capacity);
+    std::stable_sort(gangs.begin(), gangs.end(), [&](std::size_t a, std::size_t b) {
+        return m_waits.at(stepOf(units[a])).since < m_waits.at(stepOf(units[b])).since;
+    });
+    Resources needed;
+    std::optional<std::size_t> selected;
+    for (std::size_t index : gangs) {
+        if (selected && !mayExceed)
+            break;
+        bool passedOver = isPassedOver(units[index], now);
+        if ((passedOver && !mayExceed) || !mayFit(units[index]))
+            continue;
+        needed += totalOf(units[index]);
+        if (!needed.fitsInto(capacity))
+            return std::nullopt;
+        if (!selected && !passedOver)
+            selected = index;
     }
     return selected;
 }
 
-void ServiceAging::recordStart(const BatchUnit& unit, state::MonotonicTime now)
+void ServiceAging::recordSelection(
+    const std::vector<BatchUnit>& units, const std::set<std::size_t>& selected, state::MonotonicTime now)
+{
+    for (std::size_t index = 0; index < units.size(); ++index) {
+        auto found = m_waits.find(stepOf(units[index]));
+        if (!units[index].gang || found == m_waits.end())
+            continue;
+        Wait& wait = found->second;
+        wait.selected = selected.contains(index);
+        if (!wait.selected || now < wait.passedOverUntil)
+            continue;
+        std::chrono::milliseconds time = std::max(units[index].estimate, m_options.shortestPreference);
+        wait.selectedUntil = now + time;
+        wait.passedOverUntil = wait.selectedUntil + multiple(time, m_options.pauseFactor);
+    }
+}
+
+void ServiceAging::recordStart(const StepKey& step, std::chrono::milliseconds runTime, state::MonotonicTime now)
 {
-    if (!isOld(unit, now))
+    auto wait = m_waits.find(step);
+    if (wait == m_waits.end())
         return;
-    auto pause = FloatSeconds(unit.estimate) * m_options.pauseFactor;
-    m_pausedUntil[unit.priority] = now + std::chrono::duration_cast<state::MonotonicTime::duration>(pause);
+    if (wait->second.selected) {
+        state::MonotonicTime& end = m_pausedUntil[wait->second.serviceAndPriority];
+        end = std::max(end, now + multiple(runTime, m_options.pauseFactor));
+    }
+    m_waits.erase(wait);
+}
+
+void ServiceAging::removeJobs(const std::function<bool(const state::JobId&)>& ended)
+{
+    std::erase_if(m_waits, [&](const auto& wait) { return ended(std::get<state::JobId>(wait.first)); });
 }
 
 } // namespace lentilsaddle::coordination::batch
