--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -45,10 +45,12 @@
 
 PlanInput BatchScheduler::makeInput(const RunOverview& overview)
 {
-    PlanInput input { .now = m_hooks.clock(), .aging = m_aging };
+    PlanInput input { .now = m_hooks.clock() };
     addUnits(input, overview);
     if (input.units.empty())
         return input;
+    m_aging.recordWaiting(input.units, input.now);
+    input.aging = m_aging;
     addGroups(input, overview);
     addWorkers(input, overview);
     markGuaranteed(input, overview);
@@ -262,7 +264,7 @@
     m_workersKnown = m_workersKnown || now - m_termStart >= m_options.takeoverSettleTime
         || std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) {
                const WorkerSession& session = *entry.second;
-               return !session.listed() || session.description().draining || session.acceptsStarts();
+               return !session.listed() || session.description().draining || session.reachable();
            });
     return m_workersKnown;
 }
