transport: refuse requests that give the length of their body in two ways

Cause: the budget was charged for Content-Length, and a body with an announced length was then kept without asking again. With Transfer-Encoding: chunked beside it, or two unequal lengths, the body could be larger than what was charged.

Change: such a header gets status 400 and its connection is closed. Beyond the announced length, memory is asked for like for a chunked body.

--- a/tests/hostile/HostileClientsTest.cpp
+++ b/tests/hostile/HostileClientsTest.cpp
@@ -210,6 +210,15 @@
     expectServed(crowd);
 }
 
+// Guards against bodies that take memory beyond the length for which the budget was asked.
+TEST_F(HostileBatchClientsTest, ChunkedBodiesWithALength)
+{
+    HostileCrowd::Plan crowd = plan();
+    crowd.announcedBytes = 0;
+    crowd.conflictingLength = true;
+    expectServed(crowd);
+}
+
 // Guards against a listener of probes that takes what the clients' listener refuses.
 TEST_F(HostileBatchClientsTest, BodiesAtTheReadinessListener)
 {
--- a/tests/hostile/HostileCrowd.cpp
+++ b/tests/hostile/HostileCrowd.cpp
@@ -72,7 +72,8 @@
     if (m_plan.endlessHeader)
         return m_plan.header + "X-Filler: ";
     if (m_plan.announcedBytes == 0)
-        return m_plan.header + "Transfer-Encoding: chunked\r\n\r\n";
+        return m_plan.header + (m_plan.conflictingLength ? "Content-Length: 1\r\n" : "")
+            + "Transfer-Encoding: chunked\r\n\r\n";
     std::size_t length = complete ? m_plan.sentBytes : m_plan.announcedBytes;
     return m_plan.header + "Content-Length: " + std::to_string(length) + "\r\n\r\n";
 }
--- a/tests/hostile/HostileCrowd.h
+++ b/tests/hostile/HostileCrowd.h
@@ -21,6 +21,8 @@
         std::size_t sentBytes = 0;
         /// Length that the header announces; 0 sends a chunked body.
         std::size_t announcedBytes = 0;
+        /// A chunked body also announces a length of 1.
+        bool conflictingLength = false;
         std::size_t chunkBytes = 65'536;
         /// Bytes of a body that are sent on one connection before the next one has its turn.
         std::size_t pieceBytes = 1 << 30;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -66,6 +66,35 @@
             EXPECT_EQ(::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
         }
 
+        // Sends the text on a connection and returns what the server sends until it closes the connection, for 2 s at
+        // most.
+        std::string exchangeText(const std::string& text)
+        {
+            int descriptor = connectTo(m_server->port());
+            sendText(descriptor, text);
+            std::string response;
+            bool ended = false;
+            auto stop = [&] {
+                ended = true;
+                m_loop.requestStop();
+            };
+            m_loop.watchDescriptor(descriptor, true, false, [&](bool, bool) {
+                char buffer[4096];
+                ssize_t received = recv(descriptor, buffer, sizeof buffer, 0);
+                response.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
+                if (received <= 0 && !ended)
+                    stop();
+            });
+            auto timer = m_loop.startTimer(std::chrono::seconds(2), stop);
+            // A stop that was requested in the run before may end the next one at once.
+            while (!ended)
+                m_loop.run();
+            m_loop.cancelTimer(timer);
+            m_loop.unwatchDescriptor(descriptor);
+            close(descriptor);
+            return response;
+        }
+
         EventLoop m_loop { [] {} };
         HttpClient m_client { m_loop, {} };
         std::unique_ptr<HttpServer> m_server;
@@ -161,23 +190,32 @@
 TEST_F(HttpTest, AnnouncedBodyOverTheLimitIsRefusedBeforeItIsRead)
 {
     serve([](const HttpRequest&, const HttpResponder& respond) { respond({}); }, 1000);
-    int descriptor = connectTo(m_server->port());
-    sendText(descriptor, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
-    std::string response;
-    m_loop.watchDescriptor(descriptor, true, false, [&](bool, bool) {
-        char buffer[4096];
-        ssize_t received = recv(descriptor, buffer, sizeof buffer, 0);
-        response.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
-        if (received <= 0)
-            m_loop.requestStop();
-    });
-    m_loop.run();
-    m_loop.unwatchDescriptor(descriptor);
-    close(descriptor);
+    std::string response = exchangeText("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
     EXPECT_TRUE(response.starts_with("HTTP/1.1 413 ")) << response;
     EXPECT_NE(response.find("not-run"), std::string::npos) << response;
 }
 
+// Guards against a body that is larger than the length for which the budget was asked, because the header gives the
+// length in two ways.
+TEST_F(HttpTest, ConflictingLengthsAreRefused)
+{
+    bool handled = false;
+    serve([&](const HttpRequest&, const HttpResponder& respond) {
+        handled = true;
+        respond({});
+    });
+    for (const char* lengths : { "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n", "Content-Length: 1\r\nContent-Length: 5\r\n",
+             "Content-Length: 5\r\nContent-Length: 1\r\n", "Content-Length: 0\r\nContent-Length: 5\r\n" }) {
+        std::string response = exchangeText(std::string("POST / HTTP/1.1\r\nHost: a\r\n") + lengths + "\r\n");
+        EXPECT_TRUE(response.starts_with("HTTP/1.1 400 ")) << lengths << response;
+    }
+    EXPECT_FALSE(handled);
+    std::string response = exchangeText(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\nConnection: close\r\n\r\n1");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200 ")) << "equal lengths are one length" << response;
+}
+
 // Guards against refusing ordinary requests while stopped bodies hold all the memory, and against a refusal without
 // Retry-After or of a request that has run.
 TEST_F(HttpTest, StoppedBodiesLeaveRoomForOrdinaryRequests)
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -98,6 +98,33 @@
         return text;
     }
 
+    struct ReceivedHeaders {
+        HttpHeaders values;
+        /// The length of the body is given in two ways, which two readers of the connection may resolve differently.
+        bool conflictingLength = false;
+    };
+
+    MHD_Result readHeader(void* context, MHD_ValueKind, const char* key, const char* value)
+    {
+        auto* headers = static_cast<ReceivedHeaders*>(context);
+        std::string name = toLower(key);
+        std::string text = value ? value : "";
+        auto known = headers->values.find(name);
+        if (name == "content-length" && known != headers->values.end() && known->second != text)
+            headers->conflictingLength = true;
+        headers->values[name] = text;
+        return MHD_YES;
+    }
+
+    ReceivedHeaders readHeaders(MHD_Connection* connection)
+    {
+        ReceivedHeaders headers;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &readHeader, &headers);
+        if (headers.values.contains("content-length") && headers.values.contains("transfer-encoding"))
+            headers.conflictingLength = true;
+        return headers;
+    }
+
     std::size_t announcedLength(const HttpHeaders& headers)
     {
         auto found = headers.find("content-length");
@@ -110,6 +137,13 @@
         return length;
     }
 
+    const char* refusalReason(int status)
+    {
+        if (status == 400)
+            return "conflicting_length";
+        return status == 413 ? "body_too_large" : "no_room";
+    }
+
     ssize_t readBlock(void* context, std::uint64_t position, char* buffer, std::size_t size)
     {
         auto* content = static_cast<BlockwiseBody*>(context);
@@ -281,7 +315,7 @@
     std::string().swap(exchange.request.body);
     budget->close(exchange.charge);
     exchange.charge = 0;
-    reportRefusal(status == 413 ? "body_too_large" : "no_room");
+    reportRefusal(refusalReason(status));
 }
 
 void HttpServer::Implementation::drop(Exchange& exchange)
@@ -304,13 +338,8 @@
     exchange->connection = connection;
     exchange->request.method = method;
     exchange->request.path = url;
-    MHD_get_connection_values(
-        connection, MHD_HEADER_KIND,
-        [](void* context, MHD_ValueKind, const char* key, const char* value) {
-            (*static_cast<HttpHeaders*>(context))[toLower(key)] = value ? value : "";
-            return MHD_YES;
-        },
-        &exchange->request.headers);
+    ReceivedHeaders headers = readHeaders(connection);
+    exchange->request.headers = std::move(headers.values);
     MHD_get_connection_values(
         connection, MHD_GET_ARGUMENT_KIND,
         [](void* context, MHD_ValueKind, const char* key, const char* value) {
@@ -321,12 +350,12 @@
     exchange->announcedBytes = announcedLength(exchange->request.headers);
     *exchangeSlot = exchange.get();
     exchanges.insert(exchange);
-    if (exchange->announcedBytes <= options.maximumBodyBytes) {
+    if (!headers.conflictingLength && exchange->announcedBytes <= options.maximumBodyBytes) {
         charge(exchange);
         return MHD_YES;
     }
     // The body is not read; libmicrohttpd closes the connection after the response.
-    refuse(*exchange, 413);
+    refuse(*exchange, headers.conflictingLength ? 400 : 413);
     return dispatch(exchange);
 }
 
@@ -352,7 +381,7 @@
 bool HttpServer::Implementation::growBody(Exchange& exchange, std::size_t size)
 {
     std::string& body = exchange.request.body;
-    if (exchange.announcedBytes > 0) {
+    if (size <= exchange.announcedBytes) {
         body.reserve(exchange.announcedBytes);
         return true;
     }
@@ -415,7 +444,12 @@
 {
     HttpResponse response { .status = status,
         .headers = { { "content-type", "application/json" }, { "request-outcome", "not-run" } } };
-    if (status == 413) {
+    if (status == 400) {
+        // The next request on the connection would begin at an uncertain byte.
+        response.headers["connection"] = "close";
+        response.body = R"({"error":"conflicting_length","field":"Content-Length",)"
+                        R"("reason":"the header gives the length of the body in two ways"})";
+    } else if (status == 413) {
         response.body = R"({"error":"body_too_large","field":"body","reason":"the body exceeds )"
             + std::to_string(options.maximumBodyBytes) + R"( bytes"})";
     } else {
