transport: drop stopped requests first, whoever their client is

Cause: the equal part of a client was computed over all held bytes, those of running requests included, which cannot be dropped. Stopped requests of clients below the mean kept their memory while the running requests of another client filled the budget, and many addresses that held little each had a steady upload dropped instead of theirs.

Change: the request without progress for longest is dropped if it has stopped for the stall time. The equal part decides only if none has, and is computed over the bytes that can be dropped.

--- a/transport/BodyBudget.cpp
+++ b/transport/BodyBudget.cpp
@@ -1,5 +1,6 @@
 #include "transport/BodyBudget.h"
 
+#include <string_view>
 #include <utility>
 
 namespace lentilsaddle::transport {
@@ -90,27 +91,41 @@
     if (size > limit)
         return false;
     while (m_heldBytes + bytes > limit) {
-        auto stalled = findStalled(size, now, exempt);
-        if (stalled == m_requests.end())
+        auto found = findDroppable(size, now, exempt);
+        if (found == m_requests.end())
             return false;
-        DropHook onDrop = std::move(stalled->second.onDrop);
-        remove(stalled);
+        DropHook onDrop = std::move(found->second.onDrop);
+        remove(found);
         if (onDrop)
             onDrop();
     }
     return true;
 }
 
-// A small request does not wait for the stall time, so that clients that send little and stop cannot fill its room.
-BodyBudget::Requests::iterator BodyBudget::findStalled(std::size_t size, Time now, RequestId exempt)
+BodyBudget::Requests::iterator BodyBudget::findDroppable(std::size_t size, Time now, RequestId exempt)
 {
-    std::size_t equalPart = m_clients.empty() ? 0 : m_heldBytes / m_clients.size();
     auto longest = m_requests.end();
+    std::map<std::string_view, std::size_t> droppableBytes;
+    std::size_t totalBytes = 0;
     for (auto entry = m_requests.begin(); entry != m_requests.end(); ++entry) {
         const Request& request = entry->second;
-        if (entry->first == exempt || request.running || heldBytes(request.client) < equalPart)
+        if (entry->first == exempt || request.running)
             continue;
-        if (size > m_options.smallBytes && now - request.lastProgress < m_options.stallTime)
+        droppableBytes[request.client] += request.bytes;
+        totalBytes += request.bytes;
+        if (longest == m_requests.end() || request.lastProgress < longest->second.lastProgress)
+            longest = entry;
+    }
+    if (longest == m_requests.end() || now - longest->second.lastProgress >= m_options.stallTime)
+        return longest;
+    if (size > m_options.smallBytes)
+        return m_requests.end();
+    // At least one client holds the mean or more, so that this finds a request.
+    std::size_t equalPart = totalBytes / droppableBytes.size();
+    longest = m_requests.end();
+    for (auto entry = m_requests.begin(); entry != m_requests.end(); ++entry) {
+        const Request& request = entry->second;
+        if (entry->first == exempt || request.running || droppableBytes[request.client] < equalPart)
             continue;
         if (longest == m_requests.end() || request.lastProgress < longest->second.lastProgress)
             longest = entry;
--- a/transport/BodyBudget.h
+++ b/transport/BodyBudget.h
@@ -17,8 +17,9 @@
 /// can keep it from ending; such a request can be dropped to make room. While it is *running*, it cannot.
 ///
 /// Requests of at most `smallBytes` may use the whole limit, larger ones only a part of it. Room is made by dropping
-/// the request that has been without progress for longest, among the clients that hold at least an equal part of what
-/// is held.
+/// the request that has been without progress for longest, if that is at least the stall time, whoever its client is.
+/// If none has stopped for so long, a large request finds no room; a small one drops the request without progress for
+/// longest among the clients that hold at least an equal part of the bytes that can be dropped.
 class BodyBudget {
 public:
     using RequestId = std::uint64_t;
@@ -90,7 +91,9 @@
     /// @param bytes how much it would take in addition.
     /// @param exempt request that is not dropped.
     bool makeRoom(std::size_t size, std::size_t bytes, Time now, RequestId exempt);
-    Requests::iterator findStalled(std::size_t size, Time now, RequestId exempt);
+    /// Finds the request to drop for one of the given size. Running requests are never found, and do not count towards
+    /// the part of their client, because dropping cannot free their memory.
+    Requests::iterator findDroppable(std::size_t size, Time now, RequestId exempt);
     std::size_t limitFor(std::size_t size) const;
     Requests::iterator remove(Requests::iterator request);
 
