protocol: take only settings about the machine and preferences as absent

Cause: since any optional key without a value kept its default. A batch.front that was not filled in started the other kind of daemon, and protocol times that were not filled in were guessed.

Change: only batch.processors, batch.descriptors, batch.memory_mb, http.memory_mb, batch.learn_run_times and log.level may have no value. For any other key this is an error.

--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -25,6 +25,9 @@
     struct Key {
         std::string path;
         bool required = false;
+        // Whether a key without a value keeps its default. Only for facts about the machine, which the platform may not
+        // know, and for preferences: a default in place of a protocol time or an address would be a guess.
+        bool mayBeUnset = false;
         // Allowed values with their unit, for error messages.
         std::string allowed;
         // Returns false if the text is outside the allowed values.
@@ -93,6 +96,12 @@
         };
     }
 
+    Key mayBeUnset(Key key)
+    {
+        key.mayBeUnset = true;
+        return key;
+    }
+
     bool isName(const std::string& text)
     {
         if (text.empty() || text.size() > 63)
@@ -152,18 +161,18 @@
                 [](Settings& s, long v) { s.batch.gangTimeout = milliseconds(v); }),
             integerKey("batch.evacuation_limit_ms", 0, 600'000, "milliseconds, 0 for no limit",
                 [](Settings& s, long v) { s.batch.evacuationLimit = milliseconds(v); }),
-            textKey(
+            mayBeUnset(textKey(
                 "batch.learn_run_times", false, "true or false",
                 [](const std::string& v) { return v == "true" || v == "false"; },
-                [](Settings& s, const std::string& v) { s.batch.learnRunTimes = v == "true"; }),
-            textKey(
+                [](Settings& s, const std::string& v) { s.batch.learnRunTimes = v == "true"; })),
+            mayBeUnset(textKey(
                 "batch.processors", false, "a number of processors such as 0.25, at most 1024",
                 [](const std::string& v) { return parseProcessors(v).has_value(); },
-                [](Settings& s, const std::string& v) { s.batch.processors = *parseProcessors(v); }),
-            integerKey("batch.descriptors", 0, maximumDescriptors, "0 if unknown",
-                [](Settings& s, long v) { s.batch.descriptors = static_cast<std::size_t>(v); }),
-            integerKey("batch.memory_mb", 0, maximumMemoryMegabytes, "megabytes, 0 if unknown",
-                [](Settings& s, long v) { s.batch.memoryMegabytes = static_cast<std::size_t>(v); }),
+                [](Settings& s, const std::string& v) { s.batch.processors = *parseProcessors(v); })),
+            mayBeUnset(integerKey("batch.descriptors", 0, maximumDescriptors, "0 if unknown",
+                [](Settings& s, long v) { s.batch.descriptors = static_cast<std::size_t>(v); })),
+            mayBeUnset(integerKey("batch.memory_mb", 0, maximumMemoryMegabytes, "megabytes, 0 if unknown",
+                [](Settings& s, long v) { s.batch.memoryMegabytes = static_cast<std::size_t>(v); })),
         };
     }
 
@@ -188,8 +197,8 @@
                 [](Settings& s, const std::string& v) { s.httpAddress = v; }),
             integerKey("http.port", 0, maximumPort, "0 picks a free port",
                 [](Settings& s, long v) { s.httpPort = static_cast<std::uint16_t>(v); }),
-            integerKey("http.memory_mb", 0, maximumMemoryMegabytes, "megabytes, 0 if unknown",
-                [](Settings& s, long v) { s.httpMemoryMegabytes = static_cast<std::size_t>(v); }),
+            mayBeUnset(integerKey("http.memory_mb", 0, maximumMemoryMegabytes, "megabytes, 0 if unknown",
+                [](Settings& s, long v) { s.httpMemoryMegabytes = static_cast<std::size_t>(v); })),
             textKey("peer.address", false, addressRule, isIpv4Address,
                 [](Settings& s, const std::string& v) { s.peerAddress = v; }),
             integerKey("peer.port", 0, maximumPort, "0 picks a free port",
@@ -212,8 +221,9 @@
                 [](Settings& s, const std::string& v) { s.placementPolicy = v; }),
             integerKey("timeline.capacity", 100, 1'000'000, "events",
                 [](Settings& s, long v) { s.timelineCapacity = static_cast<std::size_t>(v); }),
-            textKey("log.level", false, "debug, info, warning or error", oneOf({ "debug", "info", "warning", "error" }),
-                [](Settings& s, const std::string& v) { s.logLevel = v; }),
+            mayBeUnset(textKey("log.level", false, "debug, info, warning or error",
+                oneOf({ "debug", "info", "warning", "error" }),
+                [](Settings& s, const std::string& v) { s.logLevel = v; })),
             integerKey("shutdown.notice_ms", 0, 60'000, "milliseconds",
                 [](Settings& s, long v) { s.shutdownNotice = milliseconds(v); }),
             integerKey(
@@ -282,8 +292,9 @@
                 if (!m_seen.insert(path).second)
                     fail(path, line, "is given twice");
                 if (isUnset(value)) {
-                    if (key.required)
-                        fail(path, line, "is required; expected " + key.allowed);
+                    if (!key.mayBeUnset)
+                        fail(path, line,
+                            (key.required ? "is required" : "has no value") + ("; expected " + key.allowed));
                     m_settings.unsetKeys.push_back(path);
                     return;
                 }
--- a/tests/protocol/SettingsCodecTest.cpp
+++ b/tests/protocol/SettingsCodecTest.cpp
@@ -79,6 +79,28 @@
     EXPECT_NE(errorOf(required + "batch:\n  descriptors: [1]\n").find("must be an integer"), std::string::npos);
 }
 
+// Guards against a daemon of the other kind, or one with guessed protocol times, that starts because a placeholder of
+// its settings was not filled in.
+TEST(SettingsCodec, AddressOrTimeWithoutAValueIsAnError)
+{
+    for (const char* key : { "front", "ready", "metrics", "worker_lease_limit_ms", "stop_grace_ms", "gang_timeout_ms",
+             "evacuation_limit_ms" }) {
+        for (const char* value : { "", "\"\"", "~", "{{listen.front}}", "\"{{listen.front}}\"" }) {
+            std::string error = errorOf(required + "batch:\n  " + key + ": " + value + "\n");
+            EXPECT_NE(error.find(std::string("batch.") + key + ": has no value; expected "), std::string::npos)
+                << key << ": " << value << ": " << error;
+        }
+    }
+}
+
+// Guards against a daemon that does not start because the platform does not know its machine or has no preference.
+TEST(SettingsCodec, MachineOrPreferenceWithoutAValueKeepsItsDefault)
+{
+    for (const char* key : { "batch:\n  processors", "batch:\n  descriptors", "batch:\n  memory_mb",
+             "batch:\n  learn_run_times", "http:\n  memory_mb", "log:\n  level" })
+        EXPECT_EQ(parseSettings(required + key + ": {{limits.max_fds}}\n", "s.yaml").unsetKeys.size(), 1U) << key;
+}
+
 // Guards against an operator who cannot switch off what is learned, or switches it off by a typing error.
 TEST(SettingsCodec, LearningIsOnUnlessSwitchedOff)
 {
