--- a/protocol/SettingsCodec.cpp
+++ b/protocol/SettingsCodec.cpp
@@ -159,8 +159,9 @@
                 [](Settings& s, long v) { s.batch.stopGrace = milliseconds(v); }),
             integerKey("batch.gang_timeout_ms", 500, 600'000, "milliseconds",
                 [](Settings& s, long v) { s.batch.gangTimeout = milliseconds(v); }),
-            integerKey("batch.evacuation_limit_ms", 0, 600'000, "milliseconds, 0 for no limit",
-                [](Settings& s, long v) { s.batch.evacuationLimit = milliseconds(v); }),
+            // A deployment without this bound has no limit, as if the key were left out.
+            mayBeUnset(integerKey("batch.evacuation_limit_ms", 0, 600'000, "milliseconds, 0 for no limit",
+                [](Settings& s, long v) { s.batch.evacuationLimit = milliseconds(v); })),
             mayBeUnset(textKey(
                 "batch.learn_run_times", false, "true or false",
                 [](const std::string& v) { return v == "true" || v == "false"; },
