transport: halve the memory of a connection in libmicrohttpd

Cause: 1,200 connections could take 20 MB in libmicrohttpd beside the eighth of the memory that the budget allows (15 MB of 120), above what a process of 85 MB leaves on that machine.

Change: 8 KiB for each connection, 10 MB together. Headers above about 7 KB now get 431; the protocol names no size of headers.

--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -485,6 +485,27 @@
     EXPECT_GE(heldByResponse, responseBytes + 16'384);
 }
 
+// Guards against headers of ordinary size that do not fit into the memory of a connection, and against a limit of that
+// memory that does not hold.
+TEST_F(HttpTest, HeaderIsLimitedByTheMemoryOfAConnection)
+{
+    serve([](const HttpRequest& request, const HttpResponder& respond) {
+        respond({ .status = 200, .headers = {}, .body = request.headers.at("large") });
+    });
+    HttpCall ordinary = call();
+    ordinary.headers["large"] = std::string(6'000, 'h');
+    send(ordinary);
+    m_loop.run();
+    EXPECT_EQ(m_results[0].response.status, 200);
+    EXPECT_EQ(m_results[0].response.body.size(), 6'000U);
+    HttpCall large = call();
+    large.headers["large"] = std::string(9'000, 'h');
+    send(large);
+    while (m_results.size() < 2)
+        m_loop.run();
+    EXPECT_EQ(m_results[1].response.status, 431);
+}
+
 // Guards against a large response that fails because its transfer takes longer than the timeout, although bytes keep
 // arriving.
 TEST_F(HttpTest, SteadyResponseMayTakeLongerThanTheTimeout)
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -71,7 +71,7 @@
     // Larger responses are sent in blocks of this size.
     constexpr std::size_t responseBlockBytes = 16'384;
     // Pool of libmicrohttpd for a connection, which bounds the header of a request. A header above it gets status 431.
-    constexpr std::size_t connectionMemoryBytes = 16'384;
+    constexpr std::size_t connectionMemoryBytes = 8'192;
     // Received bytes that have not been read count as memory of the process, and the system would let each connection
     // have megabytes of them.
     constexpr int receiveBufferBytes = 65'536;
