--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -66,6 +66,35 @@
             EXPECT_EQ(::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
         }
 
+        // Sends the text on a connection and returns what the server sends until it closes the connection, for 2 s at
+        // most.
+        std::string exchangeText(const std::string& text)
+        {
+            int descriptor = connectTo(m_server->port());
+            sendText(descriptor, text);
+            std::string response;
+            bool ended = false;
+            auto stop = [&] {
+                ended = true;
+                m_loop.requestStop();
+            };
+            m_loop.watchDescriptor(descriptor, true, false, [&](bool, bool) {
+                char buffer[4096];
+                ssize_t received = recv(descriptor, buffer, sizeof buffer, 0);
+                response.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
+                if (received <= 0 && !ended)
+                    stop();
+            });
+            auto timer = m_loop.startTimer(std::chrono::seconds(2), stop);
+            // A stop that was requested in the run before may end the next one at once.
+            while (!ended)
+                m_loop.run();
+            m_loop.cancelTimer(timer);
+            m_loop.unwatchDescriptor(descriptor);
+            close(descriptor);
+            return response;
+        }
+
         EventLoop m_loop { [] {} };
         HttpClient m_client { m_loop, {} };
         std::unique_ptr<HttpServer> m_server;
@@ -161,23 +190,32 @@
 TEST_F(HttpTest, AnnouncedBodyOverTheLimitIsRefusedBeforeItIsRead)
 {
     serve([](const HttpRequest&, const HttpResponder& respond) { respond({}); }, 1000);
-    int descriptor = connectTo(m_server->port());
-    sendText(descriptor, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
-    std::string response;
-    m_loop.watchDescriptor(descriptor, true, false, [&](bool, bool) {
-        char buffer[4096];
-        ssize_t received = recv(descriptor, buffer, sizeof buffer, 0);
-        response.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
-        if (received <= 0)
-            m_loop.requestStop();
-    });
-    m_loop.run();
-    m_loop.unwatchDescriptor(descriptor);
-    close(descriptor);
+    std::string response = exchangeText("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
     EXPECT_TRUE(response.starts_with("HTTP/1.1 413 ")) << response;
     EXPECT_NE(response.find("not-run"), std::string::npos) << response;
 }
 
+// Guards against a body that is larger than the length for which the budget was asked, because the header gives the
+// length in two ways.
+TEST_F(HttpTest, ConflictingLengthsAreRefused)
+{
+    bool handled = false;
+    serve([&](const HttpRequest&, const HttpResponder& respond) {
+        handled = true;
+        respond({});
+    });
+    for (const char* lengths : { "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n", "Content-Length: 1\r\nContent-Length: 5\r\n",
+             "Content-Length: 5\r\nContent-Length: 1\r\n", "Content-Length: 0\r\nContent-Length: 5\r\n" }) {
+        std::string response = exchangeText(std::string("POST / HTTP/1.1\r\nHost: a\r\n") + lengths + "\r\n");
+        EXPECT_TRUE(response.starts_with("HTTP/1.1 400 ")) << lengths << response;
+    }
+    EXPECT_FALSE(handled);
+    std::string response = exchangeText(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\nConnection: close\r\n\r\n1");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200 ")) << "equal lengths are one length" << response;
+}
+
 // Guards against refusing ordinary requests while stopped bodies hold all the memory, and against a refusal without
 // Retry-After or of a request that has run.
 TEST_F(HttpTest, StoppedBodiesLeaveRoomForOrdinaryRequests)
@@ -382,6 +420,92 @@
         close(descriptor);
 }
 
+// Guards against closing a connection whose client is sending a body instead of one that has been idle.
+TEST_F(HttpTest, ReceivingConnectionIsNotTheLongestIdle)
+{
+    m_server = std::make_unique<HttpServer>(m_loop, HttpServerOptions { .connectionLimit = 2 },
+        [](const HttpRequest&, const HttpResponder& respond) { respond({ .status = 204 }); });
+    int receiving = connectTo(m_server->port());
+    sendText(receiving, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n");
+    int idle = -1;
+    using std::chrono::milliseconds;
+    m_loop.startTimer(milliseconds(30), [&] { idle = connectTo(m_server->port()); });
+    m_loop.startTimer(milliseconds(60), [&] { sendText(receiving, std::string(100, 'x')); });
+    m_loop.startTimer(milliseconds(90), [&] { send(call()); });
+    m_loop.run();
+    EXPECT_EQ(m_results[0].response.status, 204);
+    char byte = 0;
+    EXPECT_EQ(recv(idle, &byte, 1, MSG_DONTWAIT), 0) << "the idle connection is open";
+    EXPECT_LT(recv(receiving, &byte, 1, MSG_DONTWAIT), 0) << "the receiving connection is closed";
+    close(receiving);
+    close(idle);
+}
+
+// Guards against a request that has run, and whose short response is not sent because other requests took the rest of
+// the memory meanwhile.
+TEST_F(HttpTest, SmallResponseIsSentWithAFullBudget)
+{
+    auto budget = std::make_shared<BodyBudget>(BodyBudget::Options { .limitBytes = 10'000 });
+    m_server = std::make_unique<HttpServer>(
+        m_loop, HttpServerOptions { .budget = budget }, [&](const HttpRequest&, const HttpResponder& respond) {
+            auto other = budget->open(
+                "other", budget->limitBytes() - budget->heldBytes(), std::chrono::steady_clock::now(), {});
+            EXPECT_NE(other, 0U);
+            budget->startRunning(other);
+            respond({ .status = 200, .headers = {}, .body = std::string(1'000, 'r') });
+        });
+    send(call());
+    m_loop.run();
+    EXPECT_EQ(m_results[0].failure, HttpFailure::None) << m_results[0].error;
+    EXPECT_EQ(m_results[0].response.body.size(), 1'000U);
+    EXPECT_LE(budget->heldBytes(), budget->limitBytes());
+}
+
+// Guards against memory beside the budget: nodes of header fields, and the block in which a large response is sent.
+TEST_F(HttpTest, HeaderFieldsAndResponseBlocksAreCharged)
+{
+    constexpr int fields = 50;
+    constexpr std::size_t responseBytes = 1'000'000;
+    auto budget = std::make_shared<BodyBudget>(BodyBudget::Options { .limitBytes = 10'000'000 });
+    std::size_t heldByRequest = 0;
+    std::size_t heldByResponse = 0;
+    m_server = std::make_unique<HttpServer>(
+        m_loop, HttpServerOptions { .budget = budget }, [&](const HttpRequest&, const HttpResponder& respond) {
+            heldByRequest = budget->heldBytes();
+            respond({ .status = 200, .headers = {}, .body = std::string(responseBytes, 'r') });
+            heldByResponse = budget->heldBytes();
+        });
+    HttpCall manyFields = call();
+    for (int index = 0; index < fields; ++index)
+        manyFields.headers["f" + std::to_string(index)] = "v";
+    send(manyFields);
+    m_loop.run();
+    EXPECT_EQ(m_results[0].response.body.size(), responseBytes);
+    EXPECT_GE(heldByRequest, fields * 128U);
+    EXPECT_GE(heldByResponse, responseBytes + 16'384);
+}
+
+// Guards against headers of ordinary size that do not fit into the memory of a connection, and against a limit of that
+// memory that does not hold.
+TEST_F(HttpTest, HeaderIsLimitedByTheMemoryOfAConnection)
+{
+    serve([](const HttpRequest& request, const HttpResponder& respond) {
+        respond({ .status = 200, .headers = {}, .body = request.headers.at("large") });
+    });
+    HttpCall ordinary = call();
+    ordinary.headers["large"] = std::string(6'000, 'h');
+    send(ordinary);
+    m_loop.run();
+    EXPECT_EQ(m_results[0].response.status, 200);
+    EXPECT_EQ(m_results[0].response.body.size(), 6'000U);
+    HttpCall large = call();
+    large.headers["large"] = std::string(9'000, 'h');
+    send(large);
+    while (m_results.size() < 2)
+        m_loop.run();
+    EXPECT_EQ(m_results[1].response.status, 431);
+}
+
 // Guards against a large response that fails because its transfer takes longer than the timeout, although bytes keep
 // arriving.
 TEST_F(HttpTest, SteadyResponseMayTakeLongerThanTheTimeout)
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -63,15 +63,21 @@
 
     // Objects that belong to one request.
     constexpr std::size_t requestOverheadBytes = 1'024;
-    constexpr std::size_t headerOverheadBytes = 64;
+    // Part of the first charge that is kept for the response, so that a small one is sent also when the budget is full.
+    constexpr std::size_t smallResponseBytes = 1'024;
+    // Node of a map with two strings, and the entry in the pool of libmicrohttpd.
+    constexpr std::size_t headerOverheadBytes = 128;
     constexpr std::size_t smallestBodyCapacity = 4'096;
     // Larger responses are sent in blocks of this size.
     constexpr std::size_t responseBlockBytes = 16'384;
     // Pool of libmicrohttpd for a connection, which bounds the header of a request. A header above it gets status 431.
-    constexpr std::size_t connectionMemoryBytes = 16'384;
+    constexpr std::size_t connectionMemoryBytes = 8'192;
     // Received bytes that have not been read count as memory of the process, and the system would let each connection
     // have megabytes of them.
     constexpr int receiveBufferBytes = 65'536;
+    // Bytes that a client does not read count too, beside the budget; the system would let each connection have
+    // megabytes of them.
+    constexpr int sendBufferBytes = 65'536;
     constexpr std::chrono::seconds closedConnectionCheckInterval { 5 };
     constexpr const char* retryAfterSeconds = "1";
 
@@ -98,6 +104,33 @@
         return text;
     }
 
+    struct ReceivedHeaders {
+        HttpHeaders values;
+        /// The length of the body is given in two ways, which two readers of the connection may resolve differently.
+        bool conflictingLength = false;
+    };
+
+    MHD_Result readHeader(void* context, MHD_ValueKind, const char* key, const char* value)
+    {
+        auto* headers = static_cast<ReceivedHeaders*>(context);
+        std::string name = toLower(key);
+        std::string text = value ? value : "";
+        auto known = headers->values.find(name);
+        if (name == "content-length" && known != headers->values.end() && known->second != text)
+            headers->conflictingLength = true;
+        headers->values[name] = text;
+        return MHD_YES;
+    }
+
+    ReceivedHeaders readHeaders(MHD_Connection* connection)
+    {
+        ReceivedHeaders headers;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &readHeader, &headers);
+        if (headers.values.contains("content-length") && headers.values.contains("transfer-encoding"))
+            headers.conflictingLength = true;
+        return headers;
+    }
+
     std::size_t announcedLength(const HttpHeaders& headers)
     {
         auto found = headers.find("content-length");
@@ -110,6 +143,13 @@
         return length;
     }
 
+    const char* refusalReason(int status)
+    {
+        if (status == 400)
+            return "conflicting_length";
+        return status == 413 ? "body_too_large" : "no_room";
+    }
+
     ssize_t readBlock(void* context, std::uint64_t position, char* buffer, std::size_t size)
     {
         auto* content = static_cast<BlockwiseBody*>(context);
@@ -229,11 +269,16 @@
     for (const auto& exchange : exchanges)
         handledRequests[exchange->connection] = exchange->handled;
     for (auto& [handle, connection] : connections) {
+        if (connection.closing) {
+            // Wakes libmicrohttpd again in case it missed the end that the first shutdown caused.
+            shutdown(connection.socket, SHUT_RDWR);
+            continue;
+        }
         auto request = handledRequests.find(handle);
         // A client may end its side of the connection and still read its response.
         bool awaitsResponse = request != handledRequests.end() && request->second;
         bool checkedWhileIdle = ++connection.checks > 2 && request == handledRequests.end();
-        if (awaitsResponse || checkedWhileIdle || connection.closing)
+        if (awaitsResponse || checkedWhileIdle)
             continue;
         char byte = 0;
         if (recv(connection.socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0)
@@ -258,7 +303,7 @@
 
 void HttpServer::Implementation::charge(const std::shared_ptr<Exchange>& exchange)
 {
-    exchange->overheadBytes = requestOverheadBytes + exchange->request.path.size();
+    exchange->overheadBytes = requestOverheadBytes + smallResponseBytes + exchange->request.path.size();
     for (const auto& [name, value] : exchange->request.headers)
         exchange->overheadBytes += name.size() + value.size() + headerOverheadBytes;
     for (const auto& [name, value] : exchange->request.query)
@@ -278,17 +323,17 @@
 void HttpServer::Implementation::refuse(Exchange& exchange, int status)
 {
     exchange.refusal = status;
-    std::string().swap(exchange.request.body);
+    exchange.request = {};
     budget->close(exchange.charge);
     exchange.charge = 0;
-    reportRefusal(status == 413 ? "body_too_large" : "no_room");
+    reportRefusal(refusalReason(status));
 }
 
 void HttpServer::Implementation::drop(Exchange& exchange)
 {
     exchange.dropped = true;
     exchange.charge = 0;
-    std::string().swap(exchange.request.body);
+    exchange.request = {};
     reportRefusal(exchange.handled ? "response_not_read" : "body_without_progress");
     auto known = connections.find(exchange.connection);
     if (known == connections.end())
@@ -304,13 +349,8 @@
     exchange->connection = connection;
     exchange->request.method = method;
     exchange->request.path = url;
-    MHD_get_connection_values(
-        connection, MHD_HEADER_KIND,
-        [](void* context, MHD_ValueKind, const char* key, const char* value) {
-            (*static_cast<HttpHeaders*>(context))[toLower(key)] = value ? value : "";
-            return MHD_YES;
-        },
-        &exchange->request.headers);
+    ReceivedHeaders headers = readHeaders(connection);
+    exchange->request.headers = std::move(headers.values);
     MHD_get_connection_values(
         connection, MHD_GET_ARGUMENT_KIND,
         [](void* context, MHD_ValueKind, const char* key, const char* value) {
@@ -321,12 +361,12 @@
     exchange->announcedBytes = announcedLength(exchange->request.headers);
     *exchangeSlot = exchange.get();
     exchanges.insert(exchange);
-    if (exchange->announcedBytes <= options.maximumBodyBytes) {
+    if (!headers.conflictingLength && exchange->announcedBytes <= options.maximumBodyBytes) {
         charge(exchange);
         return MHD_YES;
     }
     // The body is not read; libmicrohttpd closes the connection after the response.
-    refuse(*exchange, 413);
+    refuse(*exchange, headers.conflictingLength ? 400 : 413);
     return dispatch(exchange);
 }
 
@@ -345,6 +385,8 @@
         return exchange.discardedBytes <= options.maximumBodyBytes ? MHD_YES : MHD_NO;
     }
     body.append(data, size);
+    // At the limit of connections, one that is receiving is not the longest idle.
+    recordUse(exchange.connection, false);
     budget->recordTransfer(exchange.charge, size, std::chrono::steady_clock::now());
     return MHD_YES;
 }
@@ -352,16 +394,18 @@
 bool HttpServer::Implementation::growBody(Exchange& exchange, std::size_t size)
 {
     std::string& body = exchange.request.body;
-    if (exchange.announcedBytes > 0) {
+    auto now = std::chrono::steady_clock::now();
+    if (size <= exchange.announcedBytes) {
         body.reserve(exchange.announcedBytes);
-        return true;
+    } else {
+        std::size_t capacity = std::max({ size, 2 * body.capacity(), smallestBodyCapacity });
+        capacity = std::max(size, std::min(capacity, options.maximumBodyBytes));
+        if (!budget->resize(exchange.charge, exchange.overheadBytes + capacity, now))
+            return false;
+        body.reserve(capacity);
     }
-    std::size_t capacity = std::max({ size, 2 * body.capacity(), smallestBodyCapacity });
-    capacity = std::max(size, std::min(capacity, options.maximumBodyBytes));
-    if (!budget->resize(exchange.charge, exchange.overheadBytes + capacity, std::chrono::steady_clock::now()))
-        return false;
-    body.reserve(capacity);
-    return true;
+    // A string may allocate more than it is asked for, up to twice its capacity.
+    return budget->resize(exchange.charge, exchange.overheadBytes + body.capacity(), now);
 }
 
 MHD_Result HttpServer::Implementation::onAccess(void* context, MHD_Connection* connection, const char* url,
@@ -415,7 +459,12 @@
 {
     HttpResponse response { .status = status,
         .headers = { { "content-type", "application/json" }, { "request-outcome", "not-run" } } };
-    if (status == 413) {
+    if (status == 400) {
+        // The next request on the connection would begin at an uncertain byte.
+        response.headers["connection"] = "close";
+        response.body = R"({"error":"conflicting_length","field":"Content-Length",)"
+                        R"("reason":"the header gives the length of the body in two ways"})";
+    } else if (status == 413) {
         response.body = R"({"error":"body_too_large","field":"body","reason":"the body exceeds )"
             + std::to_string(options.maximumBodyBytes) + R"( bytes"})";
     } else {
@@ -427,7 +476,11 @@
 
 void HttpServer::Implementation::chargeResponse(Exchange& exchange)
 {
-    std::size_t size = exchange.overheadBytes + exchange.response->body.size();
+    std::size_t size = exchange.overheadBytes;
+    if (exchange.response->body.size() > smallResponseBytes)
+        size += exchange.response->body.size();
+    if (exchange.response->body.size() > responseBlockBytes)
+        size += responseBlockBytes;
     if (exchange.charge == 0 || budget->resize(exchange.charge, size, std::chrono::steady_clock::now()))
         return;
     reportRefusal("response_no_room");
@@ -541,9 +594,10 @@
     if (!self.daemon)
         throw TransportError(
             "cannot listen on " + options.address + ":" + std::to_string(options.port) + ": " + std::strerror(errno));
-    // Accepted connections inherit it.
-    setsockopt(MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd, SOL_SOCKET, SO_RCVBUF,
-        &receiveBufferBytes, sizeof receiveBufferBytes);
+    // Accepted connections inherit both sizes.
+    MHD_socket listener = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+    setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof sendBufferBytes);
     self.epollDescriptor = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     self.port = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     loop.watchDescriptor(self.epollDescriptor, true, false, [&self](bool, bool) { self.run(); });
