Count siblings on one worker as one observation of its speed

Cause: an observation lists several siblings of one worker, and the model took them for independent evidence. A comparison of one worker against the prior alone added up its gains, and an error common to all workers made equal ones look slow.

Change: pending siblings of a worker are merged into their mean, siblings are compared only on two workers or more, and relativeRunTime() is relative to the mean of the known workers. Siblings on one worker still teach the usual error of the queue. The noise of siblings is learned from unmerged observations only.

JobsOfOneTaskTeachLittle never compared anything, because each run had a single rate; its replacement has ten rates a run.

--- a/coordination/decisions/batch/WorkerSpeedModel.cpp
+++ b/coordination/decisions/batch/WorkerSpeedModel.cpp
@@ -36,7 +36,9 @@
     // Progress is reported in whole hundredths; below this share a rate is too coarse.
     constexpr int minimumPercent = 8;
     // Siblings are compared as soon as this many have reported, or after this time.
-    constexpr std::size_t comparedSiblings = 4;
+    constexpr int comparedSiblings = 4;
+    // Siblings on a single worker show nothing of its speed: their estimate may be wrong.
+    constexpr std::size_t minimumComparedWorkers = 2;
     constexpr milliseconds comparisonDelay { 400 };
     // Siblings without a report for this long are forgotten.
     constexpr milliseconds siblingLifetime { 30'000 };
@@ -107,20 +109,57 @@
     if (siblings.pending.empty())
         siblings.firstPending = now;
     siblings.updated = now;
-    siblings.pending.push_back({
-        .worker = sample.worker,
-        .incarnation = sample.incarnation,
-        .logarithm = std::log(runTime / static_cast<double>(sample.estimate.count())),
-        .noise = resolution * resolution,
-        .atLeast = sample.atLeast,
-    });
-    std::size_t compared = std::min(comparedSiblings, static_cast<std::size_t>(std::max(sample.siblingCount, 2)));
-    if (siblings.pending.size() >= compared || now - siblings.firstPending >= comparisonDelay)
+    ++siblings.pendingSamples;
+    addPending(siblings,
+        {
+            .worker = sample.worker,
+            .incarnation = sample.incarnation,
+            .logarithm = std::log(runTime / static_cast<double>(sample.estimate.count())),
+            .noise = resolution * resolution,
+            .atLeast = sample.atLeast,
+        });
+    int compared = std::min(comparedSiblings, std::max(sample.siblingCount, 2));
+    bool delayed = now - siblings.firstPending >= comparisonDelay;
+    if (siblings.pending.size() >= minimumComparedWorkers && (siblings.pendingSamples >= compared || delayed))
         apply(siblings, sample.queue, now);
+    else if (delayed)
+        learnUsualError(siblings, sample.queue, now);
     if (m_siblings.size() > maximumSiblings)
         forgetOldSiblings(now);
 }
 
+void WorkerSpeedModel::addPending(Siblings& siblings, const Observation& observation)
+{
+    auto same = std::find_if(siblings.pending.begin(), siblings.pending.end(),
+        [&](const Observation& pending) { return pending.worker == observation.worker; });
+    if (same == siblings.pending.end()) {
+        siblings.pending.push_back(observation);
+        return;
+    }
+    // A measured rate says more than a bound, and an earlier incarnation nothing about this one.
+    if (same->incarnation != observation.incarnation || (same->atLeast && !observation.atLeast)) {
+        *same = observation;
+        return;
+    }
+    if (observation.atLeast && !same->atLeast)
+        return;
+    ++same->samples;
+    same->logarithm += (observation.logarithm - same->logarithm) / same->samples;
+    same->noise += (observation.noise - same->noise) / same->samples;
+}
+
+void WorkerSpeedModel::learnUsualError(Siblings& siblings, const std::string& queueName, state::MonotonicTime now)
+{
+    siblings.firstPending = now;
+    const Observation& observation = siblings.pending.front();
+    if (observation.atLeast)
+        return;
+    Queue& queue = m_queues.try_emplace(queueName, Queue { .noise = unknownNoise }).first->second;
+    double speed = estimate(observation.worker, observation.incarnation, now).logarithm;
+    ++queue.samples;
+    queue.logarithm += std::max(queueWeight, 1.0 / queue.samples) * (observation.logarithm - speed - queue.logarithm);
+}
+
 double WorkerSpeedModel::robustCentre(std::vector<Deviation> deviations)
 {
     std::sort(deviations.begin(), deviations.end(),
@@ -153,6 +192,7 @@
         siblings.precision = 1 / jobVariance;
     }
     std::vector<Observation> observations = std::exchange(siblings.pending, {});
+    siblings.pendingSamples = 0;
     std::vector<Deviation> deviations;
     std::vector<Worker*> workers;
     for (Observation& observation : observations) {
@@ -177,7 +217,7 @@
         std::vector<Deviation> others { { .value = siblings.logarithm, .precision = siblings.precision } };
         double precision = siblings.precision;
         for (std::size_t other = 0; other < observations.size(); ++other) {
-            if (observations[other].worker == observations[own].worker || observations[other].atLeast)
+            if (other == own || observations[other].atLeast)
                 continue;
             others.push_back(deviations[other]);
             precision += deviations[other].precision;
@@ -193,9 +233,10 @@
         int direction = difference > clamped ? 1 : (difference < clamped ? -1 : 0);
         updates[own] = { .change = gain * clamped, .gain = gain, .direction = direction };
         // What the speeds and the common error leave unexplained. While these are vague, a difference of the workers
-        // cannot be told from noise.
+        // cannot be told from noise. The mean of several siblings shows less than their noise.
         double explained = variance - observations[own].noise;
-        if (!observations[own].atLeast && explained <= observations[own].noise)
+        bool single = observations[own].samples == 1 && !observations[own].atLeast;
+        if (single && explained <= observations[own].noise)
             queue.noise += noiseWeight * (clamped * clamped - explained - queue.noise);
     }
     queue.noise = std::clamp(queue.noise, minimumNoise, maximumNoise);
@@ -260,9 +301,11 @@
     const state::WorkerId& worker, std::int64_t incarnation, state::MonotonicTime now) const
 {
     Estimate known = estimate(worker, incarnation, now);
-    double distance = std::abs(known.logarithm);
+    // A worker that is not known is taken to be as fast as the others.
+    double logarithm = known.deviation < std::sqrt(unknownVariance) ? known.logarithm - m_centre : 0;
+    double distance = std::abs(logarithm);
     bool differs = distance >= differingLogarithm && distance >= differingDeviations * known.deviation;
-    double value = m_differ || differs ? std::exp(known.logarithm) : 1;
+    double value = m_differ || differs ? std::exp(logarithm) : 1;
     return std::clamp(value, 1 / maximumRelativeRunTime, maximumRelativeRunTime);
 }
 
@@ -289,10 +332,13 @@
         squares += worker.logarithm * worker.logarithm;
         variances += variance;
     }
-    if (known < minimumKnownWorkers)
+    if (known < minimumKnownWorkers) {
+        m_centre = 0;
         return;
+    }
     auto count = static_cast<double>(known);
     double mean = sum / count;
+    m_centre = mean;
     m_spread = std::max(0.0, squares / count - mean * mean - variances / count);
     double limit = m_differ ? equalSpread : differingSpread;
     m_differ = std::sqrt(m_spread) >= limit;
--- a/coordination/decisions/batch/WorkerSpeedModel.h
+++ b/coordination/decisions/batch/WorkerSpeedModel.h
@@ -79,6 +79,8 @@
         double logarithm = 0;
         double noise = 0;
         bool atLeast = false;
+        /// Siblings on the worker of which the values are the mean.
+        int samples = 1;
     };
 
     /// A value with the inverse of its variance.
@@ -92,7 +94,9 @@
         double logarithm = 0;
         /// Inverse of the variance.
         double precision = 0;
+        /// One of each worker: tasks on the same worker are no independent evidence of its speed.
         std::vector<Observation> pending;
+        int pendingSamples = 0;
         state::MonotonicTime firstPending {};
         state::MonotonicTime updated {};
     };
@@ -108,6 +112,9 @@
 
     double varianceAt(const Worker& worker, state::MonotonicTime now) const;
     Worker& workerOf(const state::WorkerId& worker, std::int64_t incarnation, state::MonotonicTime now);
+    static void addPending(Siblings& siblings, const Observation& observation);
+    /// Learns the usual error of a queue's estimates from siblings that have run on one worker only.
+    void learnUsualError(Siblings& siblings, const std::string& queue, state::MonotonicTime now);
     void apply(Siblings& siblings, const std::string& queue, state::MonotonicTime now);
     /// @return the weighted mean, which a single straggler hardly moves.
     static double robustCentre(std::vector<Deviation> deviations);
@@ -120,6 +127,8 @@
     bool m_differ = false;
     /// Variance of the speeds over the workers.
     double m_spread = 0;
+    /// Mean logarithm of the known workers, which an error common to all of them moves.
+    double m_centre = 0;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
+++ b/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
@@ -41,10 +41,29 @@
             model.judgeSpread(now);
         }
 
-        void run(WorkerSpeedModel& model, std::size_t index, double factor)
+        struct Step {
+            int workers = 0;
+            int tasksOfEach = 0;
+        };
+
+        // Plays a step with several tasks on each of some drawn workers, without runs that take long.
+        void playStepOnWorkers(WorkerSpeedModel& model, const Step& step)
+        {
+            double factor = std::exp(std::normal_distribution<double>(0, 0.5)(m_random));
+            ++m_job;
+            for (int drawn = 0; drawn < step.workers; ++drawn) {
+                std::size_t index = m_random() % m_runTimes.size();
+                for (int task = 0; task < step.tasksOfEach; ++task)
+                    run(model, index, factor, 0);
+            }
+            now += milliseconds(100);
+        }
+
+        // One run in `tailOneIn` takes seven times as long; none if 0.
+        void run(WorkerSpeedModel& model, std::size_t index, double factor, unsigned tailOneIn = 33)
         {
             std::normal_distribution<double> siblingSpread(0, 0.15);
-            bool tail = m_random() % 33 == 0;
+            bool tail = tailOneIn != 0 && m_random() % tailOneIn == 0;
             double runTime = 2'000 * factor * m_runTimes[index] * std::exp(siblingSpread(m_random)) * (tail ? 7 : 1);
             model.recordRate(
                 {
@@ -150,19 +169,40 @@
 }
 
 // Guards against speeds learned from jobs of a single task, whose wrong estimates look like slow workers.
-TEST(WorkerSpeedModel, JobsOfOneTaskTeachLittle)
+TEST(WorkerSpeedModel, JobsOfOneTaskTeachNothingAboutTheWorker)
 {
     Fleet fleet(fleetOf(30, { 1.0 }));
     WorkerSpeedModel model;
     for (int job = 0; job < 100; ++job) {
-        WorkerSpeedSample sample = progressOf(milliseconds(6'000), 100);
-        sample.siblings = { state::JobId("lie" + std::to_string(job)), 0, 0, 1 };
+        WorkerSpeedSample sample = progressOf(milliseconds(600), 10);
+        sample.siblings = { state::JobId("wrong" + std::to_string(job)), 0, 0, 1 };
         sample.queue = "queue" + std::to_string(job);
-        model.recordRate(sample, start + milliseconds(job * 100));
+        // Longer than the model waits for siblings.
+        for (int part = 0; part < 10; ++part)
+            model.recordRate(sample, fleet.now += milliseconds(600));
     }
+    EXPECT_EQ(model.estimate(Fleet::worker(0), 1, fleet.now).logarithm, 0);
     EXPECT_EQ(fleet.learned(model, 0), 1);
 }
 
+// Guards against equal workers that are told apart because several siblings on one worker count as independent evidence
+// of its speed. The siblings on a worker are reported together.
+TEST(WorkerSpeedModel, SiblingsOnOneWorkerAreOneObservation)
+{
+    constexpr std::size_t workers = 48;
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+        Fleet fleet(fleetOf(workers, { 1.0 }), seed);
+        WorkerSpeedModel model;
+        for (int step = 0; step < 300; ++step) {
+            fleet.playStepOnWorkers(model, { .workers = 4, .tasksOfEach = 8 });
+            model.judgeSpread(fleet.now);
+            ASSERT_FALSE(model.speedsDiffer()) << "seed " << seed << ", step " << step;
+        }
+        for (std::size_t index = 0; index < workers; ++index)
+            EXPECT_LE(fleet.learned(model, index), 1.2) << "seed " << seed << ", worker " << index;
+    }
+}
+
 // Guards against a worker that is avoided for ever, or never, when its speed changes, and against two workers that have
 // changed places and keep their reputations.
 TEST(WorkerSpeedModel, FollowsWorkersWhoseSpeedsSwap)
