Learn nothing about a worker's speed while it is cold

Cause: recordRate() did not ask whether the worker was slow after its start, so that a cold worker was known as slow for long. Change: a part of a run that began while the worker was cold is not recorded. Result: WorkerSpeedModel.ColdWorkersTeachNothing fails without the check. That the scheduler sets the mark is not tested.

--- a/coordination/batch/BatchSchedulerEnds.cpp
+++ b/coordination/batch/BatchSchedulerEnds.cpp
@@ -135,6 +135,7 @@
         .queue = job.queue.name,
         .elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - allocation.since),
         .percent = allocation.percent,
+        .cold = session.cold(allocation.since),
         .estimate = step.runTimeEstimate,
     };
 }
@@ -165,8 +166,10 @@
     WorkerSpeedSample sample = speedSample(worker, allocation);
     sample.percent = progress.percent - allocation.ratedPercent;
     sample.atLeast = progress.atLeast;
-    if (allocation.ratedPercent > 0)
+    if (allocation.ratedPercent > 0) {
         sample.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_hooks.clock() - allocation.ratedAt);
+        sample.cold = m_sessions.at(worker)->cold(allocation.ratedAt);
+    }
     m_speed.recordRate(sample, m_hooks.clock());
 }
 
--- a/coordination/decisions/batch/WorkerSpeedModel.cpp
+++ b/coordination/decisions/batch/WorkerSpeedModel.cpp
@@ -101,6 +101,9 @@
 
 void WorkerSpeedModel::recordRate(const WorkerSpeedSample& sample, state::MonotonicTime now)
 {
+    // A cold worker is slow for a short time only.
+    if (sample.cold)
+        return;
     if (sample.percent < minimumPercent || sample.elapsed.count() <= 0 || sample.estimate.count() <= 0)
         return;
     double runTime = static_cast<double>(sample.elapsed.count()) * 100 / sample.percent;
--- a/coordination/decisions/batch/WorkerSpeedSample.h
+++ b/coordination/decisions/batch/WorkerSpeedSample.h
@@ -30,6 +30,8 @@
     int percent = 0;
     /// The task finished its share earlier, and waits for other members of its gang: its rate was at least this.
     bool atLeast = false;
+    /// The worker was slow in this time because it had started a short time before.
+    bool cold = false;
     /// Run time that the job declares for the task.
     std::chrono::milliseconds estimate { 0 };
 };
--- a/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
+++ b/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
@@ -252,6 +252,24 @@
     EXPECT_LE(fleet.learned(model, 0), 1);
 }
 
+// Guards against a worker that counts as slow for long because its first tasks ran while it was cold.
+TEST(WorkerSpeedModel, ColdWorkersTeachNothing)
+{
+    Fleet fleet(fleetOf(4, { 1.0 }));
+    WorkerSpeedModel model;
+    for (int step = 0; step < 20; ++step) {
+        for (std::size_t task = 0; task < 4; ++task) {
+            WorkerSpeedSample sample = progressOf(milliseconds(task == 0 ? 6'000 : 2'000), 100);
+            sample.worker = Fleet::worker(task);
+            sample.siblings = { state::JobId("j" + std::to_string(step)), 0, 0, 1 };
+            sample.siblingCount = 4;
+            sample.cold = task == 0;
+            model.recordRate(sample, fleet.now += milliseconds(100));
+        }
+    }
+    EXPECT_EQ(fleet.learned(model, 0), 1);
+}
+
 // Guards against speeds from bounds alone: they show only that a member was not slower than others, not what is usual.
 TEST(WorkerSpeedModel, BoundsWithoutASiblingsRateTeachNothing)
 {
