Forget stragglers also if run times are not learned

Cause: expired marks of stragglers were erased only by judgeSpread(), which does not run with batch.learn_run_times = false, so that the map kept each worker that ever had one. Change: recordProgress() erases them too. The other maps are filled only by what learn_run_times switches off. Result: WorkerSpeedModel.ForgetsStragglersWithoutJudgingTheSpread (100 marks without the change, at most 5 with it).

--- a/coordination/decisions/batch/WorkerSpeedModel.cpp
+++ b/coordination/decisions/batch/WorkerSpeedModel.cpp
@@ -285,6 +285,8 @@
     double ratio = projected / static_cast<double>(sample.estimate.count()) / usual;
     if (ratio < stragglerFactor)
         return;
+    // judgeSpread() is not called if run times are not learned.
+    std::erase_if(m_suspicions, [&](const auto& entry) { return now >= entry.second.until; });
     m_suspicions[sample.worker]
         = { .relativeRunTime = std::min(ratio, maximumRelativeRunTime), .until = now + suspicionDuration };
 }
--- a/coordination/decisions/batch/WorkerSpeedModel.h
+++ b/coordination/decisions/batch/WorkerSpeedModel.h
@@ -41,6 +41,9 @@
     /// @return how much longer a straggler now takes on the worker than its queue's usual run time; 1 if none does.
     double stragglerSlowness(const state::WorkerId& worker, state::MonotonicTime now) const;
 
+    /// @return number of workers that are remembered for a straggler.
+    std::size_t suspectedWorkers() const { return m_suspicions.size(); }
+
     /// @return the estimate, without regard to its error and to stragglers.
     Estimate estimate(const state::WorkerId& worker, std::int64_t incarnation, state::MonotonicTime now) const;
 
--- a/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
+++ b/tests/coordination/decisions/batch/WorkerSpeedModelTest.cpp
@@ -325,4 +325,16 @@
     EXPECT_EQ(model.stragglerSlowness(Fleet::worker(0), start + milliseconds(5'000)), 1);
 }
 
+// Guards against a model that grows with each worker that ever had a straggler, if speeds are not learned.
+TEST(WorkerSpeedModel, ForgetsStragglersWithoutJudgingTheSpread)
+{
+    WorkerSpeedModel model;
+    for (std::size_t index = 0; index < 100; ++index) {
+        WorkerSpeedSample sample = progressOf(milliseconds(3'000), 5);
+        sample.worker = Fleet::worker(index);
+        model.recordProgress(sample, start + index * milliseconds(1'000));
+    }
+    EXPECT_LE(model.suspectedWorkers(), 5U);
+}
+
 } // namespace lentilsaddle::coordination::batch
