Count a complete listing as a recent view of its stream

Cause: only a read that reached the end of the stream moved completeAsOf(). With newestOnly, a backlog above one read leads to a listing, which counted for nothing, so that a series of large configurations made evacuationsCurrent() false and nothing started anywhere. Change: a complete listing moves completeAsOf() to the request of its first page. Result: KeyedReaderTest.ListingsKeepTheViewRecent fails without the change.

--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -47,6 +47,8 @@
 
 void KeyedReader::list(const std::string& afterKey)
 {
+    if (!m_listingEnd)
+        m_listingRequested = m_hooks.clock();
     m_journal.newest(
         m_options.stream, afterKey, m_options.listTimeout, [this, alive = std::weak_ptr(m_alive)](NewestResult result) {
             if (!alive.expired())
@@ -73,7 +75,8 @@
     std::vector<KeyedRecord> listing = std::exchange(m_listing, {});
     markReachable();
     // Without the next read, an unexpected error would end the stream.
-    transport::runGuarded("listing", [&] { m_hooks.onListing(listing); });
+    if (transport::runGuarded("listing", [&] { m_hooks.onListing(listing); }))
+        m_completeAsOf = m_listingRequested;
     read();
 }
 
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -87,8 +87,9 @@
     /// @return when the last response that reached the end of the stream arrived; empty before the first.
     std::optional<state::MonotonicTime> currentAsOf() const { return m_currentAsOf; }
 
-    /// @return when the read was sent whose response last reached the end of the stream; empty before the first. All
-    /// records that were stored before then have been delivered, however long the response took.
+    /// @return when the read was sent whose response last reached the end of the stream, or when the first page of the
+    /// last listing was requested; empty before the first. All records that were stored before then have been
+    /// delivered, however long the response took.
     std::optional<state::MonotonicTime> completeAsOf() const { return m_completeAsOf; }
 
     /// @return whether the last call succeeded; false before the first.
@@ -125,6 +126,8 @@
     std::uint64_t m_position = 0;
     std::vector<KeyedRecord> m_listing;
     std::optional<std::uint64_t> m_listingEnd;
+    /// When the first page of the listing was requested.
+    state::MonotonicTime m_listingRequested {};
     std::optional<state::MonotonicTime> m_currentAsOf;
     std::optional<state::MonotonicTime> m_completeAsOf;
     std::optional<bool> m_reachable;
--- a/tests/coordination/batch/KeyedReaderTest.cpp
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -181,6 +181,25 @@
     EXPECT_LE(m_delivered, 4U);
 }
 
+// Guards against a view that counts as old, so that nothing starts, while large records arrive faster than they are
+// read: the reader goes from one listing to the next.
+TEST_F(KeyedReaderTest, ListingsKeepTheViewRecent)
+{
+    KeyedReader::Options options = shortOptions();
+    options.newestOnly = true;
+    m_store.setReadLimit(1);
+    startReader(options);
+    std::function<void()> write = [&] {
+        for (int version = 0; version < 4; ++version)
+            m_store.put(Stream::Directory, "config", "x");
+        m_loop.startTimer(milliseconds(0), write);
+    };
+    write();
+    runFor(milliseconds(300));
+    ASSERT_TRUE(m_reader->completeAsOf());
+    EXPECT_LT(std::chrono::steady_clock::now() - *m_reader->completeAsOf(), milliseconds(150));
+}
+
 // Guards against a long listing that never completes because each failed page starts it over.
 TEST_F(KeyedReaderTest, ListingContinuesAfterAFailedPage)
 {
