Send no acknowledgement to an unresponsive worker, and none too few to an idle one

Cause: the session repeated an undelivered acknowledgement with each retry while the worker was unresponsive; a new incarnation could forget an end that it had not listed. If an end was stored while an observation was in flight, acknowledge() scheduled nothing, nor did the response of a worker without runs. Change: the acknowledgement waits until the worker responds again, and a response leads to another request while an acknowledgement is outstanding. Result: UnresponsiveWorkerReceivesNoAcknowledgement and EndThatIsStoredDuringAnObservationIsAcknowledged fail without the change.

--- a/coordination/batch/WorkerSessionObservation.cpp
+++ b/coordination/batch/WorkerSessionObservation.cpp
@@ -57,9 +57,11 @@
         = m_fencingTokenConfirmed && m_reachable && !endsPending && !m_allocations.empty() && !stopConfirmationPending;
     // The lease of an unresponsive worker is left to expire: each attempt to renew it could still take effect.
     bool renew = m_clock.known() && !m_unresponsiveSince;
+    // A worker that does not respond may have restarted, and another incarnation numbers its ends from 1.
+    bool acknowledge = !m_unresponsiveSince && m_acknowledgedEnd > m_deliveredAcknowledgement;
     ObserveRequest request {
         .fencingToken = m_fencingToken,
-        .acknowledgedEnd = m_acknowledgedEnd > m_deliveredAcknowledgement ? m_acknowledgedEnd : 0,
+        .acknowledgedEnd = acknowledge ? m_acknowledgedEnd : 0,
         .leaseEnd = renew ? std::optional(nextLeaseEnd()) : std::nullopt,
         .wait = wait ? m_options.observeWait : milliseconds(0),
     };
@@ -137,7 +139,7 @@
     bool endsPending = m_seenEnd > m_acknowledgedEnd;
     if (endsPending)
         scheduleObservation(m_options.observeWait);
-    else if (!m_allocations.empty())
+    else if (!m_allocations.empty() || m_acknowledgedEnd > m_deliveredAcknowledgement)
         scheduleObservation(milliseconds(0));
 }
 
--- a/tests/coordination/batch/BatchIncarnationTest.cpp
+++ b/tests/coordination/batch/BatchIncarnationTest.cpp
@@ -250,6 +250,47 @@
     EXPECT_EQ(m_workers.starts(taskName), 1);
 }
 
+// Guards against an acknowledgement that is repeated to an unresponsive worker: its next incarnation would forget an
+// end of its own with the same number. The worker executes the requests, and their responses are lost.
+TEST_F(BatchTaskTest, UnresponsiveWorkerReceivesNoAcknowledgement)
+{
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    ASSERT_TRUE(waitUntil([this] { return m_store.refused(makeKey(taskKeyPrefix, taskName)); }));
+    m_workers.refuse("w1", { .loseObservations = true });
+    m_workers.resetObservations();
+    // The worker is unresponsive from the failure of the first or second request on.
+    ASSERT_TRUE(waitUntil([this] { return m_workers.observations() >= 3; }));
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    m_workers.resetObservations();
+    ASSERT_TRUE(waitUntil([this] { return m_workers.observations() >= 5; }));
+    EXPECT_EQ(m_workers.acknowledged("w1"), 0);
+    m_workers.refuse("w1", {});
+    EXPECT_TRUE(waitUntil([this] { return m_workers.acknowledged("w1") == 1; }));
+}
+
+// Guards against an end that an idle worker lists for ever, because the end was stored while an observation was in
+// flight that did not carry its acknowledgement.
+TEST_F(BatchTaskTest, EndThatIsStoredDuringAnObservationIsAcknowledged)
+{
+    m_options.requestTimeout = milliseconds(2'000);
+    auto task = startInstance("e-1");
+    submit(*task, makeJob());
+    ASSERT_TRUE(waitUntilRunning());
+    m_store.setAppendFault(FakeStore::AppendFault::Refuse);
+    m_workers.finish("w1", taskName, EndedTask::Reason::Done);
+    ASSERT_TRUE(waitUntil([this] { return m_store.refused(makeKey(taskKeyPrefix, taskName)); }));
+    m_workers.delayNextObservationResponse(milliseconds(600));
+    ASSERT_TRUE(waitUntil([this] { return !m_workers.observationDelayPending(); }));
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).phase == BatchJobEntry::Phase::Completed; }));
+    EXPECT_TRUE(waitUntil([this] { return m_workers.listedEnds("w1") == 0; }));
+}
+
 // Guards against the same, and against a second run at the same time elsewhere, if the directory shows the new
 // incarnation before a list of runs does.
 TEST_F(BatchTaskTest, DirectoryEntryOfTheNextIncarnationDoesNotEndARunThere)
--- a/tests/coordination/batch/FakeWorkers.h
+++ b/tests/coordination/batch/FakeWorkers.h
@@ -95,6 +95,29 @@
         m_nextStopResponseDelay = delay;
     }
 
+    /// The response to the next observe request to any worker arrives after the delay.
+    void delayNextObservationResponse(std::chrono::milliseconds delay)
+    {
+        std::lock_guard lock(m_mutex);
+        m_nextObservationDelay = delay;
+    }
+
+    /// @return whether the response to an observe request still has to be delayed.
+    bool observationDelayPending()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_nextObservationDelay.count() > 0;
+    }
+
+    /// @return whether the leader has received a list of the run that a worker now has of a task.
+    bool runListed(const std::string& worker, const std::string& task)
+    {
+        std::lock_guard lock(m_mutex);
+        const auto& running = m_workers[worker].running;
+        auto found = running.find(task);
+        return found != running.end() && m_listedRuns.contains({ task, found->second });
+    }
+
     /// The next observe request to any worker that extends the lease has no response, and is executed only after the
     /// delay, by whichever incarnation the worker has then.
     void delayNextRenewal(std::chrono::milliseconds delay)
@@ -603,7 +626,12 @@
         }
         observation.ended = target.ended;
         observation.lastEnd = target.lastEnd;
-        respond(loop, reply, observation);
+        loop.startTimer(std::exchange(m_nextObservationDelay, {}), [this, reply, observation] {
+            reply(observation);
+            std::lock_guard innerLock(m_mutex);
+            for (const RunningTask& running : observation.running)
+                m_listedRuns.insert({ running.task.toString(), running.run });
+        });
     }
 
     std::mutex m_mutex;
@@ -617,6 +645,9 @@
     std::chrono::milliseconds m_nextStopResponseDelay { 0 };
     std::chrono::milliseconds m_otherWorkersResponseDelay { 0 };
     std::chrono::milliseconds m_nextRenewalDelay { 0 };
+    std::chrono::milliseconds m_nextObservationDelay { 0 };
+    /// Runs in lists that a leader has received.
+    std::set<std::pair<std::string, std::int64_t>> m_listedRuns;
     bool m_delayRenewalUntilRestart = false;
     std::map<std::string, ObserveRequest> m_renewalsAtRestart;
     bool m_ranTwice = false;
