Report records that could not be applied to those who wait for them

Cause: if onRecords threw, the waiters of refresh() still received upToDate = true, and an exception of one waiter ended the calls of the others. Change: they receive false until a read has reached the end of the stream, also after a listing that threw, and each callback is guarded. Result: KeyedReaderTest.RefreshReportsRecordsThatCouldNotBeApplied fails without the change.

--- a/coordination/batch/KeyedReader.cpp
+++ b/coordination/batch/KeyedReader.cpp
@@ -77,6 +77,8 @@
     // Without the next read, an unexpected error would end the stream.
     if (transport::runGuarded("listing", [&] { m_hooks.onListing(listing); }))
         m_completeAsOf = m_listingRequested;
+    else
+        m_deliveryFailed = true;
     read();
 }
 
@@ -124,12 +126,15 @@
 
 void KeyedReader::completeWaiters(state::MonotonicTime sent)
 {
+    bool upToDate = !m_deliveryFailed;
     auto current = std::stable_partition(
         m_waiters.begin(), m_waiters.end(), [sent](const Waiter& waiter) { return waiter.since > sent; });
     std::vector<Waiter> served(std::make_move_iterator(current), std::make_move_iterator(m_waiters.end()));
     m_waiters.erase(current, m_waiters.end());
+    // The waiters that remain may have been added before the records were stored that failed.
+    m_deliveryFailed = m_deliveryFailed && !m_waiters.empty();
     for (const Waiter& waiter : served)
-        waiter.callback(true);
+        transport::runGuarded("refresh", [&] { waiter.callback(upToDate); });
 }
 
 void KeyedReader::onRead(state::MonotonicTime sent, const ReadResult& result)
@@ -149,8 +154,8 @@
     markReachable();
     m_readBytes = std::min(m_readBytes * 2, m_options.maximumBytes);
     m_position = result.next;
-    if (!result.records.empty())
-        transport::runGuarded("records", [&] { m_hooks.onRecords(result.records); });
+    if (!result.records.empty() && !transport::runGuarded("records", [&] { m_hooks.onRecords(result.records); }))
+        m_deliveryFailed = true;
     // A response that does not reach the end of the stream lacks the records that follow.
     if (m_position >= result.end) {
         m_currentAsOf = m_hooks.clock();
--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -81,7 +81,7 @@
 
     /// Reads at once if the next read is delayed.
     /// @param callback called when everything that was stored before the call has been read, at the latest after the
-    /// limit. It receives false if the limit passed before.
+    /// limit. It receives false if the limit passed before, or if records could not be applied.
     void refresh(std::chrono::milliseconds limit, std::function<void(bool upToDate)> callback);
 
     /// @return when the last response that reached the end of the stream arrived; empty before the first.
@@ -139,6 +139,8 @@
     std::string m_lastError;
     std::vector<Waiter> m_waiters;
     std::uint64_t m_lastWaiter = 0;
+    /// Records could not be applied since a read last reached the end of the stream.
+    bool m_deliveryFailed = false;
     /// Timer of a delayed read; 0 if there is none.
     std::uint64_t m_delayedRead = 0;
     /// Calls in flight hold a weak reference, so that a response after the destruction is dropped.
--- a/tests/coordination/batch/KeyedReaderTest.cpp
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -136,6 +136,27 @@
     EXPECT_TRUE(m_keys.contains("b"));
 }
 
+// Guards against a query that is answered from a state without the records that could not be applied, and against one
+// that is never answered because the callback of another one failed.
+TEST_F(KeyedReaderTest, RefreshReportsRecordsThatCouldNotBeApplied)
+{
+    startReader(shortOptions());
+    std::optional<bool> result;
+    m_loop.startTimer(milliseconds(20), [this, &result] {
+        m_store.put(Stream::Directory, m_oddKey, "1");
+        m_reader->refresh(milliseconds(500), [](bool) { throw std::runtime_error("unexpected"); });
+        m_reader->refresh(milliseconds(500), [&result](bool upToDate) { result = upToDate; });
+    });
+    runFor(milliseconds(200));
+    EXPECT_EQ(result, false);
+    m_loop.startTimer(milliseconds(0), [this, &result] {
+        result.reset();
+        m_reader->refresh(milliseconds(500), [&result](bool upToDate) { result = upToDate; });
+    });
+    runFor(milliseconds(200));
+    EXPECT_EQ(result, true);
+}
+
 // Guards against a query that waits forever while the store is unresponsive.
 TEST_F(KeyedReaderTest, RefreshEndsAtItsLimit)
 {
