tests: wait for the list that shows a run instead of sleeping

RefusalOfALateRequestDoesNotEndTheLeadership assumed that 200 ms contain an observation that lists the run. Where the process stood still, no list had shown it, so that the restart was attributed to the task and the task given up, as designed. The test now waits until the leader has received such a list; what it checks is unchanged.

--- a/tests/coordination/batch/BatchFencingTest.cpp
+++ b/tests/coordination/batch/BatchFencingTest.cpp
@@ -59,8 +59,8 @@
     submit(*task, makeJob());
     ASSERT_TRUE(waitUntilRunning());
     for (int restart = 0; restart < 3; ++restart) {
-        // Longer than an observation, so that a list has shown the run and the restart is not attributed to it.
-        std::this_thread::sleep_for(milliseconds(200));
+        // A restart is attributed to a run that no list has shown.
+        ASSERT_TRUE(waitUntil([this] { return m_workers.runListed("w1", taskName); }));
         m_workers.delayNextStopResponse(milliseconds(50));
         m_workers.restart("w1");
         EXPECT_TRUE(waitUntil([&] { return m_workers.starts(taskName) == restart + 2; }));
