--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -63,9 +63,9 @@
     void applyDirectory(const std::vector<KeyedRecord>& records, bool listing);
     /// Applies the records of the operator's stream.
     void applyOperatorRecords(const std::vector<KeyedRecord>& records, bool listing);
-    void applyEvacuations(const std::vector<KeyedRecord>& records, bool listing);
+    void applyEvacuations(const std::vector<state::batch::EvacuationRecord>& records, bool listing);
     /// Puts the newest readable version of the records into force; decoding a large version takes long.
-    void applyConfiguration(const std::vector<KeyedRecord>& records);
+    void applyConfiguration(const std::vector<const KeyedRecord*>& records);
 
     void handle(BatchMessage::Submit submit);
     void handle(const BatchMessage::Cancel& cancel);
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -121,24 +121,27 @@
 
 void BatchTask::applyOperatorRecords(const std::vector<KeyedRecord>& records, bool listing)
 {
-    // First, because a large configuration takes long.
-    applyEvacuations(records, listing);
-    applyConfiguration(records);
-}
-
-void BatchTask::applyEvacuations(const std::vector<KeyedRecord>& records, bool listing)
-{
-    std::vector<EvacuationRecord> decoded;
+    std::vector<EvacuationRecord> evacuations;
+    std::vector<const KeyedRecord*> others;
     for (const KeyedRecord& record : records) {
         if (std::optional<state::DataCentreId> dataCentre = m_platform.decodeEvacuation(record.key))
-            decoded.push_back(
+            evacuations.push_back(
                 { .dataCentre = *dataCentre, .requested = record.value.has_value(), .offset = record.offset });
+        else
+            others.push_back(&record);
     }
+    // First, because a large configuration takes long.
+    applyEvacuations(evacuations, listing);
+    applyConfiguration(others);
+}
+
+void BatchTask::applyEvacuations(const std::vector<EvacuationRecord>& records, bool listing)
+{
     std::vector<EvacuationRecord> changes;
     if (listing)
-        changes = m_evacuations.replace(decoded);
+        changes = m_evacuations.replace(records);
     else
-        std::copy_if(decoded.begin(), decoded.end(), std::back_inserter(changes),
+        std::copy_if(records.begin(), records.end(), std::back_inserter(changes),
             [this](const EvacuationRecord& record) { return m_evacuations.apply(record); });
     for (const EvacuationRecord& change : changes) {
         writeLog(LogLevel::Info, "scheduler", change.requested ? "data centre evacuated" : "evacuation ended",
@@ -150,13 +153,12 @@
         m_scheduler->onEvacuationsChanged();
 }
 
-void BatchTask::applyConfiguration(const std::vector<KeyedRecord>& records)
+void BatchTask::applyConfiguration(const std::vector<const KeyedRecord*>& records)
 {
-    for (auto record = records.rbegin(); record != records.rend(); ++record) {
+    for (auto next = records.rbegin(); next != records.rend(); ++next) {
+        const KeyedRecord* record = *next;
         if (!record->value)
             continue;
-        if (m_platform.decodeEvacuation(record->key))
-            continue;
         std::optional<state::batch::BatchConfiguration> configuration
             = m_platform.decodeConfiguration(record->key, *record->value);
         if (!configuration)
