--- a/coordination/batch/KeyedReader.h
+++ b/coordination/batch/KeyedReader.h
@@ -81,14 +81,15 @@
 
     /// Reads at once if the next read is delayed.
     /// @param callback called when everything that was stored before the call has been read, at the latest after the
-    /// limit. It receives false if the limit passed before.
+    /// limit. It receives false if the limit passed before, or if records could not be applied.
     void refresh(std::chrono::milliseconds limit, std::function<void(bool upToDate)> callback);
 
     /// @return when the last response that reached the end of the stream arrived; empty before the first.
     std::optional<state::MonotonicTime> currentAsOf() const { return m_currentAsOf; }
 
-    /// @return when the read was sent whose response last reached the end of the stream; empty before the first. All
-    /// records that were stored before then have been delivered, however long the response took.
+    /// @return when the read was sent whose response last reached the end of the stream, or when the first page of the
+    /// last listing was requested; empty before the first. All records that were stored before then have been
+    /// delivered, however long the response took.
     std::optional<state::MonotonicTime> completeAsOf() const { return m_completeAsOf; }
 
     /// @return whether the last call succeeded; false before the first.
@@ -125,6 +126,8 @@
     std::uint64_t m_position = 0;
     std::vector<KeyedRecord> m_listing;
     std::optional<std::uint64_t> m_listingEnd;
+    /// When the first page of the listing was requested.
+    state::MonotonicTime m_listingRequested {};
     std::optional<state::MonotonicTime> m_currentAsOf;
     std::optional<state::MonotonicTime> m_completeAsOf;
     std::optional<bool> m_reachable;
@@ -136,6 +139,8 @@
     std::string m_lastError;
     std::vector<Waiter> m_waiters;
     std::uint64_t m_lastWaiter = 0;
+    /// Records could not be applied since a read last reached the end of the stream.
+    bool m_deliveryFailed = false;
     /// Timer of a delayed read; 0 if there is none.
     std::uint64_t m_delayedRead = 0;
     /// Calls in flight hold a weak reference, so that a response after the destruction is dropped.
--- a/tests/coordination/batch/KeyedReaderTest.cpp
+++ b/tests/coordination/batch/KeyedReaderTest.cpp
@@ -136,6 +136,27 @@
     EXPECT_TRUE(m_keys.contains("b"));
 }
 
+// Guards against a query that is answered from a state without the records that could not be applied, and against one
+// that is never answered because the callback of another one failed.
+TEST_F(KeyedReaderTest, RefreshReportsRecordsThatCouldNotBeApplied)
+{
+    startReader(shortOptions());
+    std::optional<bool> result;
+    m_loop.startTimer(milliseconds(20), [this, &result] {
+        m_store.put(Stream::Directory, m_oddKey, "1");
+        m_reader->refresh(milliseconds(500), [](bool) { throw std::runtime_error("unexpected"); });
+        m_reader->refresh(milliseconds(500), [&result](bool upToDate) { result = upToDate; });
+    });
+    runFor(milliseconds(200));
+    EXPECT_EQ(result, false);
+    m_loop.startTimer(milliseconds(0), [this, &result] {
+        result.reset();
+        m_reader->refresh(milliseconds(500), [&result](bool upToDate) { result = upToDate; });
+    });
+    runFor(milliseconds(200));
+    EXPECT_EQ(result, true);
+}
+
 // Guards against a query that waits forever while the store is unresponsive.
 TEST_F(KeyedReaderTest, RefreshEndsAtItsLimit)
 {
@@ -181,6 +202,25 @@
     EXPECT_LE(m_delivered, 4U);
 }
 
+// Guards against a view that counts as old, so that nothing starts, while large records arrive faster than they are
+// read: the reader goes from one listing to the next.
+TEST_F(KeyedReaderTest, ListingsKeepTheViewRecent)
+{
+    KeyedReader::Options options = shortOptions();
+    options.newestOnly = true;
+    m_store.setReadLimit(1);
+    startReader(options);
+    std::function<void()> write = [&] {
+        for (int version = 0; version < 4; ++version)
+            m_store.put(Stream::Directory, "config", "x");
+        m_loop.startTimer(milliseconds(0), write);
+    };
+    write();
+    runFor(milliseconds(300));
+    ASSERT_TRUE(m_reader->completeAsOf());
+    EXPECT_LT(std::chrono::steady_clock::now() - *m_reader->completeAsOf(), milliseconds(150));
+}
+
 // Guards against a long listing that never completes because each failed page starts it over.
 TEST_F(KeyedReaderTest, ListingContinuesAfterAFailedPage)
 {
