--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -262,7 +262,7 @@
     m_workersKnown = m_workersKnown || now - m_termStart >= m_options.takeoverSettleTime
         || std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) {
                const WorkerSession& session = *entry.second;
-               return !session.listed() || session.description().draining || session.acceptsStarts();
+               return !session.listed() || session.description().draining || session.reachable();
            });
     return m_workersKnown;
 }
