Start a unit on the workers that it holds, wherever they are

A hold outside of the preferred rack or across racks never became a start: later rounds searched the rack alone and then waited for the hold. Held workers whose room is free are now used before the unit waits again.

--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -208,6 +208,14 @@
         }
         count = unit.indices.size();
     }
+    if (Assignment assignment = m_held.placeable(index); !unit.gang || assignment.size() == count) {
+        place(index, assignment);
+        if (unit.gang || removePlaced(unit, assignment.size())) {
+            m_held.drop(index);
+            return true;
+        }
+        count = unit.indices.size();
+    }
     m_held.allocate(index);
     if (m_held.count(index) == count)
         return true;
@@ -238,6 +246,11 @@
         place(index, assignment);
         return;
     }
+    if (Assignment assignment = m_held.placeable(index); assignment.size() == count) {
+        m_held.drop(index);
+        place(index, assignment);
+        return;
+    }
     m_held.allocate(index);
     if (m_held.count(index) == count)
         return;
@@ -273,6 +286,12 @@
         m_held.drop(index);
         return;
     }
+    assignment = m_held.placeable(index);
+    place(index, assignment);
+    if (placed(assignment.size())) {
+        m_held.drop(index);
+        return;
+    }
     m_held.allocate(index);
     if (placed(m_held.count(index)))
         return;
--- a/coordination/decisions/batch/HeldCapacity.cpp
+++ b/coordination/decisions/batch/HeldCapacity.cpp
@@ -1,6 +1,7 @@
 #include "coordination/decisions/batch/HeldCapacity.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace lentilsaddle::coordination::batch {
@@ -65,6 +66,19 @@
         m_capacity.release(held.worker, m_units[unit].resources);
 }
 
+CapacityIndex::Assignment HeldCapacity::placeable(std::size_t unit) const
+{
+    auto found = m_held.find(unit);
+    if (found == m_held.end())
+        return {};
+    std::set<std::size_t> workers;
+    for (const Held& held : found->second)
+        workers.insert(held.worker);
+    const BatchUnit& description = m_units[unit];
+    return m_capacity.selectWorkers(description, { workers.begin(), workers.end() }, CapacityIndex::Free::Now,
+        std::min(found->second.size(), description.indices.size()));
+}
+
 void HeldCapacity::add(std::size_t unit, const CapacityIndex::Assignment& workers, state::MonotonicTime now)
 {
     for (std::size_t worker : workers)
--- a/coordination/decisions/batch/HeldCapacity.h
+++ b/coordination/decisions/batch/HeldCapacity.h
@@ -32,6 +32,10 @@
     /// Frees what allocate() took for the unit, so that the unit itself can use it.
     void release(std::size_t unit);
 
+    /// @return workers among the held ones on which tasks of the unit can start now; call after release(). They may be
+    /// outside of the unit's rack, so a search in the rack does not find them.
+    CapacityIndex::Assignment placeable(std::size_t unit) const;
+
     /// Holds the workers for the unit. Their capacity has been allocated already.
     void add(std::size_t unit, const CapacityIndex::Assignment& workers, state::MonotonicTime now);
 
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -288,6 +288,38 @@
     EXPECT_EQ(plan(input).placements.size(), 1U);
 }
 
+// Guards against a unit that never starts on the workers that it holds, because they are outside of its rack.
+TEST(BatchPlanner, UnitStartsOnHeldWorkersOutsideOfItsRack)
+{
+    PlanInput input { .workers = { makeWorker("w1", "r1"), makeWorker("w2", "r2") } };
+    auto holdFor = [&](const char* worker) {
+        input.holds.push_back({ .job = state::JobId("held"),
+            .worker = state::WorkerId(worker),
+            .since = state::MonotonicTime(milliseconds(9'900)) });
+    };
+    holdFor("w1");
+    holdFor("w2");
+    input.units = { makeGang("held", 2) };
+    input.units[0].priority = 0;
+    input.units[0].sameRack = true;
+    input.units[0].guaranteed = true;
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+    // The same for a gang that needs speed.
+    input.units[0].deadline = state::MonotonicTime(milliseconds(10'000) + input.units[0].estimate * 3 / 2);
+    input.workers.push_back(makeWorker("slow", "r3"));
+    input.workers[2].relativeRunTime = 1.6;
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+    input.workers.pop_back();
+
+    input.units = { makeUnit("held", 1, 8, 0) };
+    input.units[0].preferredRack = "r1";
+    input.holds.clear();
+    holdFor("w2");
+    addRun(input, 0, 0, 8);
+    input.groups.push_back({ .priority = 0 });
+    EXPECT_EQ(plan(input).placements.size(), 1U);
+}
+
 // Guards against preempting runs of equal priority for a unit that no guarantee covers.
 TEST(BatchPlanner, OnlyAGuaranteePreemptsTheSamePriority)
 {
