Bound the wait for faster workers and keep holds on slow ones

A guaranteed unit waited for stops on other workers after its wait, although slow workers had room. A gang that held a slow worker dropped its hold in each round and preempted again. Units waited for workers that no deployment of the unit's label, rack or size offers, and reserved nothing meanwhile. The wait now ends after 2 s, 1 s with a guarantee, and starts only if workers that are not slow could hold the unit; from 1 s on it reserves capacity.

UrgentGangWaitsShortlyForWorkersThatAreNotSlow had no third worker that is not slow, so it asserted a wait in vain; it has one now that is busy.

--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -47,7 +47,9 @@
     for (std::size_t index : serviceOrder()) {
         if (m_capacity.slowestRunTime() > m_options.slowRunTime) {
             m_units[index].sparesFastWorkers = m_units[index].priority > 0 && completesOnSlowestWorkers(m_units[index]);
-            if (needsSpeed(m_units[index]) && placeOnFasterWorkers(index))
+            // A unit that holds slow workers has preempted there because no other room could be freed.
+            if (needsSpeed(m_units[index]) && !m_held.holdsSlowerThan(index, m_options.slowRunTime)
+                && placeOnFasterWorkers(index))
                 continue;
         }
         serve(index);
@@ -188,7 +190,8 @@
 
 bool BatchPlanner::waitsForSpeed(const BatchUnit& unit) const
 {
-    return !unit.guaranteed || m_now - unit.readySince < m_options.guaranteedSpeedWait;
+    auto limit = unit.guaranteed ? m_options.guaranteedSpeedWait : m_options.speedWait;
+    return m_now - unit.readySince < limit && selectLocalReservation(unit).size() == unit.indices.size();
 }
 
 bool BatchPlanner::placeOnFasterWorkers(std::size_t index)
@@ -197,7 +200,7 @@
     std::size_t count = unit.indices.size();
     m_held.release(index);
     for (double limit : { m_options.fastRunTime, m_options.slowRunTime }) {
-        unit.slowestWorker = limit;
+        unit.maximumRelativeRunTime = limit;
         Assignment assignment = selectLocal(unit, CapacityIndex::Free::Now, count);
         if (unit.gang && assignment.size() < count)
             continue;
@@ -216,24 +219,28 @@
         }
         count = unit.indices.size();
     }
+    bool waits = waitsForSpeed(unit);
+    unit.maximumRelativeRunTime = std::numeric_limits<double>::infinity();
+    bool slowRoom = selectLocal(unit, CapacityIndex::Free::Now, count).size() == count;
     m_held.allocate(index);
+    if (slowRoom && !waits)
+        return false;
     if (m_held.count(index) == count)
         return true;
-    // Room that stops soon free.
+    unit.maximumRelativeRunTime = m_options.slowRunTime;
+    bool done = slowRoom;
     if (Assignment assignment = selectLocal(unit, CapacityIndex::Free::AfterStops, count);
         unit.gang && assignment.size() == count) {
         hold(index, unit, assignment);
-        return true;
+        done = true;
+    } else if (slowRoom) {
+        if (m_now - unit.readySince >= m_options.reservationDelay)
+            reserveForBlocked(unit);
+    } else if (unit.gang && mayPreempt(unit)) {
+        done = preempt(index, unit, false);
     }
-    unit.slowestWorker = std::numeric_limits<double>::infinity();
-    bool slowRoom = selectLocal(unit, CapacityIndex::Free::Now, count).size() == count;
-    if (slowRoom && waitsForSpeed(unit))
-        return true;
-    unit.slowestWorker = m_options.slowRunTime;
-    if (!slowRoom && unit.gang && mayPreempt(unit) && preempt(index, unit, false))
-        return true;
-    unit.slowestWorker = std::numeric_limits<double>::infinity();
-    return false;
+    unit.maximumRelativeRunTime = std::numeric_limits<double>::infinity();
+    return done;
 }
 
 void BatchPlanner::placeGang(std::size_t index)
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -35,6 +35,8 @@
     /// Longest wait of a guaranteed unit for workers that are not slow. A guarantee is a promise to start within some
     /// seconds, of which stopping other runs after the wait takes more than one.
     std::chrono::milliseconds guaranteedSpeedWait { 1'000 };
+    /// The same without a guarantee, so that the unit starts although the other workers do not become free.
+    std::chrono::milliseconds speedWait { 2'000 };
     /// Wait after which capacity is reserved for a unit that cannot start.
     std::chrono::milliseconds reservationDelay { 1'000 };
     /// Time for which freed capacity is held for the unit that preempted. Longer than a worker takes to stop a run and
@@ -104,7 +106,8 @@
     bool completesOnSlowestWorkers(const BatchUnit& unit) const;
     /// @return whether the unit may miss its deadline on slow workers but can meet it on others.
     bool needsSpeed(const BatchUnit& unit) const;
-    /// @return whether a unit that finds room on slow workers alone should wait for others.
+    /// @return whether a unit that finds room on slow workers alone should wait for others. False if the others could
+    /// not hold it even when idle. The unit's limit of the run time must be set.
     bool waitsForSpeed(const BatchUnit& unit) const;
     /// Removes the first tasks of a unit, which are placed.
     /// @return whether none is left. The rest need as much each and would not fit either.
--- a/coordination/decisions/batch/BatchUnit.h
+++ b/coordination/decisions/batch/BatchUnit.h
@@ -40,7 +40,7 @@
     /// Workers where a run of the step has failed; used only if no other worker fits.
     std::set<state::WorkerId> avoidedWorkers;
     /// Workers on which tasks run longer than this, relative to the usual worker, are not eligible now.
-    double slowestWorker = std::numeric_limits<double>::infinity();
+    double maximumRelativeRunTime = std::numeric_limits<double>::infinity();
     /// The unit completes in time on slow workers too and leaves fast ones to units that do not.
     bool sparesFastWorkers = false;
     state::ServiceId service;
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -103,7 +103,7 @@
 bool CapacityIndex::eligible(const BatchUnit& unit, std::size_t worker) const
 {
     const WorkerView& view = m_workers[worker];
-    if (view.worker.service != unit.service || view.relativeRunTime > unit.slowestWorker)
+    if (view.worker.service != unit.service || view.relativeRunTime > unit.maximumRelativeRunTime)
         return false;
     return unit.requiredLabel.empty() || view.worker.labels.contains(unit.requiredLabel);
 }
--- a/coordination/decisions/batch/HeldCapacity.cpp
+++ b/coordination/decisions/batch/HeldCapacity.cpp
@@ -85,6 +85,14 @@
         m_held[unit].push_back({ .worker = worker, .since = now });
 }
 
+bool HeldCapacity::holdsSlowerThan(std::size_t unit, double relativeRunTime) const
+{
+    auto found = m_held.find(unit);
+    return found != m_held.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Held& held) {
+        return m_capacity.workers()[held.worker].relativeRunTime > relativeRunTime;
+    });
+}
+
 std::size_t HeldCapacity::count(std::size_t unit) const
 {
     auto found = m_held.find(unit);
--- a/coordination/decisions/batch/HeldCapacity.h
+++ b/coordination/decisions/batch/HeldCapacity.h
@@ -41,6 +41,9 @@
 
     void drop(std::size_t unit) { m_held.erase(unit); }
 
+    /// @return whether the unit holds a worker on which tasks run longer than this, relative to the usual worker.
+    bool holdsSlowerThan(std::size_t unit, double relativeRunTime) const;
+
     /// @return number of tasks of the unit for which capacity is held.
     std::size_t count(std::size_t unit) const;
 
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -529,6 +529,9 @@
 TEST(BatchPlanner, UrgentGangWaitsShortlyForWorkersThatAreNotSlow)
 {
     PlanInput input = threeSpeeds();
+    input.workers.push_back(makeWorker("busy"));
+    addRun(input, 3, 0, 8);
+    input.groups.push_back({ .priority = 0, .guaranteed = true });
     input.units = { urgentGang(3, 8) };
     EXPECT_TRUE(placesOf(input).empty());
     input.units[0].guaranteed = true;
@@ -540,6 +543,71 @@
     EXPECT_EQ(placesOf(input).size(), 3U);
 }
 
+// Guards against a guaranteed unit that waits for stops on other workers after its wait, with and without a hold there.
+TEST(BatchPlanner, GuaranteedUnitTakesSlowWorkersAfterItsWait)
+{
+    PlanInput input = threeSpeeds();
+    input.groups = { { .priority = 2 }, { .priority = 0, .guaranteed = true } };
+    addRun(input, 0, 0, 8);
+    input.workers[0].runs[0].stopping = true;
+    input.workers[0].freeAfterStops = wholeWorker;
+    addRun(input, 1, 1, 8);
+    input.units = { urgentGang(1, 8) };
+    input.units[0].guaranteed = true;
+    EXPECT_TRUE(placesOf(input).empty());
+    input.now = state::MonotonicTime(milliseconds(11'000));
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
+    input.holds.push_back({ .job = state::JobId("urgent"),
+        .worker = state::WorkerId("fast"),
+        .since = state::MonotonicTime(milliseconds(10'900)) });
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
+}
+
+// Guards against a gang that drops its hold because a held worker is slow, and preempts a second set of runs.
+TEST(BatchPlanner, GangKeepsItsHoldOnSlowWorkers)
+{
+    PlanInput input = threeSpeeds();
+    input.workers.push_back(makeWorker("other"));
+    for (std::size_t worker = 0; worker < 4; ++worker) {
+        input.groups.push_back({ .priority = 2, .loss = 1 });
+        addRun(input, worker, worker, 8);
+    }
+    input.units = { urgentGang(2, 8) };
+    for (std::size_t worker : { 0, 2 }) {
+        input.workers[worker].runs[0].stopping = true;
+        input.workers[worker].freeAfterStops = wholeWorker;
+        input.holds.push_back({ .job = state::JobId("urgent"),
+            .worker = input.workers[worker].worker.id,
+            .since = state::MonotonicTime(milliseconds(9'900)) });
+    }
+    BatchPlan result = plan(input);
+    EXPECT_TRUE(result.preemptions.empty());
+    EXPECT_EQ(result.holds.size(), 2U);
+}
+
+// Guards against a unit that waits for workers that do not exist or do not become free, and against smaller work that
+// takes the room for which it waits.
+TEST(BatchPlanner, WaitForSpeedIsBounded)
+{
+    PlanInput input = threeSpeeds();
+    input.units = { urgentGang(3, 8) };
+    EXPECT_EQ(placesOf(input).size(), 3U) << "the workers that are not slow cannot hold the gang";
+
+    input.groups = { { .priority = 0 } };
+    addRun(input, 0, 0, 4);
+    addRun(input, 1, 0, 8);
+    input.units = { urgentGang(1, 8), makeUnit("small", 3, 4, 2) };
+    input.units[0].estimate = milliseconds(20'000);
+    input.units[0].deadline += milliseconds(30'000);
+    EXPECT_EQ(plan(input).placements.size(), 3U);
+    input.now = state::MonotonicTime(milliseconds(11'500));
+    EXPECT_EQ(plan(input).placements.size(), 2U) << "nothing is reserved for the waiting gang";
+    input.units.pop_back();
+    EXPECT_TRUE(placesOf(input).empty());
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
+}
+
 // Guards against work with slack on the fast workers that urgent work needs next, and against slow workers that stay
 // idle.
 TEST(BatchPlanner, UnitWithSlackTakesSlowWorkersFirst)
