Void holds for a guaranteed unit only as far as it uses them

A guaranteed unit that could not be served voided all holds in every round, so their units preempted again. Holds on workers that it could use are suspended while it is served once more, and restored if their capacity is still there. Its own reservation comes after both attempts.

The comment on holdLimit says that a hold may be made again after its limit.

--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -54,8 +54,14 @@
         }
         serve(index);
         // A guaranteed unit may use what other units hold, if nothing else can be freed for it.
-        if (m_units[index].guaranteed && !served(index) && m_held.count(index) == 0 && dropOtherHolds())
+        // A part of a step that it holds already stays as it is, because a second serve() would use it for the rest.
+        if (m_units[index].guaranteed && !served(index) && m_held.count(index) == 0
+            && suspendOtherHolds(m_units[index])) {
             serve(index);
+            m_held.resume();
+        }
+        if (!served(index) && m_now - m_units[index].readySince >= m_options.reservationDelay)
+            reserveForBlocked(m_units[index]);
     }
     m_plan.holds = m_held.list();
     return std::move(m_plan);
@@ -92,17 +98,16 @@
     }
 }
 
-bool BatchPlanner::dropOtherHolds()
+bool BatchPlanner::suspendOtherHolds(const BatchUnit& unit)
 {
-    bool dropped = false;
+    bool suspended = false;
     for (std::size_t index = 0; index < m_units.size(); ++index) {
-        if (m_units[index].guaranteed || m_held.count(index) == 0)
+        if (m_units[index].guaranteed || !m_held.holdsWorkerFor(index, unit))
             continue;
-        m_held.release(index);
-        m_held.drop(index);
-        dropped = true;
+        m_held.suspend(index);
+        suspended = true;
     }
-    return dropped;
+    return suspended;
 }
 
 void BatchPlanner::hold(std::size_t index, const BatchUnit& unit, const Assignment& assignment)
@@ -276,10 +281,8 @@
             return;
         }
     }
-    if (unit.guaranteed && mayPreempt(unit) && preempt(index, unit, true))
-        return;
-    if (m_now - unit.readySince >= m_options.reservationDelay)
-        reserveForBlocked(unit);
+    if (unit.guaranteed && mayPreempt(unit))
+        preempt(index, unit, true);
 }
 
 void BatchPlanner::placeTasks(std::size_t index)
@@ -331,8 +334,6 @@
                 return;
         }
     }
-    if (m_now - unit.readySince >= m_options.reservationDelay)
-        reserveForBlocked(unit);
 }
 
 void BatchPlanner::place(std::size_t index, const Assignment& assignment)
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -40,7 +40,7 @@
     /// Wait after which capacity is reserved for a unit that cannot start.
     std::chrono::milliseconds reservationDelay { 1'000 };
     /// Time for which freed capacity is held for the unit that preempted. Longer than a worker takes to stop a run and
-    /// to list its end.
+    /// to list its end. After it the unit chooses anew, which may be the same workers.
     std::chrono::milliseconds holdLimit { 1'500 };
 };
 
@@ -128,9 +128,9 @@
     bool served(std::size_t index) const;
     /// Allocates what the units hold, so that it goes to no other unit.
     void allocateHolds();
-    /// Drops the holds of units without a guarantee.
-    /// @return whether there were any.
-    bool dropOtherHolds();
+    /// Frees the holds of units without a guarantee on workers that the unit could use.
+    /// @return whether there were any. HeldCapacity::resume() restores those whose capacity stays unused.
+    bool suspendOtherHolds(const BatchUnit& unit);
     /// Holds capacity that becomes free by stops for a unit.
     void hold(std::size_t index, const BatchUnit& unit, const Assignment& assignment);
     bool preempt(std::size_t index, const BatchUnit& unit, bool ignoreLocality);
--- a/coordination/decisions/batch/HeldCapacity.cpp
+++ b/coordination/decisions/batch/HeldCapacity.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace lentilsaddle::coordination::batch {
 
@@ -66,6 +67,32 @@
         m_capacity.release(held.worker, m_units[unit].resources);
 }
 
+void HeldCapacity::suspend(std::size_t unit)
+{
+    release(unit);
+    if (auto held = m_held.extract(unit))
+        m_suspended.insert(std::move(held));
+}
+
+void HeldCapacity::resume()
+{
+    while (!m_suspended.empty()) {
+        auto held = m_suspended.extract(m_suspended.begin());
+        std::size_t unit = held.key();
+        m_held.insert(std::move(held));
+        allocate(unit);
+    }
+}
+
+bool HeldCapacity::holdsWorkerFor(std::size_t unit, const BatchUnit& other) const
+{
+    auto found = m_held.find(unit);
+    return found != m_held.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Held& held) {
+        return m_capacity.eligible(other, held.worker)
+            && other.resources.fitsInto(m_capacity.workers()[held.worker].worker.capacity);
+    });
+}
+
 CapacityIndex::Assignment HeldCapacity::placeable(std::size_t unit) const
 {
     auto found = m_held.find(unit);
--- a/coordination/decisions/batch/HeldCapacity.h
+++ b/coordination/decisions/batch/HeldCapacity.h
@@ -32,6 +32,15 @@
     /// Frees what allocate() took for the unit, so that the unit itself can use it.
     void release(std::size_t unit);
 
+    /// Frees what the unit holds until resume(), so that a unit with a better claim can use it.
+    void suspend(std::size_t unit);
+
+    /// Allocates the suspended holds again as allocate() does, so only those whose capacity is used now are dropped.
+    void resume();
+
+    /// @return whether the unit holds a worker on which a task of the other unit could run if nothing else ran there.
+    bool holdsWorkerFor(std::size_t unit, const BatchUnit& other) const;
+
     /// @return workers among the held ones on which tasks of the unit can start now; call after release(). They may be
     /// outside of the unit's rack, so a search in the rack does not find them.
     CapacityIndex::Assignment placeable(std::size_t unit) const;
@@ -59,6 +68,7 @@
     CapacityIndex& m_capacity;
     const std::vector<BatchUnit>& m_units;
     std::map<std::size_t, std::vector<Held>> m_held;
+    std::map<std::size_t, std::vector<Held>> m_suspended;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -288,6 +288,31 @@
     EXPECT_EQ(plan(input).placements.size(), 1U);
 }
 
+// Guards against a guaranteed unit that cannot be served and voids all holds in each round, and against one that is
+// kept off the capacity it takes over by its own reservation.
+TEST(BatchPlanner, HoldEndsOnlyIfAGuaranteedUnitUsesIt)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.workers[1].free = {};
+    input.units = { makeGang("gang", 2), makeGang("large", 3) };
+    input.units[0].priority = 0;
+    for (const char* worker : { "w1", "w2" })
+        input.holds.push_back({ .job = state::JobId("gang"),
+            .worker = state::WorkerId(worker),
+            .since = state::MonotonicTime(milliseconds(10'900)) });
+    input.now = state::MonotonicTime(milliseconds(11'500));
+    input.units[1].guaranteed = true;
+    EXPECT_EQ(plan(input).holds.size(), 2U) << "the large gang exceeds the workers";
+    input.units[1] = makeGang("labelled", 1);
+    input.units[1].guaranteed = true;
+    input.units[1].requiredLabel = "none";
+    EXPECT_EQ(plan(input).holds.size(), 2U) << "no worker has the label";
+    input.units[1].requiredLabel.clear();
+    BatchPlan result = plan(input);
+    EXPECT_EQ(result.placements.size(), 1U);
+    EXPECT_TRUE(result.holds.empty());
+}
+
 // Guards against a unit that never starts on the workers that it holds, because they are outside of its rack.
 TEST(BatchPlanner, UnitStartsOnHeldWorkersOutsideOfItsRack)
 {
