Judge slow workers for each service and list no holds of isolated starts

One slow worker of any service sent the urgent units of all services to fast workers. Holds of an isolated start were listed under the key of the step's other tasks, which took them over in the next round.

--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -45,7 +45,7 @@
 {
     allocateHolds();
     for (std::size_t index : serviceOrder()) {
-        if (m_capacity.slowestRunTime() > m_options.slowRunTime) {
+        if (m_capacity.slowestRunTime(m_units[index].service) > m_options.slowRunTime) {
             m_units[index].sparesFastWorkers = m_units[index].priority > 0 && completesOnSlowestWorkers(m_units[index]);
             // A unit that holds slow workers has preempted there because no other room could be freed.
             if (needsSpeed(m_units[index]) && !m_held.holdsSlowerThan(index, m_options.slowRunTime)
@@ -177,7 +177,7 @@
 bool BatchPlanner::completesOnSlowestWorkers(const BatchUnit& unit) const
 {
     auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
-        unit.estimate * (m_capacity.slowestRunTime() * m_options.speedMargin));
+        unit.estimate * (m_capacity.slowestRunTime(unit.service) * m_options.speedMargin));
     return m_now + longest <= unit.deadline;
 }
 
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -86,13 +86,20 @@
         rack.freeAccelerators += usableAccelerators(view);
         m_rackOf[worker] = position->second;
         m_unreserved.push_back(view.worker.capacity);
-        m_slowestRunTime = std::max(m_slowestRunTime, view.relativeRunTime);
+        double& slowest = m_slowestRunTime.try_emplace(view.worker.service, 1).first->second;
+        slowest = std::max(slowest, view.relativeRunTime);
         total += view.worker.capacity.accelerators;
         free += usableAccelerators(view);
     }
     m_utilisation = total > 0 ? 1 - static_cast<double>(free) / static_cast<double>(total) : 0;
 }
 
+double CapacityIndex::slowestRunTime(const state::ServiceId& service) const
+{
+    auto found = m_slowestRunTime.find(service);
+    return found == m_slowestRunTime.end() ? 1 : found->second;
+}
+
 const std::vector<std::size_t>& CapacityIndex::workersInRack(const std::string& rack) const
 {
     static const std::vector<std::size_t> none;
--- a/coordination/decisions/batch/CapacityIndex.h
+++ b/coordination/decisions/batch/CapacityIndex.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -40,8 +41,8 @@
     /// @return the workers of a rack; empty if no worker is in it.
     const std::vector<std::size_t>& workersInRack(const std::string& rack) const;
 
-    /// @return greatest relative run time of a worker.
-    double slowestRunTime() const { return m_slowestRunTime; }
+    /// @return greatest relative run time of a worker of the service, at least 1.
+    double slowestRunTime(const state::ServiceId& service) const;
 
     /// @return share of the accelerators that was in use when the round began, 0 to 1.
     double utilisation() const { return m_utilisation; }
@@ -92,7 +93,7 @@
     std::vector<std::size_t> m_rackOf;
     std::vector<std::size_t> m_allWorkers;
     double m_utilisation = 0;
-    double m_slowestRunTime = 1;
+    std::map<state::ServiceId, double> m_slowestRunTime;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/decisions/batch/HeldCapacity.cpp
+++ b/coordination/decisions/batch/HeldCapacity.cpp
@@ -131,6 +131,9 @@
     std::vector<CapacityHold> holds;
     for (const auto& [index, workers] : m_held) {
         const BatchUnit& unit = m_units[index];
+        // The next round would take them for holds of the step's other tasks.
+        if (unit.isolatedStart)
+            continue;
         for (const Held& held : workers)
             holds.push_back({ .job = unit.job,
                 .occurrence = unit.occurrence,
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -588,6 +588,31 @@
     EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
 }
 
+// Guards against a slow worker of one service that changes the placement of another service's work.
+TEST(BatchPlanner, SlowWorkerMattersToItsServiceOnly)
+{
+    PlanInput input = threeSpeeds();
+    input.workers[2].worker.service = state::ServiceId("other");
+    input.groups = { { .priority = 0 } };
+    addRun(input, 1, 0, 4);
+    input.units = { urgentGang(1, 4) };
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "usual" })) << "the fuller worker fits better";
+}
+
+// Guards against holds of tasks that start isolated, which the next round takes for those of the step's other tasks.
+TEST(BatchPlanner, HoldOfAnIsolatedStartIsNotListed)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2 } };
+    addRun(input, 0, 0, 8);
+    input.units = { makeUnit("j", 1, 8, 0) };
+    EXPECT_EQ(plan(input).holds.size(), 1U);
+    input.units[0].isolatedStart = true;
+    BatchPlan result = plan(input);
+    EXPECT_EQ(result.preemptions.size(), 1U);
+    EXPECT_TRUE(result.holds.empty());
+}
+
 // Guards against a gang that drops its hold because a held worker is slow, and preempts a second set of runs.
 TEST(BatchPlanner, GangKeepsItsHoldOnSlowWorkers)
 {
