--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <numeric>
@@ -39,6 +40,11 @@
         return view.isolatedStartPending || (unit.isolatedStart && !unit.isolationWaitOver && view.startPending);
     }
 
+    bool avoidsColdWorkers(const BatchUnit& unit)
+    {
+        return unit.guaranteed || unit.priority == 0;
+    }
+
     struct Candidate {
         double score = 0;
         std::size_t worker = 0;
@@ -136,7 +142,7 @@
         if (allowed <= 0 || startsOverlap(unit, view))
             continue;
         double penalty = slownessWeight * (view.slowness - 1);
-        if (view.cold && (unit.guaranteed || unit.priority == 0))
+        if (view.cold && avoidsColdWorkers(unit))
             penalty += coldPenalty;
         if (unit.sparesFastWorkers)
             penalty -= sparedSpeedWeight * std::log2(view.relativeRunTime);
@@ -179,6 +185,15 @@
     // Using the fullest rack that fits the gang keeps the others free for larger gangs.
     std::stable_sort(order.begin(), order.end(),
         [](const Rack* a, const Rack* b) { return a->freeAccelerators < b->freeAccelerators; });
+    if (avoidsColdWorkers(unit)) {
+        for (const Rack* rack : order) {
+            std::vector<std::size_t> warm;
+            std::ranges::copy_if(rack->workers, std::back_inserter(warm),
+                [this](std::size_t worker) { return !m_workers[worker].cold; });
+            if (Assignment assignment = selectWorkers(unit, warm, free, count); assignment.size() == count)
+                return assignment;
+        }
+    }
     for (const Rack* rack : order) {
         Assignment assignment = selectWorkers(unit, rack->workers, free, count);
         if (assignment.size() == count)
--- a/coordination/decisions/batch/CapacityIndex.h
+++ b/coordination/decisions/batch/CapacityIndex.h
@@ -58,7 +58,8 @@
     Assignment selectWorkers(
         const BatchUnit& unit, const std::vector<std::size_t>& candidates, Free free, std::size_t count) const;
 
-    /// Selects workers for the whole unit in the fullest rack that fits it; empty if none does.
+    /// Selects workers for the whole unit in the fullest rack that fits it; empty if none does. An urgent unit starts
+    /// on cold workers only if no rack has enough others.
     Assignment selectRack(const BatchUnit& unit, Free free) const;
 
     /// Selects workers for tasks of the unit that have to wait for runs to end. The workers that have the most free
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -82,6 +82,14 @@
         return BatchPlanner({}, std::move(input)).plan();
     }
 
+    std::set<std::string> placesOf(const PlanInput& input)
+    {
+        std::set<std::string> names;
+        for (const Placement& placement : plan(input).placements)
+            names.insert(input.workers[placement.worker].worker.id.value());
+        return names;
+    }
+
 } // namespace
 
 // Guards against urgent work on workers that are slow after their start while others fit, as after an evacuation.
@@ -108,6 +116,21 @@
     EXPECT_EQ(workersOf(makeUnit("large", 3, 4, 0)), (std::vector<std::size_t> { 1, 1, 0 }));
 }
 
+// Guards against an urgent gang in a rack of cold workers that is fuller than a rack of warm ones.
+TEST(BatchPlanner, UrgentGangAvoidsARackOfColdWorkers)
+{
+    PlanInput input { .workers = { makeWorker("cold", "r1"), makeWorker("warm", "r2") } };
+    input.workers[0].cold = true;
+    addRun(input, 0, 0, 4);
+    input.groups.push_back({ .priority = 0 });
+    input.units = { makeUnit("gang", 2, 2, 0) };
+    input.units[0].gang = true;
+    input.units[0].sameRack = true;
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "warm" }));
+    input.workers.pop_back();
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+}
+
 // Guards against a gang of which only some members are placed.
 TEST(BatchPlanner, GangIsPlacedAsAWholeOrNotAtAll)
 {
@@ -528,14 +551,6 @@
         return unit;
     }
 
-    std::set<std::string> placesOf(const PlanInput& input)
-    {
-        std::set<std::string> names;
-        for (const Placement& placement : plan(input).placements)
-            names.insert(input.workers[placement.worker].worker.id.value());
-        return names;
-    }
-
 } // namespace
 
 // Guards against an urgent gang that is late because of one member on a slow worker.
