--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -45,15 +45,23 @@
 {
     allocateHolds();
     for (std::size_t index : serviceOrder()) {
-        if (m_capacity.slowestRunTime() > m_options.slowRunTime) {
+        if (m_capacity.slowestRunTime(m_units[index].service) > m_options.slowRunTime) {
             m_units[index].sparesFastWorkers = m_units[index].priority > 0 && completesOnSlowestWorkers(m_units[index]);
-            if (needsSpeed(m_units[index]) && placeOnFasterWorkers(index))
+            // A unit that holds slow workers has preempted there because no other room could be freed.
+            if (needsSpeed(m_units[index]) && !m_held.holdsSlowerThan(index, m_options.slowRunTime)
+                && placeOnFasterWorkers(index))
                 continue;
         }
         serve(index);
         // A guaranteed unit may use what other units hold, if nothing else can be freed for it.
-        if (m_units[index].guaranteed && !served(index) && m_held.count(index) == 0 && dropOtherHolds())
+        // A part of a step that it holds already stays as it is, because a second serve() would use it for the rest.
+        if (m_units[index].guaranteed && !served(index) && m_held.count(index) == 0
+            && suspendOtherHolds(m_units[index])) {
             serve(index);
+            m_held.resume();
+        }
+        if (!served(index) && m_now - m_units[index].readySince >= m_options.reservationDelay)
+            reserveForBlocked(m_units[index]);
     }
     m_plan.holds = m_held.list();
     return std::move(m_plan);
@@ -90,17 +98,16 @@
     }
 }
 
-bool BatchPlanner::dropOtherHolds()
+bool BatchPlanner::suspendOtherHolds(const BatchUnit& unit)
 {
-    bool dropped = false;
+    bool suspended = false;
     for (std::size_t index = 0; index < m_units.size(); ++index) {
-        if (m_units[index].guaranteed || m_held.count(index) == 0)
+        if (m_units[index].guaranteed || !m_held.holdsWorkerFor(index, unit))
             continue;
-        m_held.release(index);
-        m_held.drop(index);
-        dropped = true;
+        m_held.suspend(index);
+        suspended = true;
     }
-    return dropped;
+    return suspended;
 }
 
 void BatchPlanner::hold(std::size_t index, const BatchUnit& unit, const Assignment& assignment)
@@ -170,7 +177,7 @@
 bool BatchPlanner::completesOnSlowestWorkers(const BatchUnit& unit) const
 {
     auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
-        unit.estimate * (m_capacity.slowestRunTime() * m_options.speedMargin));
+        unit.estimate * (m_capacity.slowestRunTime(unit.service) * m_options.speedMargin));
     return m_now + longest <= unit.deadline;
 }
 
@@ -188,7 +195,8 @@
 
 bool BatchPlanner::waitsForSpeed(const BatchUnit& unit) const
 {
-    return !unit.guaranteed || m_now - unit.readySince < m_options.guaranteedSpeedWait;
+    auto limit = unit.guaranteed ? m_options.guaranteedSpeedWait : m_options.speedWait;
+    return m_now - unit.readySince < limit && selectLocalReservation(unit).size() == unit.indices.size();
 }
 
 bool BatchPlanner::placeOnFasterWorkers(std::size_t index)
@@ -197,7 +205,7 @@
     std::size_t count = unit.indices.size();
     m_held.release(index);
     for (double limit : { m_options.fastRunTime, m_options.slowRunTime }) {
-        unit.slowestWorker = limit;
+        unit.maximumRelativeRunTime = limit;
         Assignment assignment = selectLocal(unit, CapacityIndex::Free::Now, count);
         if (unit.gang && assignment.size() < count)
             continue;
@@ -208,24 +216,36 @@
         }
         count = unit.indices.size();
     }
+    if (Assignment assignment = m_held.placeable(index); !unit.gang || assignment.size() == count) {
+        place(index, assignment);
+        if (unit.gang || removePlaced(unit, assignment.size())) {
+            m_held.drop(index);
+            return true;
+        }
+        count = unit.indices.size();
+    }
+    bool waits = waitsForSpeed(unit);
+    unit.maximumRelativeRunTime = std::numeric_limits<double>::infinity();
+    bool slowRoom = selectLocal(unit, CapacityIndex::Free::Now, count).size() == count;
     m_held.allocate(index);
+    if (slowRoom && !waits)
+        return false;
     if (m_held.count(index) == count)
         return true;
-    // Room that stops soon free.
+    unit.maximumRelativeRunTime = m_options.slowRunTime;
+    bool done = slowRoom;
     if (Assignment assignment = selectLocal(unit, CapacityIndex::Free::AfterStops, count);
         unit.gang && assignment.size() == count) {
         hold(index, unit, assignment);
-        return true;
+        done = true;
+    } else if (slowRoom) {
+        if (m_now - unit.readySince >= m_options.reservationDelay)
+            reserveForBlocked(unit);
+    } else if (unit.gang && mayPreempt(unit)) {
+        done = preempt(index, unit, false);
     }
-    unit.slowestWorker = std::numeric_limits<double>::infinity();
-    bool slowRoom = selectLocal(unit, CapacityIndex::Free::Now, count).size() == count;
-    if (slowRoom && waitsForSpeed(unit))
-        return true;
-    unit.slowestWorker = m_options.slowRunTime;
-    if (!slowRoom && unit.gang && mayPreempt(unit) && preempt(index, unit, false))
-        return true;
-    unit.slowestWorker = std::numeric_limits<double>::infinity();
-    return false;
+    unit.maximumRelativeRunTime = std::numeric_limits<double>::infinity();
+    return done;
 }
 
 void BatchPlanner::placeGang(std::size_t index)
@@ -238,6 +258,11 @@
         place(index, assignment);
         return;
     }
+    if (Assignment assignment = m_held.placeable(index); assignment.size() == count) {
+        m_held.drop(index);
+        place(index, assignment);
+        return;
+    }
     m_held.allocate(index);
     if (m_held.count(index) == count)
         return;
@@ -256,10 +281,8 @@
             return;
         }
     }
-    if (unit.guaranteed && mayPreempt(unit) && preempt(index, unit, true))
-        return;
-    if (m_now - unit.readySince >= m_options.reservationDelay)
-        reserveForBlocked(unit);
+    if (unit.guaranteed && mayPreempt(unit))
+        preempt(index, unit, true);
 }
 
 void BatchPlanner::placeTasks(std::size_t index)
@@ -273,6 +296,12 @@
         m_held.drop(index);
         return;
     }
+    assignment = m_held.placeable(index);
+    place(index, assignment);
+    if (placed(assignment.size())) {
+        m_held.drop(index);
+        return;
+    }
     m_held.allocate(index);
     if (placed(m_held.count(index)))
         return;
@@ -305,8 +334,6 @@
                 return;
         }
     }
-    if (m_now - unit.readySince >= m_options.reservationDelay)
-        reserveForBlocked(unit);
 }
 
 void BatchPlanner::place(std::size_t index, const Assignment& assignment)
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -36,10 +36,12 @@
     /// Longest wait of a guaranteed unit for workers that are not slow. A guarantee is a promise to start within some
     /// seconds, of which stopping other runs after the wait takes more than one.
     std::chrono::milliseconds guaranteedSpeedWait { 1'000 };
+    /// The same without a guarantee, so that the unit starts although the other workers do not become free.
+    std::chrono::milliseconds speedWait { 2'000 };
     /// Wait after which capacity is reserved for a unit that cannot start.
     std::chrono::milliseconds reservationDelay { 1'000 };
     /// Time for which freed capacity is held for the unit that preempted. Longer than a worker takes to stop a run and
-    /// to list its end.
+    /// to list its end. After it the unit chooses anew, which may be the same workers.
     std::chrono::milliseconds holdLimit { 1'500 };
 };
 
@@ -107,7 +109,8 @@
     bool completesOnSlowestWorkers(const BatchUnit& unit) const;
     /// @return whether the unit may miss its deadline on slow workers but can meet it on others.
     bool needsSpeed(const BatchUnit& unit) const;
-    /// @return whether a unit that finds room on slow workers alone should wait for others.
+    /// @return whether a unit that finds room on slow workers alone should wait for others. False if the others could
+    /// not hold it even when idle. The unit's limit of the run time must be set.
     bool waitsForSpeed(const BatchUnit& unit) const;
     /// Removes the first tasks of a unit, which are placed.
     /// @return whether none is left. The rest need as much each and would not fit either.
@@ -128,9 +131,9 @@
     bool served(std::size_t index) const;
     /// Allocates what the units hold, so that it goes to no other unit.
     void allocateHolds();
-    /// Drops the holds of units without a guarantee.
-    /// @return whether there were any.
-    bool dropOtherHolds();
+    /// Frees the holds of units without a guarantee on workers that the unit could use.
+    /// @return whether there were any. HeldCapacity::resume() restores those whose capacity stays unused.
+    bool suspendOtherHolds(const BatchUnit& unit);
     /// Holds capacity that becomes free by stops for a unit.
     void hold(std::size_t index, const BatchUnit& unit, const Assignment& assignment);
     bool preempt(std::size_t index, const BatchUnit& unit, bool ignoreLocality);
--- a/coordination/decisions/batch/CapacityIndex.cpp
+++ b/coordination/decisions/batch/CapacityIndex.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <numeric>
@@ -39,6 +40,11 @@
         return view.isolatedStartPending || (unit.isolatedStart && !unit.isolationWaitOver && view.startPending);
     }
 
+    bool avoidsColdWorkers(const BatchUnit& unit)
+    {
+        return unit.guaranteed || unit.priority == 0;
+    }
+
     struct Candidate {
         double score = 0;
         std::size_t worker = 0;
@@ -86,13 +92,20 @@
         rack.freeAccelerators += usableAccelerators(view);
         m_rackOf[worker] = position->second;
         m_unreserved.push_back(view.worker.capacity);
-        m_slowestRunTime = std::max(m_slowestRunTime, view.relativeRunTime);
+        double& slowest = m_slowestRunTime.try_emplace(view.worker.service, 1).first->second;
+        slowest = std::max(slowest, view.relativeRunTime);
         total += view.worker.capacity.accelerators;
         free += usableAccelerators(view);
     }
     m_utilisation = total > 0 ? 1 - static_cast<double>(free) / static_cast<double>(total) : 0;
 }
 
+double CapacityIndex::slowestRunTime(const state::ServiceId& service) const
+{
+    auto found = m_slowestRunTime.find(service);
+    return found == m_slowestRunTime.end() ? 1 : found->second;
+}
+
 const std::vector<std::size_t>& CapacityIndex::workersInRack(const std::string& rack) const
 {
     static const std::vector<std::size_t> none;
@@ -103,7 +116,7 @@
 bool CapacityIndex::eligible(const BatchUnit& unit, std::size_t worker) const
 {
     const WorkerView& view = m_workers[worker];
-    if (view.worker.service != unit.service || view.relativeRunTime > unit.slowestWorker)
+    if (view.worker.service != unit.service || view.relativeRunTime > unit.maximumRelativeRunTime)
         return false;
     return unit.requiredLabel.empty() || view.worker.labels.contains(unit.requiredLabel);
 }
@@ -129,7 +142,7 @@
         if (allowed <= 0 || startsOverlap(unit, view))
             continue;
         double penalty = slownessWeight * (view.slowness - 1);
-        if (view.cold && (unit.guaranteed || unit.priority == 0))
+        if (view.cold && avoidsColdWorkers(unit))
             penalty += coldPenalty;
         if (unit.sparesFastWorkers)
             penalty -= sparedSpeedWeight * std::log2(view.relativeRunTime);
@@ -172,6 +185,15 @@
     // Using the fullest rack that fits the gang keeps the others free for larger gangs.
     std::stable_sort(order.begin(), order.end(),
         [](const Rack* a, const Rack* b) { return a->freeAccelerators < b->freeAccelerators; });
+    if (avoidsColdWorkers(unit)) {
+        for (const Rack* rack : order) {
+            std::vector<std::size_t> warm;
+            std::ranges::copy_if(rack->workers, std::back_inserter(warm),
+                [this](std::size_t worker) { return !m_workers[worker].cold; });
+            if (Assignment assignment = selectWorkers(unit, warm, free, count); assignment.size() == count)
+                return assignment;
+        }
+    }
     for (const Rack* rack : order) {
         Assignment assignment = selectWorkers(unit, rack->workers, free, count);
         if (assignment.size() == count)
--- a/coordination/decisions/batch/CapacityIndex.h
+++ b/coordination/decisions/batch/CapacityIndex.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -40,8 +41,8 @@
     /// @return the workers of a rack; empty if no worker is in it.
     const std::vector<std::size_t>& workersInRack(const std::string& rack) const;
 
-    /// @return greatest relative run time of a worker.
-    double slowestRunTime() const { return m_slowestRunTime; }
+    /// @return greatest relative run time of a worker of the service, at least 1.
+    double slowestRunTime(const state::ServiceId& service) const;
 
     /// @return share of the accelerators that was in use when the round began, 0 to 1.
     double utilisation() const { return m_utilisation; }
@@ -57,7 +58,8 @@
     Assignment selectWorkers(
         const BatchUnit& unit, const std::vector<std::size_t>& candidates, Free free, std::size_t count) const;
 
-    /// Selects workers for the whole unit in the fullest rack that fits it; empty if none does.
+    /// Selects workers for the whole unit in the fullest rack that fits it; empty if none does. An urgent unit starts
+    /// on cold workers only if no rack has enough others.
     Assignment selectRack(const BatchUnit& unit, Free free) const;
 
     /// Selects workers for tasks of the unit that have to wait for runs to end. The workers that have the most free
@@ -92,7 +94,7 @@
     std::vector<std::size_t> m_rackOf;
     std::vector<std::size_t> m_allWorkers;
     double m_utilisation = 0;
-    double m_slowestRunTime = 1;
+    std::map<state::ServiceId, double> m_slowestRunTime;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/coordination/decisions/batch/HeldCapacity.cpp
+++ b/coordination/decisions/batch/HeldCapacity.cpp
@@ -1,7 +1,9 @@
 #include "coordination/decisions/batch/HeldCapacity.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace lentilsaddle::coordination::batch {
 
@@ -65,12 +67,59 @@
         m_capacity.release(held.worker, m_units[unit].resources);
 }
 
+void HeldCapacity::suspend(std::size_t unit)
+{
+    release(unit);
+    if (auto held = m_held.extract(unit))
+        m_suspended.insert(std::move(held));
+}
+
+void HeldCapacity::resume()
+{
+    while (!m_suspended.empty()) {
+        auto held = m_suspended.extract(m_suspended.begin());
+        std::size_t unit = held.key();
+        m_held.insert(std::move(held));
+        allocate(unit);
+    }
+}
+
+bool HeldCapacity::holdsWorkerFor(std::size_t unit, const BatchUnit& other) const
+{
+    auto found = m_held.find(unit);
+    return found != m_held.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Held& held) {
+        return m_capacity.eligible(other, held.worker)
+            && other.resources.fitsInto(m_capacity.workers()[held.worker].worker.capacity);
+    });
+}
+
+CapacityIndex::Assignment HeldCapacity::placeable(std::size_t unit) const
+{
+    auto found = m_held.find(unit);
+    if (found == m_held.end())
+        return {};
+    std::set<std::size_t> workers;
+    for (const Held& held : found->second)
+        workers.insert(held.worker);
+    const BatchUnit& description = m_units[unit];
+    return m_capacity.selectWorkers(description, { workers.begin(), workers.end() }, CapacityIndex::Free::Now,
+        std::min(found->second.size(), description.indices.size()));
+}
+
 void HeldCapacity::add(std::size_t unit, const CapacityIndex::Assignment& workers, state::MonotonicTime now)
 {
     for (std::size_t worker : workers)
         m_held[unit].push_back({ .worker = worker, .since = now });
 }
 
+bool HeldCapacity::holdsSlowerThan(std::size_t unit, double relativeRunTime) const
+{
+    auto found = m_held.find(unit);
+    return found != m_held.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Held& held) {
+        return m_capacity.workers()[held.worker].relativeRunTime > relativeRunTime;
+    });
+}
+
 std::size_t HeldCapacity::count(std::size_t unit) const
 {
     auto found = m_held.find(unit);
@@ -82,6 +131,9 @@
     std::vector<CapacityHold> holds;
     for (const auto& [index, workers] : m_held) {
         const BatchUnit& unit = m_units[index];
+        // The next round would take them for holds of the step's other tasks.
+        if (unit.isolatedStart)
+            continue;
         for (const Held& held : workers)
             holds.push_back({ .job = unit.job,
                 .occurrence = unit.occurrence,
--- a/coordination/decisions/batch/HeldCapacity.h
+++ b/coordination/decisions/batch/HeldCapacity.h
@@ -32,11 +32,27 @@
     /// Frees what allocate() took for the unit, so that the unit itself can use it.
     void release(std::size_t unit);
 
+    /// Frees what the unit holds until resume(), so that a unit with a better claim can use it.
+    void suspend(std::size_t unit);
+
+    /// Allocates the suspended holds again as allocate() does, so only those whose capacity is used now are dropped.
+    void resume();
+
+    /// @return whether the unit holds a worker on which a task of the other unit could run if nothing else ran there.
+    bool holdsWorkerFor(std::size_t unit, const BatchUnit& other) const;
+
+    /// @return workers among the held ones on which tasks of the unit can start now; call after release(). They may be
+    /// outside of the unit's rack, so a search in the rack does not find them.
+    CapacityIndex::Assignment placeable(std::size_t unit) const;
+
     /// Holds the workers for the unit. Their capacity has been allocated already.
     void add(std::size_t unit, const CapacityIndex::Assignment& workers, state::MonotonicTime now);
 
     void drop(std::size_t unit) { m_held.erase(unit); }
 
+    /// @return whether the unit holds a worker on which tasks run longer than this, relative to the usual worker.
+    bool holdsSlowerThan(std::size_t unit, double relativeRunTime) const;
+
     /// @return number of tasks of the unit for which capacity is held.
     std::size_t count(std::size_t unit) const;
 
@@ -52,6 +68,7 @@
     CapacityIndex& m_capacity;
     const std::vector<BatchUnit>& m_units;
     std::map<std::size_t, std::vector<Held>> m_held;
+    std::map<std::size_t, std::vector<Held>> m_suspended;
 };
 
 } // namespace lentilsaddle::coordination::batch
--- a/tests/coordination/decisions/batch/BatchPlannerTest.cpp
+++ b/tests/coordination/decisions/batch/BatchPlannerTest.cpp
@@ -82,6 +82,14 @@
         return BatchPlanner({}, std::move(input)).plan();
     }
 
+    std::set<std::string> placesOf(const PlanInput& input)
+    {
+        std::set<std::string> names;
+        for (const Placement& placement : plan(input).placements)
+            names.insert(input.workers[placement.worker].worker.id.value());
+        return names;
+    }
+
 } // namespace
 
 // Guards against urgent work on workers that are slow after their start while others fit, as after an evacuation.
@@ -108,6 +116,21 @@
     EXPECT_EQ(workersOf(makeUnit("large", 3, 4, 0)), (std::vector<std::size_t> { 1, 1, 0 }));
 }
 
+// Guards against an urgent gang in a rack of cold workers that is fuller than a rack of warm ones.
+TEST(BatchPlanner, UrgentGangAvoidsARackOfColdWorkers)
+{
+    PlanInput input { .workers = { makeWorker("cold", "r1"), makeWorker("warm", "r2") } };
+    input.workers[0].cold = true;
+    addRun(input, 0, 0, 4);
+    input.groups.push_back({ .priority = 0 });
+    input.units = { makeUnit("gang", 2, 2, 0) };
+    input.units[0].gang = true;
+    input.units[0].sameRack = true;
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "warm" }));
+    input.workers.pop_back();
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+}
+
 // Guards against a gang of which only some members are placed.
 TEST(BatchPlanner, GangIsPlacedAsAWholeOrNotAtAll)
 {
@@ -288,6 +311,63 @@
     EXPECT_EQ(plan(input).placements.size(), 1U);
 }
 
+// Guards against a guaranteed unit that cannot be served and voids all holds in each round, and against one that is
+// kept off the capacity it takes over by its own reservation.
+TEST(BatchPlanner, HoldEndsOnlyIfAGuaranteedUnitUsesIt)
+{
+    PlanInput input { .workers = { makeWorker("w1"), makeWorker("w2") } };
+    input.workers[1].free = {};
+    input.units = { makeGang("gang", 2), makeGang("large", 3) };
+    input.units[0].priority = 0;
+    for (const char* worker : { "w1", "w2" })
+        input.holds.push_back({ .job = state::JobId("gang"),
+            .worker = state::WorkerId(worker),
+            .since = state::MonotonicTime(milliseconds(10'900)) });
+    input.now = state::MonotonicTime(milliseconds(11'500));
+    input.units[1].guaranteed = true;
+    EXPECT_EQ(plan(input).holds.size(), 2U) << "the large gang exceeds the workers";
+    input.units[1] = makeGang("labelled", 1);
+    input.units[1].guaranteed = true;
+    input.units[1].requiredLabel = "none";
+    EXPECT_EQ(plan(input).holds.size(), 2U) << "no worker has the label";
+    input.units[1].requiredLabel.clear();
+    BatchPlan result = plan(input);
+    EXPECT_EQ(result.placements.size(), 1U);
+    EXPECT_TRUE(result.holds.empty());
+}
+
+// Guards against a unit that never starts on the workers that it holds, because they are outside of its rack.
+TEST(BatchPlanner, UnitStartsOnHeldWorkersOutsideOfItsRack)
+{
+    PlanInput input { .workers = { makeWorker("w1", "r1"), makeWorker("w2", "r2") } };
+    auto holdFor = [&](const char* worker) {
+        input.holds.push_back({ .job = state::JobId("held"),
+            .worker = state::WorkerId(worker),
+            .since = state::MonotonicTime(milliseconds(9'900)) });
+    };
+    holdFor("w1");
+    holdFor("w2");
+    input.units = { makeGang("held", 2) };
+    input.units[0].priority = 0;
+    input.units[0].sameRack = true;
+    input.units[0].guaranteed = true;
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+    // The same for a gang that needs speed.
+    input.units[0].deadline = state::MonotonicTime(milliseconds(10'000) + input.units[0].estimate * 3 / 2);
+    input.workers.push_back(makeWorker("slow", "r3"));
+    input.workers[2].relativeRunTime = 1.6;
+    EXPECT_EQ(plan(input).placements.size(), 2U);
+    input.workers.pop_back();
+
+    input.units = { makeUnit("held", 1, 8, 0) };
+    input.units[0].preferredRack = "r1";
+    input.holds.clear();
+    holdFor("w2");
+    addRun(input, 0, 0, 8);
+    input.groups.push_back({ .priority = 0 });
+    EXPECT_EQ(plan(input).placements.size(), 1U);
+}
+
 // Guards against preempting runs of equal priority for a unit that no guarantee covers.
 TEST(BatchPlanner, OnlyAGuaranteePreemptsTheSamePriority)
 {
@@ -471,14 +551,6 @@
         return unit;
     }
 
-    std::set<std::string> placesOf(const PlanInput& input)
-    {
-        std::set<std::string> names;
-        for (const Placement& placement : plan(input).placements)
-            names.insert(input.workers[placement.worker].worker.id.value());
-        return names;
-    }
-
 } // namespace
 
 // Guards against an urgent gang that is late because of one member on a slow worker.
@@ -497,6 +569,9 @@
 TEST(BatchPlanner, UrgentGangWaitsShortlyForWorkersThatAreNotSlow)
 {
     PlanInput input = threeSpeeds();
+    input.workers.push_back(makeWorker("busy"));
+    addRun(input, 3, 0, 8);
+    input.groups.push_back({ .priority = 0, .guaranteed = true });
     input.units = { urgentGang(3, 8) };
     EXPECT_TRUE(placesOf(input).empty());
     input.units[0].guaranteed = true;
@@ -508,6 +583,96 @@
     EXPECT_EQ(placesOf(input).size(), 3U);
 }
 
+// Guards against a guaranteed unit that waits for stops on other workers after its wait, with and without a hold there.
+TEST(BatchPlanner, GuaranteedUnitTakesSlowWorkersAfterItsWait)
+{
+    PlanInput input = threeSpeeds();
+    input.groups = { { .priority = 2 }, { .priority = 0, .guaranteed = true } };
+    addRun(input, 0, 0, 8);
+    input.workers[0].runs[0].stopping = true;
+    input.workers[0].freeAfterStops = wholeWorker;
+    addRun(input, 1, 1, 8);
+    input.units = { urgentGang(1, 8) };
+    input.units[0].guaranteed = true;
+    EXPECT_TRUE(placesOf(input).empty());
+    input.now = state::MonotonicTime(milliseconds(11'000));
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
+    input.holds.push_back({ .job = state::JobId("urgent"),
+        .worker = state::WorkerId("fast"),
+        .since = state::MonotonicTime(milliseconds(10'900)) });
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
+}
+
+// Guards against a slow worker of one service that changes the placement of another service's work.
+TEST(BatchPlanner, SlowWorkerMattersToItsServiceOnly)
+{
+    PlanInput input = threeSpeeds();
+    input.workers[2].worker.service = state::ServiceId("other");
+    input.groups = { { .priority = 0 } };
+    addRun(input, 1, 0, 4);
+    input.units = { urgentGang(1, 4) };
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "usual" })) << "the fuller worker fits better";
+}
+
+// Guards against holds of tasks that start isolated, which the next round takes for those of the step's other tasks.
+TEST(BatchPlanner, HoldOfAnIsolatedStartIsNotListed)
+{
+    PlanInput input { .workers = { makeWorker("w1") } };
+    input.groups = { { .priority = 2 } };
+    addRun(input, 0, 0, 8);
+    input.units = { makeUnit("j", 1, 8, 0) };
+    EXPECT_EQ(plan(input).holds.size(), 1U);
+    input.units[0].isolatedStart = true;
+    BatchPlan result = plan(input);
+    EXPECT_EQ(result.preemptions.size(), 1U);
+    EXPECT_TRUE(result.holds.empty());
+}
+
+// Guards against a gang that drops its hold because a held worker is slow, and preempts a second set of runs.
+TEST(BatchPlanner, GangKeepsItsHoldOnSlowWorkers)
+{
+    PlanInput input = threeSpeeds();
+    input.workers.push_back(makeWorker("other"));
+    for (std::size_t worker = 0; worker < 4; ++worker) {
+        input.groups.push_back({ .priority = 2, .loss = 1 });
+        addRun(input, worker, worker, 8);
+    }
+    input.units = { urgentGang(2, 8) };
+    for (std::size_t worker : { 0, 2 }) {
+        input.workers[worker].runs[0].stopping = true;
+        input.workers[worker].freeAfterStops = wholeWorker;
+        input.holds.push_back({ .job = state::JobId("urgent"),
+            .worker = input.workers[worker].worker.id,
+            .since = state::MonotonicTime(milliseconds(9'900)) });
+    }
+    BatchPlan result = plan(input);
+    EXPECT_TRUE(result.preemptions.empty());
+    EXPECT_EQ(result.holds.size(), 2U);
+}
+
+// Guards against a unit that waits for workers that do not exist or do not become free, and against smaller work that
+// takes the room for which it waits.
+TEST(BatchPlanner, WaitForSpeedIsBounded)
+{
+    PlanInput input = threeSpeeds();
+    input.units = { urgentGang(3, 8) };
+    EXPECT_EQ(placesOf(input).size(), 3U) << "the workers that are not slow cannot hold the gang";
+
+    input.groups = { { .priority = 0 } };
+    addRun(input, 0, 0, 4);
+    addRun(input, 1, 0, 8);
+    input.units = { urgentGang(1, 8), makeUnit("small", 3, 4, 2) };
+    input.units[0].estimate = milliseconds(20'000);
+    input.units[0].deadline += milliseconds(30'000);
+    EXPECT_EQ(plan(input).placements.size(), 3U);
+    input.now = state::MonotonicTime(milliseconds(11'500));
+    EXPECT_EQ(plan(input).placements.size(), 2U) << "nothing is reserved for the waiting gang";
+    input.units.pop_back();
+    EXPECT_TRUE(placesOf(input).empty());
+    input.now = state::MonotonicTime(milliseconds(12'000));
+    EXPECT_EQ(placesOf(input), std::set<std::string>({ "slow" }));
+}
+
 // Guards against work with slack on the fast workers that urgent work needs next, and against slow workers that stay
 // idle.
 TEST(BatchPlanner, UnitWithSlackTakesSlowWorkersFirst)
