--- a/bench/WorkerSpeedBench.cpp
+++ b/bench/WorkerSpeedBench.cpp
@@ -92,6 +92,7 @@
     {
         std::mt19937 random(seed);
         std::vector<double> speeds;
+        speeds.reserve(workerCount);
         for (int worker = 0; worker < workerCount; ++worker)
             speeds.push_back(kinds[random() % kinds.size()]);
         WorkerSpeedModel model;
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -263,7 +263,8 @@
 void BatchTask::storeSpeeds(const state::batch::WorkerSpeedSummary& speeds)
 {
     std::string value = protocol::batch::encodeWorkerSpeeds(speeds);
-    m_environment.metrics->increment("lentilsaddle_batch_speed_summary_bytes_total", {}, value.size());
+    m_environment.metrics->increment(
+        "lentilsaddle_batch_speed_summary_bytes_total", {}, static_cast<double>(value.size()));
     m_leadership->append({ { .key = std::string(speedsKey), .value = std::move(value) } }, [](std::uint64_t) {});
 }
 
