--- a/tests/transport/BodyBudgetTest.cpp
+++ b/tests/transport/BodyBudgetTest.cpp
@@ -127,9 +127,10 @@
 {
     BodyBudget budget({ .limitBytes = limit });
     std::vector<int> dropped;
-    std::vector<BodyBudget::RequestId> ids;
+    std::vector<BodyBudget::RequestId> ids(3);
     for (int index = 0; index < 3; ++index)
-        ids.push_back(budget.open("a", 25'000, at(index), [&dropped, index] { dropped.push_back(index); }));
+        ids[static_cast<std::size_t>(index)]
+            = budget.open("a", 25'000, at(index), [&dropped, index] { dropped.push_back(index); });
     budget.recordTransfer(ids[0], 10'000, at(900));
     EXPECT_EQ(budget.open("b", 20'000, at(950), {}), 0U) << "none has stopped for long";
     EXPECT_NE(budget.open("b", 20'000, at(1'200), {}), 0U);
