--- a/review/support-3/lib.sh
+++ b/review/support-3/lib.sh
@@ -58,7 +58,7 @@
 
 # stop_now NAME: ends a process with SIGKILL.
 stop_now() {
-    kill -KILL "${pids[$1]}" 2> /dev/null
+    kill -KILL "${pids[$1]}" 2> /dev/null || true
     while kill -0 "${pids[$1]}" 2> /dev/null; do sleep 0.01; done
     unset "pids[$1]"
 }
@@ -94,20 +94,37 @@
     [ "$status" = 200 ]
 }
 
+# Whether both stand-ins respond within 3 s.
+standins_respond() {
+    local limit=$(($(now) + 3000))
+    until responds $store_port "/history?topic=x&key=y" && responds $worker_port /journal; do
+        [ "$(now)" -lt $limit ] || return 1
+        sleep 0.05
+    done
+    kill -0 "${pids[store]}" && kill -0 "${pids[workers]}"
+} 2> /dev/null
+
 # start_installation DAEMONS WORKERS: ports, stand-ins, directory of workers and configuration.
 start_installation() {
     daemons=$1
     workers=$2
-    find_ports $((daemons * 4 + workers))
-    store_port=$first_port
-    front_port=$((store_port + daemons))
-    ready_port=$((front_port + daemons))
-    metrics_port=$((ready_port + daemons))
-    worker_port=$((metrics_port + daemons))
-    launch store target/review-3/standin_store --port=$store_port --ports=$daemons --seed=1
-    launch workers target/review-3/standin_batch_runner --port=$worker_port --workers=$workers --accelerators=8 --seed=1
-    wait_for 10 "store" responds $store_port "/history?topic=x&key=y"
-    wait_for 10 "workers" responds $worker_port /journal
+    # Another process may take a port between the check and the start.
+    local attempt
+    for ((attempt = 0; attempt < 5; ++attempt)); do
+        find_ports $((daemons * 4 + workers))
+        store_port=$first_port
+        front_port=$((store_port + daemons))
+        ready_port=$((front_port + daemons))
+        metrics_port=$((ready_port + daemons))
+        worker_port=$((metrics_port + daemons))
+        launch store target/review-3/standin_store --port=$store_port --ports=$daemons --seed=1
+        launch workers target/review-3/standin_batch_runner --port=$worker_port --workers=$workers --accelerators=8 \
+            --seed=1
+        standins_respond && break
+        stop_now store
+        stop_now workers
+    done
+    [ $attempt -lt 5 ] || give_up "the stand-ins do not respond"
     local worker
     for ((worker = 0; worker < workers; ++worker)); do announce_worker $worker; done
     put keyed.op config '{"version":1,"routes":['"$(route r0 /jobs/ 0),$(route r1 /plans/ 1),$(route r2 /batches/ 2)"'],
