--- a/review/support-3/lib.sh
+++ b/review/support-3/lib.sh
@@ -3,6 +3,8 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 case_folder=$(cd "$(dirname "$0")" && pwd)
 trouble=${TROUBLE:-1}
+# Workers below this index are not announced by start_installation.
+first_announced=0
 work=$(mktemp -d)
 record="$case_folder/record.txt"
 : > "$record"
@@ -126,7 +128,7 @@
     done
     [ $attempt -lt 5 ] || give_up "the stand-ins do not respond"
     local worker
-    for ((worker = 0; worker < workers; ++worker)); do announce_worker $worker; done
+    for ((worker = first_announced; worker < workers; ++worker)); do announce_worker $worker; done
     put keyed.op config '{"version":1,"routes":['"$(route r0 /jobs/ 0),$(route r1 /plans/ 1),$(route r2 /batches/ 2)"'],
         "services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":8}}]}'
 }
@@ -143,12 +145,13 @@
     [ "$status" = 200 ] || give_up "the store stand-in refused $2"
 }
 
-# announce_worker INDEX: writes the directory entry of a worker's current lifetime.
+# announce_worker INDEX [PORT]: writes the directory entry of a worker's current lifetime. PORT is that of the first
+# worker of its process.
 announce_worker() {
-    local born
-    responds $worker_port /journal || give_up "no journal of the workers"
+    local born first=${2:-$worker_port}
+    responds $first /journal || give_up "no journal of the workers"
     born=$(grep -o '"born":[0-9]*,"id":"w-'"$1"'"' <<< "$body" | grep -o '[0-9]*' | head -1)
-    put keyed.servers "w-$1" '{"service":"s","addr":"127.0.0.1:'$((worker_port + $1))'","zone":"dc-1","state":"ready",
+    put keyed.servers "w-$1" '{"service":"s","addr":"127.0.0.1:'$((first + $1))'","zone":"dc-1","state":"ready",
         "seq":1,"born":'"$born"',"labels":["a","rack-1"],"capacity":{"cpu":32000,"mem_mb":65536,"gpu":8}}'
 }
 
@@ -158,7 +161,7 @@
     sed -e "s|{{node}}|e-$index|; s|{{zone}}|dc-1|; s|{{platform.addr}}|127.0.0.1:$((store_port + index))|" \
         -e "s|{{listen.front}}|127.0.0.1:$((front_port + index))|; s|{{listen.ready}}|127.0.0.1:$((ready_port + index))|" \
         -e "s|{{ip}}:{{internal_port_range.0}}|127.0.0.1:$((metrics_port + index))|" \
-        -e "s|{{bounds.max_hold_ms}}|6000|; s|{{bounds.stop_grace_ms}}|400|; s|{{bounds.gang_timeout_ms}}|${gang_timeout_ms:-3000}|" \
+        -e "s|{{bounds.max_hold_ms}}|${max_hold_ms:-6000}|; s|{{bounds.stop_grace_ms}}|${stop_grace_ms:-400}|; s|{{bounds.gang_timeout_ms}}|${gang_timeout_ms:-3000}|" \
         -e "s|{{limits.cpu_share}}|$processors|; s|{{limits.max_fds}}|4100|; s|{{limits.memory_mb}}|260|" \
         -e '/{{#bounds/,/{{\/bounds/d' "$root/deploy/settings.yaml" > "$settings"
     launch "e-$index" target/daemon/lentilsaddled --settings "$settings"
@@ -185,8 +188,8 @@
     state=$(grep -o '"state":"[a-z]*"' <<< "$body" | cut -d'"' -f4)
 }
 
-# One line for each run that the workers have seen: task, run, worker, begin, end, how it ended.
+# list_runs [PORT]: one line for each run that the workers of a process have seen.
 list_runs() {
-    responds $worker_port /journal || give_up "no journal of the workers"
+    responds "${1:-$worker_port}" /journal || give_up "no journal of the workers"
     sed 's/{"acknowledged"/\n&/g' <<< "$body" | grep '^{"acknowledged"'
 }
