--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,8 @@
 #!/bin/bash
 # Scheduled jobs with many occurrences: the memory of the processes.
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
+record=$(cd "$(dirname "$0")" && pwd)/record.txt
 source "$(dirname "$0")/../support-3/lib.sh"
 
 memory_mb=260
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,5 +1,8 @@
 #!/bin/bash
 # A large job waits for capacity, and nothing else starts on the idle workers.
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
+record=$(cd "$(dirname "$0")" && pwd)/record.txt
 source "$(dirname "$0")/../support-3/lib.sh"
 
 finish_s=14
--- a/review/support-3/lib.sh
+++ b/review/support-3/lib.sh
@@ -1,12 +1,10 @@
-# Functions of the scripts in review/11 to review/15: processes, HTTP calls over bash's /dev/tcp, the record.
+# Functions of the scripts in review/11 to review/15: processes, HTTP calls over bash's /dev/tcp, the record. A script
+# sets "trouble" (0: without the disruption) and "record" (path of its record) before it reads this file.
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
-case_folder=$(cd "$(dirname "$0")" && pwd)
-trouble=${TROUBLE:-1}
 # Workers below this index are not announced by start_installation.
 first_announced=0
 work=$(mktemp -d)
-record="$case_folder/record.txt"
 : > "$record"
 declare -A pids
 begin_ms=$(date +%s%3N)
