Leadership: an instance that stepped down claims again

Cause: stepDown() kept the appender of the left term active, and claimIfDue() returns while it is active. Only a leader record of another instance ended the term. The last leader record in the store was the instance's own vacant one.

The term now ends when the vacant record is stored. The instance remembers it, so that its records, read later, do not begin it again with a sequence number whose append the store would report as done. An instance drained before its claim is confirmed steps down on its election. HandoverPolicy spaces handovers to an instance that asks and does not claim; requests are repeated each 5 s.

FakeStore now repeats the results of the last five appends of a term, as the store does, instead of the last one.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -24,6 +24,9 @@
     /// Delay of a claim while an instance with more processors may claim. Covers the followers' read interval, by which
     /// that instance may have read the last leader record later, the jitter of its claim, and a store call.
     std::chrono::milliseconds outrankedDelay { 500 };
+    /// Time after which an instance asks again for the leadership of a term whose leader has fewer processors. The
+    /// first request may come in the leader's pause after a failed handover.
+    std::chrono::milliseconds leadershipRequestInterval { 5'000 };
     /// Whether speeds of workers are learned from runs and used to place work.
     bool learnRunTimes = true;
     /// Time between two summaries of the learned speeds, for the next leader. Every instance reads each of them.
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -187,15 +187,27 @@
     m_environment.metrics->setGauge("lentilsaddle_batch_leading", 1);
     m_environment.metrics->increment("lentilsaddle_batch_terms_total");
     m_scheduler.reset();
-    if (m_outrankedTerm == term) {
+    m_handover.onElected(m_environment.monotonicClock());
+    if (m_draining)
         m_leadership->stepDown();
+    else
+        handOverIfRequested();
+    if (!m_leadership->leading())
         return;
-    }
     // The next read may still be delayed by the interval of followers.
     m_journalReader->refresh(m_options.readTimeout, [](bool) {});
     startDirectory(term);
 }
 
+void BatchTask::handOverIfRequested()
+{
+    state::MonotonicTime now = m_environment.monotonicClock();
+    if (!m_leadership->leading() || m_outrankedTerm != m_leadership->term() || !m_handover.allowed(now))
+        return;
+    m_handover.onHandover(now);
+    m_leadership->stepDown();
+}
+
 void BatchTask::onLeadershipLost()
 {
     m_environment.metrics->setGauge("lentilsaddle_batch_leading", 0);
@@ -427,6 +439,8 @@
 
 void BatchTask::recordStreamAges()
 {
+    m_environment.metrics->setGauge("lentilsaddle_batch_leader_silence_seconds",
+        std::chrono::duration<double>(m_leadership->leaderSilence()).count());
     for (const auto& [stream, reader] : { std::pair(Stream::Journal, m_journalReader.get()),
              std::pair(Stream::Configuration, m_configurationReader.get()),
              std::pair(Stream::Directory, m_directoryReader.get()) }) {
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -6,6 +6,7 @@
 #include "coordination/batch/BatchMessage.h"
 #include "coordination/batch/BatchOptions.h"
 #include "coordination/batch/BatchPlatform.h"
+#include "coordination/decisions/batch/HandoverPolicy.h"
 #include "coordination/decisions/batch/InstanceRanking.h"
 #include "state/batch/BatchTable.h"
 #include "state/batch/Evacuations.h"
@@ -80,9 +81,11 @@
     void afterLookup(const state::JobId& job, const std::function<void(bool upToDate)>& callback);
     /// Announces the processors of this instance in the journal, unless the announcement is already there.
     void announceInstance();
-    /// Repeats the announcement of this instance, once a term, if it has more processors than the leader, which then
-    /// steps down.
+    /// Repeats the announcement of this instance, at the begin of a term and from time to time in it, if it has more
+    /// processors than the leader, which then steps down.
     void requestLeadership();
+    /// Steps down if an instance with more processors has announced itself in this term.
+    void handOverIfRequested();
     void storeAnnouncement();
     void cancelKnown(const state::JobId& job, const std::function<void(ChangeOutcome)>& reply);
 
@@ -120,6 +123,8 @@
     /// of the term was confirmed; empty if none has.
     std::optional<std::uint64_t> m_outrankedTerm;
     bool m_leadershipRequestDue = false;
+    state::MonotonicTime m_lastLeadershipRequest {};
+    HandoverPolicy m_handover { HandoverPolicy::Options {} };
     std::unique_ptr<Leadership> m_leadership;
     std::unique_ptr<BatchScheduler> m_scheduler;
     /// Newest speeds of the workers that a leader has stored.
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -73,7 +73,7 @@
             // An instance that announces itself now is alive and claims the leadership as soon as the term is vacant.
             if (!listing && m_ranking.outrankedBy(processors)) {
                 m_outrankedTerm = m_requestedTerm;
-                m_leadership->stepDown();
+                handOverIfRequested();
             }
         } else if (record.key == speedsKey) {
             m_speeds = protocol::batch::decodeWorkerSpeeds(*record.value);
@@ -179,11 +179,12 @@
 void BatchTask::requestLeadership()
 {
     const std::optional<state::batch::LeaderRecord>& leader = m_leadership->leader();
-    bool due = m_leadershipRequestDue && m_ready == true && leader && !leader->vacant
-        && m_ranking.outranks(leader->instance);
+    state::MonotonicTime now = m_environment.monotonicClock();
+    bool due = m_leadershipRequestDue || now - m_lastLeadershipRequest >= m_options.leadershipRequestInterval;
     m_leadershipRequestDue = m_leadershipRequestDue && m_ready != true;
-    if (!due)
+    if (!due || m_ready != true || !leader || leader->vacant || !m_ranking.outranks(leader->instance))
         return;
+    m_lastLeadershipRequest = now;
     writeLog(LogLevel::Info, "leadership", "requesting leadership",
         { { "term", std::to_string(leader->term) }, { "leader", leader->instance.value() } });
     storeAnnouncement();
--- a/coordination/batch/Leadership.cpp
+++ b/coordination/batch/Leadership.cpp
@@ -76,7 +76,8 @@
     if (!own && (m_leading || m_appender.active()) && leader.term >= m_claimedTerm)
         loseLeadership("another instance leads a later term");
     // The claim took effect although its response was lost.
-    if (own && !leader.vacant && !m_appender.active() && leader.term == m_claimedTerm && !m_claiming)
+    bool claimed = own && !leader.vacant && leader.term == m_claimedTerm && leader.term != m_endedTerm;
+    if (claimed && !m_appender.active() && !m_claiming)
         beginTerm(leader.term, m_claimSequence + 1);
 }
 
@@ -90,6 +91,11 @@
     claimIfDue();
 }
 
+std::chrono::nanoseconds Leadership::leaderSilence() const
+{
+    return m_leading || !m_started ? std::chrono::nanoseconds(0) : m_hooks.clock() - m_lastLeaderActivity;
+}
+
 bool Leadership::confirmedWithin(std::chrono::milliseconds limit) const
 {
     std::optional<state::MonotonicTime> confirmed = m_appender.lastConfirmed();
@@ -235,14 +241,20 @@
         return;
     m_leading = false;
     writeLog(LogLevel::Info, "leadership", "stepping down", { { "term", std::to_string(m_claimedTerm) } });
-    m_appender.append({ leaderRecord(m_claimedTerm, true) }, [](std::uint64_t) {});
+    m_appender.append({ leaderRecord(m_claimedTerm, true) }, [this](std::uint64_t) { endTerm(); });
     m_hooks.onLeadershipLost("stepped down");
 }
 
-void Leadership::loseLeadership(const std::string& reason)
+void Leadership::endTerm()
 {
     m_appender.endTerm();
+    m_endedTerm = m_claimedTerm;
     m_lastLeaderActivity = m_hooks.clock();
+}
+
+void Leadership::loseLeadership(const std::string& reason)
+{
+    endTerm();
     if (!m_leading)
         return;
     m_leading = false;
--- a/coordination/batch/Leadership.h
+++ b/coordination/batch/Leadership.h
@@ -56,13 +56,18 @@
     /// Called after each successful read of the journal.
     void onJournalRead();
 
-    /// Steps down and marks the term as vacant, so that another instance can claim at once.
+    /// Steps down and marks the term as vacant, so that another instance can claim at once. This instance may claim the
+    /// next term like any other as soon as the mark is stored.
     void stepDown();
 
     /// @return the newest known leader record.
     const std::optional<state::batch::LeaderRecord>& leader() const { return m_leader; }
 
     bool leading() const { return m_leading; }
+
+    /// @return time since the last sign of a leader as this instance sees it; 0 while it leads.
+    std::chrono::nanoseconds leaderSilence() const;
+
     std::uint64_t term() const { return m_leading ? m_claimedTerm : 0; }
 
     /// @return whether the leader's lease is valid, so that runs may be started and stopped.
@@ -83,6 +88,8 @@
     void claim();
     void onClaimed(std::uint64_t term, std::uint64_t sequence, const AppendResult& result);
     void beginTerm(std::uint64_t term, std::uint64_t sequence);
+    /// Stops writing under the claimed term for good.
+    void endTerm();
     void loseLeadership(const std::string& reason);
     void scheduleHeartbeat();
     void sendHeartbeat();
@@ -103,6 +110,9 @@
     bool m_claiming = false;
     std::uint64_t m_claimedTerm = 0;
     std::uint64_t m_claimSequence = 0;
+    /// Newest term that this instance has begun and ended. Its records may be read later and do not begin it again: the
+    /// store would answer an append with a repeated sequence number as if it had been stored.
+    std::uint64_t m_endedTerm = 0;
     state::MonotonicTime m_lastLeaderActivity {};
     /// Empty while this instance is not eligible.
     std::optional<state::MonotonicTime> m_eligibleSince;
--- a/tests/coordination/batch/BatchLeaderTest.cpp
+++ b/tests/coordination/batch/BatchLeaderTest.cpp
@@ -117,6 +117,50 @@
     EXPECT_TRUE(waitUntil([this] { return leaderRecords().back().find("e-2") != std::string::npos; }));
 }
 
+// Guards against a cluster without a leader: an instance with more processors asks for the leadership and is gone
+// before it can claim it.
+TEST_F(BatchTaskTest, LeaderThatSteppedDownForALostInstanceLeadsAgain)
+{
+    auto small = startInstance("e-1", 120);
+    ASSERT_TRUE(waitUntil([this] { return !leaderRecords().empty(); }));
+    std::this_thread::sleep_for(milliseconds(200));
+    m_store.put(Stream::Journal, makeKey(instanceKeyPrefix, "e-2"), protocol::batch::encodeInstance(500));
+    ASSERT_TRUE(waitUntil(
+        [this] { return protocol::batch::decodeLeader(leaderRecords().back()).vacant; }, milliseconds(1'000)));
+    ASSERT_EQ(submit(*small, makeJob()), ChangeOutcome::Done);
+    EXPECT_TRUE(waitUntilRunning());
+}
+
+// Guards against handovers in quick succession to an instance that asks for the leadership again and again and never
+// claims it.
+TEST_F(BatchTaskTest, RepeatedRequestsOfAnInstanceThatNeverClaimsDoNotStopTheLeader)
+{
+    auto small = startInstance("e-1", 120);
+    ASSERT_TRUE(waitUntil([this] { return !leaderRecords().empty(); }));
+    auto end = std::chrono::steady_clock::now() + milliseconds(2'500);
+    while (std::chrono::steady_clock::now() < end) {
+        m_store.put(Stream::Journal, makeKey(instanceKeyPrefix, "e-2"), protocol::batch::encodeInstance(500));
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    std::vector<std::string> records = leaderRecords();
+    EXPECT_EQ(std::ranges::count_if(
+                  records, [](const std::string& record) { return protocol::batch::decodeLeader(record).vacant; }),
+        1);
+    EXPECT_FALSE(protocol::batch::decodeLeader(records.back()).vacant);
+}
+
+// Guards against an instance that is drained while its claim is under way and then leads until its process ends.
+TEST_F(BatchTaskTest, InstanceDrainedBeforeItsLeaseIsConfirmedStepsDown)
+{
+    m_store.setAppendFault(FakeStore::AppendFault::LoseResponse);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return !leaderRecords().empty(); }));
+    task->post({ .body = BatchMessage::Drain {} });
+    std::this_thread::sleep_for(milliseconds(50));
+    m_store.setAppendFault(FakeStore::AppendFault::None);
+    EXPECT_TRUE(waitUntil([this] { return protocol::batch::decodeLeader(leaderRecords().back()).vacant; }));
+}
+
 // Guards against a new leader that learns the speeds of the workers from nothing although an earlier one has stored
 // them.
 TEST_F(BatchTaskTest, NewLeaderKnowsTheStoredSpeeds)
--- a/tests/coordination/batch/FakeStore.h
+++ b/tests/coordination/batch/FakeStore.h
@@ -144,6 +144,9 @@
     }
 
 private:
+    /// A repetition of one of so many appends gets the result of the first attempt.
+    static constexpr std::size_t rememberedAppends = 5;
+
     struct StreamState {
         std::vector<KeyedRecord> records;
         std::uint64_t first = 0;
@@ -166,8 +169,8 @@
             if (m_writer && writer.term < m_writer->term)
                 return { .status = AppendResult::Status::Fenced };
             if (m_writer && writer.term == m_writer->term) {
-                if (writer.sequence == m_writer->sequence)
-                    return m_lastResult;
+                if (auto earlier = m_lastResults.find(writer.sequence); earlier != m_lastResults.end())
+                    return earlier->second;
                 if (writer.sequence != m_writer->sequence + 1)
                     return { .status = AppendResult::Status::OutOfSequence };
             }
@@ -178,8 +181,12 @@
             store(Stream::Journal, record);
         AppendResult result { .status = AppendResult::Status::Stored, .firstOffset = end };
         if (request.writer) {
+            if (!m_writer || m_writer->term != request.writer->term)
+                m_lastResults.clear();
             m_writer = request.writer;
-            m_lastResult = result;
+            m_lastResults[request.writer->sequence] = result;
+            if (m_lastResults.size() > rememberedAppends)
+                m_lastResults.erase(m_lastResults.begin());
         }
         return result;
     }
@@ -269,7 +276,8 @@
     std::mutex m_mutex;
     std::map<Stream, StreamState> m_streams;
     std::optional<Writer> m_writer;
-    AppendResult m_lastResult;
+    /// Results of the newest appends of the writer's term, by sequence number.
+    std::map<std::uint64_t, AppendResult> m_lastResults;
     AppendFault m_appendFault = AppendFault::None;
     std::optional<std::string> m_closedConnectionPrefix;
     std::set<std::string> m_refusedKeys;
