Cancellations are stored before they are answered, also of unknown jobs

Cause: "no such job" was answered from what had been read, and nothing was stored.

The cancellation is now stored first. BatchTable takes a cancellation before its job, so the order of the two records does not matter, also for a successor and after a restart. Cancellations of jobs that never come are removed after 10 min and limited in number; if a removal and the submission cross, the leader stores the cancellation again.

--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -143,6 +143,13 @@
         .duration = std::chrono::seconds(8),
         .maximumDuration = std::chrono::minutes(10),
     };
+    /// Cancellations of unknown jobs that are kept at once; further ones are refused. About 100 bytes each.
+    std::size_t maximumUnknownCancellations = 16'384;
+    /// Time for which such a cancellation is kept. Far above the seconds by which the store or a suspended instance may
+    /// delay the submission that it cancels.
+    std::chrono::milliseconds unknownCancellationRetention { 600'000 };
+    /// Time between two searches for cancellations to remove.
+    std::chrono::milliseconds pruneInterval { 1'000 };
     /// Longest wait of a query or cancellation for the read that shows whether an unknown job exists. Covers a long
     /// poll of the journal that is in flight and the read that follows it.
     std::chrono::milliseconds lookupTimeout { 600 };
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -1,6 +1,7 @@
 #include "coordination/batch/BatchTask.h"
 
 #include "coordination/batch/BatchScheduler.h"
+#include "coordination/batch/CancellationPruner.h"
 #include "coordination/batch/JournalKeys.h"
 #include "coordination/batch/KeyedReader.h"
 #include "coordination/batch/Leadership.h"
@@ -94,6 +95,7 @@
 
 void BatchTask::onStop()
 {
+    m_cancellationPruner.reset();
     m_scheduler.reset();
     m_leadership.reset();
     m_journalReader.reset();
@@ -187,6 +189,7 @@
     m_environment.metrics->setGauge("lentilsaddle_batch_leading", 1);
     m_environment.metrics->increment("lentilsaddle_batch_terms_total");
     m_scheduler.reset();
+    m_cancellationPruner.reset();
     m_handover.onElected(m_environment.monotonicClock());
     if (m_draining)
         m_leadership->stepDown();
@@ -215,6 +218,7 @@
     loop().startTimer(std::chrono::microseconds(0), [this] {
         if (!m_leadership || m_leadership->leading())
             return;
+        m_cancellationPruner.reset();
         m_scheduler.reset();
         m_directoryReader.reset();
     });
@@ -249,6 +253,13 @@
                 },
         });
     m_scheduler->start(m_workers, m_speeds);
+    m_cancellationPruner = std::make_unique<CancellationPruner>(m_table, m_options,
+        CancellationPruner::Hooks {
+            .clock = m_environment.monotonicClock,
+            .append
+            = [this](
+                  std::vector<KeyedRecord> records) { m_leadership->append(std::move(records), [](std::uint64_t) {}); },
+        });
 }
 
 void BatchTask::storeTasks(const TaskStates& states, const std::function<void()>& onStored)
@@ -339,33 +350,45 @@
 {
     afterLookup(cancel.job, [this, cancel](bool upToDate) {
         const state::batch::BatchJobEntry* entry = m_table.find(cancel.job);
+        bool unresolved = m_sharedAppender->unresolved(makeKey(jobKeyPrefix, cancel.job.value()));
+        bool absent = !entry && upToDate && !unresolved;
         if (entry && entry->cancelled())
             cancel.reply(ChangeOutcome::Done);
-        else if (entry)
-            cancelKnown(cancel.job, cancel.reply);
-        else if (m_sharedAppender->unresolved(makeKey(jobKeyPrefix, cancel.job.value())))
-            cancel.reply(ChangeOutcome::Unknown);
+        else if (absent && m_table.cancelledBeforeKnown().contains(cancel.job))
+            cancel.reply(ChangeOutcome::NoSuchJob);
+        else if (!entry && m_table.cancelledBeforeKnown().size() >= m_options.maximumUnknownCancellations)
+            cancel.reply(ChangeOutcome::Refused);
         else
-            cancel.reply(upToDate ? ChangeOutcome::NoSuchJob : ChangeOutcome::Refused);
+            storeCancellation(cancel.job, absent, cancel.reply);
     });
 }
 
-void BatchTask::cancelKnown(const state::JobId& job, const std::function<void(ChangeOutcome)>& reply)
+void BatchTask::storeCancellation(const state::JobId& job, bool absent, const std::function<void(ChangeOutcome)>& reply)
 {
-    auto onResult = [this, job, reply](AppendResult::Status status) {
-        writeLog(LogLevel::Info, "api", "job cancelled",
-            { { "job", job.value() }, { "outcome", appendStatusName(status) } });
-        if (status == AppendResult::Status::Stored) {
+    auto onResult = [this, job, absent, reply](AppendResult::Status status) {
+        bool stored = status == AppendResult::Status::Stored;
+        if (stored) {
             m_table.applyCancellation(job);
             if (m_scheduler)
                 m_scheduler->onTableChanged();
         }
-        reply(toChangeOutcome(status));
+        bool known = m_table.find(job) != nullptr;
+        writeLog(LogLevel::Info, "api", "job cancelled",
+            { { "job", job.value() }, { "outcome", appendStatusName(status) }, { "known", known ? "true" : "false" } });
+        reply(stored && absent && !known ? ChangeOutcome::NoSuchJob : toChangeOutcome(status));
     };
     m_sharedAppender->append({ .record = { .key = makeKey(cancellationKeyPrefix, job.value()), .value = "1" },
         .reply = std::move(onResult) });
 }
 
+void BatchTask::restoreCancellation(const state::JobId& job)
+{
+    const state::batch::BatchJobEntry* entry = m_table.find(job);
+    if (entry && entry->cancelled() && m_leadership->leading())
+        m_leadership->append(
+            { { .key = makeKey(cancellationKeyPrefix, job.value()), .value = "1" } }, [](std::uint64_t) {});
+}
+
 void BatchTask::handle(const BatchMessage::Query& query)
 {
     afterLookup(query.job, [this, query](bool upToDate) {
@@ -435,6 +458,8 @@
     loop().startTimer(readinessInterval, [this] { watchReadiness(); });
     updateReadiness();
     recordStreamAges();
+    if (m_cancellationPruner && m_leadership->leading())
+        m_cancellationPruner->run();
 }
 
 void BatchTask::recordStreamAges()
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -25,6 +25,7 @@
 namespace lentilsaddle::coordination::batch {
 
 class BatchScheduler;
+class CancellationPruner;
 class KeyedReader;
 class Leadership;
 class SharedAppender;
@@ -61,6 +62,8 @@
 
     void applyJournal(const std::vector<KeyedRecord>& records, bool listing);
     void applyRecord(const KeyedRecord& record, bool listing);
+    /// Applies the removal of a key.
+    void applyRemoval(const std::string& key);
     void applyDirectory(const std::vector<KeyedRecord>& records, bool listing);
     /// Applies the records of the operator's stream.
     void applyOperatorRecords(const std::vector<KeyedRecord>& records, bool listing);
@@ -87,7 +90,11 @@
     /// Steps down if an instance with more processors has announced itself in this term.
     void handOverIfRequested();
     void storeAnnouncement();
-    void cancelKnown(const state::JobId& job, const std::function<void(ChangeOutcome)>& reply);
+    /// Stores the cancellation, so that the job is cancelled whenever its submission takes effect.
+    /// @param absent whether an up-to-date view of the journal does not hold the job.
+    void storeCancellation(const state::JobId& job, bool absent, const std::function<void(ChangeOutcome)>& reply);
+    /// Stores the cancellation of a known job again after its removal, which was decided before the job was known.
+    void restoreCancellation(const state::JobId& job);
 
     void onElected(std::uint64_t term);
     void onLeadershipLost();
@@ -127,6 +134,7 @@
     HandoverPolicy m_handover { HandoverPolicy::Options {} };
     std::unique_ptr<Leadership> m_leadership;
     std::unique_ptr<BatchScheduler> m_scheduler;
+    std::unique_ptr<CancellationPruner> m_cancellationPruner;
     /// Newest speeds of the workers that a leader has stored.
     state::batch::WorkerSpeedSummary m_speeds;
     /// Leader record of the listing that is being applied.
--- a/coordination/batch/BatchTaskStreams.cpp
+++ b/coordination/batch/BatchTaskStreams.cpp
@@ -46,8 +46,10 @@
 
 void BatchTask::applyRecord(const KeyedRecord& record, bool listing)
 {
-    if (!record.value)
+    if (!record.value) {
+        applyRemoval(record.key);
         return;
+    }
     try {
         if (record.key == leaderKey) {
             state::batch::LeaderRecord leader = protocol::batch::decodeLeader(*record.value);
@@ -94,6 +96,15 @@
     }
 }
 
+void BatchTask::applyRemoval(const std::string& key)
+{
+    if (!key.starts_with(cancellationKeyPrefix))
+        return;
+    state::JobId job { std::string(withoutPrefix(key, cancellationKeyPrefix)) };
+    m_table.removeEarlyCancellation(job);
+    restoreCancellation(job);
+}
+
 void BatchTask::applyDirectory(const std::vector<KeyedRecord>& records, bool listing)
 {
     if (listing)
--- a/state/batch/BatchTable.h
+++ b/state/batch/BatchTable.h
@@ -24,6 +24,12 @@
     /// Marks a job as cancelled, also before the job itself is known.
     void applyCancellation(const JobId& job);
 
+    /// Forgets the cancellation of a job that is not known; has no effect on a known job.
+    void removeEarlyCancellation(const JobId& job) { m_earlyCancellations.erase(job); }
+
+    /// @return cancelled jobs that are not known.
+    const std::set<JobId>& cancelledBeforeKnown() const { return m_earlyCancellations; }
+
     /// Sets a task's state if it is newer than the known one. A task that its job does not contain is ignored.
     /// @param offset offset of the record in the journal.
     void applyTask(const BatchTaskId& task, const BatchTaskState& taskState, std::uint64_t offset);
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -480,4 +480,77 @@
     EXPECT_NE(cancel(*task, jobId), ChangeOutcome::NoSuchJob);
 }
 
+// Guards against a job that runs although its cancellation was acknowledged: another instance answers it from a journal
+// in which the store has not yet carried out the submission. A leader that is lost at once changes nothing.
+TEST_F(BatchTaskTest, CancellationBeforeTheSubmissionTakesEffectHolds)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).noSuchJob; }));
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::NoSuchJob);
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::NoSuchJob);
+    task.reset();
+    m_store.put(Stream::Journal, makeKey(jobKeyPrefix, jobId.value()), protocol::batch::encodeJob(makeJob()));
+    auto successor = startInstance("e-2");
+    EXPECT_TRUE(waitUntil([&] { return query(*successor, jobId).phase == BatchJobEntry::Phase::Cancelled; }));
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+}
+
+// Guards against the same for a submission that arrives again after the cancellation.
+TEST_F(BatchTaskTest, JobSubmittedAfterItsCancellationDoesNotRun)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).noSuchJob; }));
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::NoSuchJob);
+    EXPECT_TRUE(query(*task, jobId).noSuchJob);
+    EXPECT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    EXPECT_EQ(query(*task, jobId).phase, BatchJobEntry::Phase::Cancelled);
+    EXPECT_EQ(pendingCount(*task, "q"), 0U);
+    letTheLeaderAct();
+    EXPECT_EQ(m_workers.starts(taskName), 0);
+}
+
+// Guards against a cancellation that is acknowledged although the store may not keep it.
+TEST_F(BatchTaskTest, CancellationOfAnUnknownJobIsAcknowledgedOnlyOnceStored)
+{
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).noSuchJob; }));
+    m_store.setAppendFault(FakeStore::AppendFault::Drop);
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::Unknown);
+}
+
+// Guards against cancellations of unknown jobs that fill the memory and the journal.
+TEST_F(BatchTaskTest, CancellationsOfUnknownJobsAreBoundedAndForgotten)
+{
+    m_options.maximumUnknownCancellations = 2;
+    m_options.unknownCancellationRetention = milliseconds(1'000);
+    m_options.pruneInterval = milliseconds(50);
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, jobId).noSuchJob; }));
+    EXPECT_EQ(cancel(*task, state::JobId("00000000000000b1")), ChangeOutcome::NoSuchJob);
+    EXPECT_EQ(cancel(*task, state::JobId("00000000000000b2")), ChangeOutcome::NoSuchJob);
+    EXPECT_EQ(cancel(*task, jobId), ChangeOutcome::Refused);
+    EXPECT_TRUE(waitUntil([&] { return cancel(*task, jobId) == ChangeOutcome::NoSuchJob; }));
+    std::vector<KeyedRecord> records = m_store.records(Stream::Journal);
+    EXPECT_TRUE(std::ranges::any_of(records, [](const KeyedRecord& record) {
+        return record.key == makeKey(cancellationKeyPrefix, "00000000000000b1") && !record.value;
+    }));
+}
+
+// Guards against a job that runs after a restart because its cancellation was removed when the job was not yet known.
+TEST_F(BatchTaskTest, RemovedCancellationOfAKnownJobIsStoredAgain)
+{
+    auto task = startInstance("e-1");
+    ASSERT_EQ(submit(*task, makeJob()), ChangeOutcome::Done);
+    ASSERT_EQ(cancel(*task, jobId), ChangeOutcome::Done);
+    std::string key = makeKey(cancellationKeyPrefix, jobId.value());
+    m_store.put(Stream::Journal, key, std::nullopt);
+    EXPECT_TRUE(waitUntil([&] {
+        std::vector<KeyedRecord> records = m_store.records(Stream::Journal);
+        auto last = std::find_if(
+            records.rbegin(), records.rend(), [&](const KeyedRecord& record) { return record.key == key; });
+        return last->value.has_value();
+    }));
+}
+
 } // namespace lentilsaddle::coordination::batch
