Batch table: state of recorded tasks only, not of all announced ones

Cause: BatchJobEntry allocated a state of some 180 bytes for each task of each occurrence when the job became known.

The records of a step in an occurrence are now kept once there is one; a task that is done keeps its run number. A done task stays done whatever record follows. At most 10,000 tasks of a job are open or offered to the planner. A new leader visits the open tasks in place of all announced ones.

--- a/coordination/batch/BatchScheduler.cpp
+++ b/coordination/batch/BatchScheduler.cpp
@@ -89,41 +89,38 @@
 {
     for (const state::JobId& job : m_table.activeJobs()) {
         const BatchJobEntry& entry = *m_table.find(job);
-        for (int occurrence = 0; occurrence < entry.job().occurrences; ++occurrence) {
-            for (int step = 0; step < static_cast<int>(entry.job().steps.size()); ++step) {
-                const BatchStep& description = entry.job().steps[static_cast<std::size_t>(step)];
-                for (int index = 0; index < description.taskCount; ++index) {
-                    BatchTaskId id { .job = job, .occurrence = occurrence, .step = step, .index = index };
-                    const BatchTaskState& claimed = entry.task(id);
-                    if (claimed.phase != TaskPhase::Claimed)
-                        continue;
-                    auto listed = workers.find(claimed.worker);
-                    BatchWorker worker = listed != workers.end() ? listed->second
-                                                                 : BatchWorker { .id = claimed.worker,
-                                                                       .service = entry.job().queue.service,
-                                                                       .address = claimed.workerAddress };
-                    Allocation allocation {
-                        .task = id,
-                        .run = claimed.run,
-                        .entry = &entry,
-                        .resources = description.resources,
-                        .phase = Allocation::Phase::Uncertain,
-                        .incarnation = claimed.workerIncarnation,
-                        .inherited = true,
-                        .claimedEarlier = true,
-                        .checkpoint = claimed.checkpoint,
-                        .since = m_hooks.clock(),
-                    };
-                    WorkerSession& session = sessionFor(worker);
-                    if (listed == workers.end())
-                        session.setListed(false);
-                    session.inherit(allocation);
-                }
-            }
-        }
+        entry.forEachOpenTask([&](const BatchTaskId& task, const BatchTaskState& taskState) {
+            if (taskState.phase == TaskPhase::Claimed)
+                inheritClaim(entry, task, taskState, workers);
+        });
     }
 }
 
+void BatchScheduler::inheritClaim(const BatchJobEntry& entry, const BatchTaskId& task, const BatchTaskState& claimed,
+    const std::map<state::WorkerId, BatchWorker>& workers)
+{
+    auto listed = workers.find(claimed.worker);
+    BatchWorker worker = listed != workers.end()
+        ? listed->second
+        : BatchWorker { .id = claimed.worker, .service = entry.job().queue.service, .address = claimed.workerAddress };
+    Allocation allocation {
+        .task = task,
+        .run = claimed.run,
+        .entry = &entry,
+        .resources = entry.job().steps[static_cast<std::size_t>(task.step)].resources,
+        .phase = Allocation::Phase::Uncertain,
+        .incarnation = claimed.workerIncarnation,
+        .inherited = true,
+        .claimedEarlier = true,
+        .checkpoint = claimed.checkpoint,
+        .since = m_hooks.clock(),
+    };
+    WorkerSession& session = sessionFor(worker);
+    if (listed == workers.end())
+        session.setListed(false);
+    session.inherit(allocation);
+}
+
 void BatchScheduler::onWorkers(const std::map<state::WorkerId, BatchWorker>& workers)
 {
     for (const auto& [id, worker] : workers) {
--- a/coordination/batch/BatchScheduler.h
+++ b/coordination/batch/BatchScheduler.h
@@ -152,6 +152,9 @@
     WorkerSession& sessionFor(const state::batch::BatchWorker& worker);
     WorkerSession::Hooks sessionHooks(const state::WorkerId& worker);
     void inheritClaims(const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
+    void inheritClaim(const state::batch::BatchJobEntry& entry, const state::batch::BatchTaskId& task,
+        const state::batch::BatchTaskState& claimed,
+        const std::map<state::WorkerId, state::batch::BatchWorker>& workers);
 
     void onStopping(const Allocation& allocation, const StopCause& cause, double lostWork);
     /// Counts a run that ended early, with the work that it lost, in core-seconds.
@@ -227,8 +230,9 @@
     void probeWorkers();
     PlanInput makeInput(const RunOverview& overview);
     void addUnits(PlanInput& input, const RunOverview& overview);
+    /// @param newTasks tasks of the job that may begin beside its open ones; reduced by those that the step offers.
     void addStep(PlanInput& input, const state::batch::BatchJobEntry& entry, int occurrence, int step,
-        const std::vector<std::chrono::milliseconds>& criticalPaths);
+        const std::vector<std::chrono::milliseconds>& criticalPaths, int& newTasks);
     /// Adds the unit of a step, and another one for its tasks that may crash their workers.
     void addStepUnits(PlanInput& input, BatchUnit unit, const std::vector<int>& suspects);
     /// @return whether a claim or a completion of the task is being stored.
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -65,6 +65,7 @@
     for (const state::JobId& job : m_table.activeJobs()) {
         const BatchJobEntry& entry = *m_table.find(job);
         std::vector<milliseconds> criticalPaths;
+        int newTasks = state::batch::maximumOpenTasks - static_cast<int>(entry.openTaskCount());
         for (int occurrence = 0; occurrence < entry.job().occurrences; ++occurrence) {
             if (entry.job().hasDueTime() && entry.job().dueTime(occurrence) - m_options.earlyStart > wallNow)
                 break;
@@ -73,7 +74,7 @@
                     continue;
                 if (criticalPaths.empty())
                     criticalPaths = remainingCriticalPaths(entry.job());
-                addStep(input, entry, occurrence, step, criticalPaths);
+                addStep(input, entry, occurrence, step, criticalPaths, newTasks);
             }
         }
     }
@@ -116,7 +117,7 @@
 }
 
 void BatchScheduler::addStep(PlanInput& input, const BatchJobEntry& entry, int occurrence, int step,
-    const std::vector<milliseconds>& criticalPaths)
+    const std::vector<milliseconds>& criticalPaths, int& newTasks)
 {
     const BatchJob& job = entry.job();
     const BatchStep& description = job.steps[static_cast<std::size_t>(step)];
@@ -138,19 +139,25 @@
     };
     std::vector<int> suspects;
     bool anyHeld = !m_claiming.empty() || !m_completing.empty() || !m_suspects.empty();
+    int offered = 0;
     for (int index = 0; index < description.taskCount; ++index) {
-        bool queued = entry.task(occurrence, step, index).phase == BatchTaskState::Phase::Queued;
+        const BatchTaskState* open = entry.openTask(occurrence, step, index);
+        if (!open && offered >= newTasks)
+            continue;
+        bool queued = entry.taskPhase(occurrence, step, index) == BatchTaskState::Phase::Queued;
         bool held
             = queued && anyHeld && isHeld({ .job = job.id, .occurrence = occurrence, .step = step, .index = index });
         if (!queued || held)
             continue;
-        bool suspect = mayCrashWorkers(entry.task(occurrence, step, index));
+        offered += open ? 0 : 1;
+        bool suspect = open && mayCrashWorkers(*open);
         (suspect ? suspects : unit.indices).push_back(index);
     }
     if (unit.indices.empty() && suspects.empty())
         return;
     if (unit.gang && static_cast<int>(unit.indices.size() + suspects.size()) != description.taskCount)
         return;
+    newTasks -= offered;
     StepKey key(job.id, occurrence, step);
     unit.readySince = m_readySince.try_emplace(key, input.now).first->second;
     if (auto failed = m_failedOn.find(key); failed != m_failedOn.end())
--- a/state/batch/BatchJobEntry.cpp
+++ b/state/batch/BatchJobEntry.cpp
@@ -9,15 +9,8 @@
 BatchJobEntry::BatchJobEntry(BatchJob job)
     : m_job(std::move(job))
 {
-    for (const BatchStep& step : m_job.steps) {
-        m_firstSlots.push_back(m_tasksPerOccurrence);
-        m_tasksPerOccurrence += static_cast<std::size_t>(step.taskCount);
-    }
-    m_slots.resize(m_tasksPerOccurrence * static_cast<std::size_t>(m_job.occurrences));
-    for (int occurrence = 0; occurrence < m_job.occurrences; ++occurrence) {
-        for (const BatchStep& step : m_job.steps)
-            m_counts.push_back({ .queued = step.taskCount });
-    }
+    for (const BatchStep& step : m_job.steps)
+        m_totalTasks += static_cast<std::size_t>(step.taskCount) * static_cast<std::size_t>(m_job.occurrences);
 }
 
 bool BatchJobEntry::contains(const BatchTaskId& task) const
@@ -27,58 +20,92 @@
         && task.index < m_job.steps[static_cast<std::size_t>(task.step)].taskCount;
 }
 
-std::size_t BatchJobEntry::slotIndex(int occurrence, int step, int index) const
+const BatchJobEntry::StepRecords* BatchJobEntry::records(int occurrence, int step) const
+{
+    auto found = m_records.find({ occurrence, step });
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+BatchTaskState BatchJobEntry::task(const BatchTaskId& task) const
 {
-    return static_cast<std::size_t>(occurrence) * m_tasksPerOccurrence + m_firstSlots[static_cast<std::size_t>(step)]
-        + static_cast<std::size_t>(index);
+    if (const BatchTaskState* open = openTask(task.occurrence, task.step, task.index))
+        return *open;
+    if (taskPhase(task.occurrence, task.step, task.index) != BatchTaskState::Phase::Done)
+        return {};
+    std::int32_t run = records(task.occurrence, task.step)->doneRuns[static_cast<std::size_t>(task.index)];
+    return { .phase = BatchTaskState::Phase::Done, .run = run };
 }
 
-const BatchJobEntry::StepCounts& BatchJobEntry::counts(int occurrence, int step) const
+BatchTaskState::Phase BatchJobEntry::taskPhase(int occurrence, int step, int index) const
 {
-    return m_counts[static_cast<std::size_t>(occurrence) * m_job.steps.size() + static_cast<std::size_t>(step)];
+    const StepRecords* known = records(occurrence, step);
+    if (known && !known->doneRuns.empty() && known->doneRuns[static_cast<std::size_t>(index)] != notDone)
+        return BatchTaskState::Phase::Done;
+    const BatchTaskState* open = openTask(occurrence, step, index);
+    return open ? open->phase : BatchTaskState::Phase::Queued;
 }
 
-void BatchJobEntry::updateCounts(const BatchTaskId& task, const BatchTaskState& taskState, int change)
+const BatchTaskState* BatchJobEntry::openTask(int occurrence, int step, int index) const
 {
-    auto step = static_cast<std::size_t>(task.occurrence) * m_job.steps.size() + static_cast<std::size_t>(task.step);
-    if (taskState.phase == BatchTaskState::Phase::Queued)
-        m_counts[step].queued += change;
-    if (taskState.phase == BatchTaskState::Phase::Done)
-        m_counts[step].done += change;
+    const StepRecords* known = records(occurrence, step);
+    if (!known)
+        return nullptr;
+    auto found = known->open.find(index);
+    return found == known->open.end() ? nullptr : &found->second.state;
+}
+
+void BatchJobEntry::forEachOpenTask(
+    const std::function<void(const BatchTaskId&, const BatchTaskState&)>& callback) const
+{
+    for (const auto& [place, known] : m_records) {
+        for (const auto& [index, task] : known.open)
+            callback({ .job = m_job.id, .occurrence = place.first, .step = place.second, .index = index }, task.state);
+    }
 }
 
 void BatchJobEntry::setTaskState(const BatchTaskId& task, const BatchTaskState& taskState, std::uint64_t offset)
 {
-    TaskSlot& slot = m_slots[slotIndex(task.occurrence, task.step, task.index)];
-    if (slot.hasRecord && offset <= slot.offset)
+    using Phase = BatchTaskState::Phase;
+    if (taskPhase(task.occurrence, task.step, task.index) == Phase::Done)
+        return;
+    StepRecords& known = m_records[{ task.occurrence, task.step }];
+    auto [found, added] = known.open.try_emplace(task.index);
+    OpenTask& open = found->second;
+    if (!added && offset <= open.offset)
         return;
-    if (slot.state.phase == BatchTaskState::Phase::Done)
-        --m_doneTasks;
-    if (slot.state.run > 0)
-        --m_claimedTasks;
-    updateCounts(task, slot.state, -1);
-    slot = { .state = taskState, .offset = offset, .hasRecord = true };
-    updateCounts(task, slot.state, 1);
-    if (taskState.phase == BatchTaskState::Phase::Done)
-        ++m_doneTasks;
-    if (taskState.run > 0)
-        ++m_claimedTasks;
+    m_openCount += added ? 1 : 0;
+    known.claimed += (taskState.phase == Phase::Claimed ? 1 : 0) - (open.state.phase == Phase::Claimed ? 1 : 0);
+    known.highestRun = std::max(known.highestRun, taskState.run);
+    m_claimed = m_claimed || taskState.run > 0;
+    open = { .state = taskState, .offset = offset };
     // Only a run that has begun leaves one of these.
-    m_started = m_started || taskState.phase == BatchTaskState::Phase::Done || taskState.failures > 0
-        || !taskState.checkpoint.empty();
+    m_started = m_started || taskState.phase == Phase::Done || taskState.failures > 0 || !taskState.checkpoint.empty();
     if (taskState.givenUp || failures(task) >= m_job.queue.maximumAttempts)
         m_failed = true;
+    if (taskState.phase == Phase::Done)
+        setDone(known, task, taskState);
+}
+
+void BatchJobEntry::setDone(StepRecords& records, const BatchTaskId& task, const BatchTaskState& taskState)
+{
+    if (records.doneRuns.empty())
+        records.doneRuns.assign(static_cast<std::size_t>(taskCount(task.step)), notDone);
+    records.doneRuns[static_cast<std::size_t>(task.index)] = static_cast<std::int32_t>(taskState.run);
+    records.open.erase(task.index);
+    ++records.done;
+    ++m_doneCount;
+    --m_openCount;
 }
 
 BatchJobEntry::Phase BatchJobEntry::phase() const
 {
-    if (m_doneTasks == m_slots.size())
+    if (m_doneCount == m_totalTasks)
         return Phase::Completed;
     if (m_failed)
         return Phase::Failed;
     if (m_cancelled)
         return Phase::Cancelled;
-    return m_claimedTasks > 0 ? Phase::Running : Phase::Queued;
+    return m_claimed ? Phase::Running : Phase::Queued;
 }
 
 bool BatchJobEntry::finished() const
@@ -94,29 +121,42 @@
         predecessors.begin(), predecessors.end(), [&](int predecessor) { return stepDone(occurrence, predecessor); });
 }
 
+bool BatchJobEntry::stepDone(int occurrence, int step) const
+{
+    const StepRecords* known = records(occurrence, step);
+    return (known ? known->done : 0) == taskCount(step);
+}
+
+int BatchJobEntry::queuedTasks(int occurrence, int step) const
+{
+    const StepRecords* known = records(occurrence, step);
+    return taskCount(step) - (known ? known->claimed + known->done : 0);
+}
+
 int BatchJobEntry::failures(const BatchTaskId& task) const
 {
-    const BatchStep& step = m_job.steps[static_cast<std::size_t>(task.step)];
-    if (!step.gang)
-        return this->task(task).failures;
+    if (!m_job.steps[static_cast<std::size_t>(task.step)].gang) {
+        const BatchTaskState* open = openTask(task.occurrence, task.step, task.index);
+        return open ? open->failures : 0;
+    }
+    const StepRecords* known = records(task.occurrence, task.step);
+    if (!known)
+        return 0;
     // Members that failed in the same run count as one failure of the gang. Records of earlier versions do not name all
     // runs.
     int mostOfAMember = 0;
     std::set<std::int64_t> runs;
-    for (int index = 0; index < step.taskCount; ++index) {
-        const BatchTaskState& member = this->task(task.occurrence, task.step, index);
-        mostOfAMember = std::max(mostOfAMember, member.failures);
-        runs.insert(member.failedRuns.begin(), member.failedRuns.end());
+    for (const auto& [index, member] : known->open) {
+        mostOfAMember = std::max(mostOfAMember, member.state.failures);
+        runs.insert(member.state.failedRuns.begin(), member.state.failedRuns.end());
     }
     return std::max(mostOfAMember, static_cast<int>(runs.size()));
 }
 
 std::int64_t BatchJobEntry::highestRun(int occurrence, int step) const
 {
-    std::int64_t highest = 0;
-    for (int index = 0; index < taskCount(step); ++index)
-        highest = std::max(highest, task(occurrence, step, index).run);
-    return highest;
+    const StepRecords* known = records(occurrence, step);
+    return known ? known->highestRun : 0;
 }
 
 } // namespace lentilsaddle::state::batch
--- a/state/batch/BatchJobEntry.h
+++ b/state/batch/BatchJobEntry.h
@@ -8,11 +8,19 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
 #include <vector>
 
 namespace lentilsaddle::state::batch {
 
-/// Specification of a job and the state of its tasks, as replayed from the journal.
+/// Tasks of one job that have begun and are not done. More are not started until others are done, which bounds the
+/// states that a process keeps. As many as the largest step has.
+inline constexpr int maximumOpenTasks = 10'000;
+
+/// Specification of a job and the state of its tasks, as replayed from the journal. The memory grows with the tasks
+/// that the journal holds records of, not with those that the specification announces.
 class BatchJobEntry {
 public:
     enum class Phase {
@@ -32,18 +40,22 @@
     bool contains(const BatchTaskId& task) const;
 
     /// @param task a task that the job contains.
-    const BatchTaskState& task(const BatchTaskId& task) const
-    {
-        return this->task(task.occurrence, task.step, task.index);
-    }
+    /// @return the state; of a task that is done, the phase and the run.
+    BatchTaskState task(const BatchTaskId& task) const;
 
     /// @param index a task that the step contains.
-    const BatchTaskState& task(int occurrence, int step, int index) const
-    {
-        return m_slots[slotIndex(occurrence, step, index)].state;
-    }
+    BatchTaskState::Phase taskPhase(int occurrence, int step, int index) const;
+
+    /// @return the recorded state of a task that is not done; null if there is none.
+    const BatchTaskState* openTask(int occurrence, int step, int index) const;
+
+    /// @return number of tasks with a recorded state that are not done.
+    std::size_t openTaskCount() const { return m_openCount; }
 
-    /// Sets a task's state unless a newer one is known.
+    /// Calls back for each task with a recorded state that is not done.
+    void forEachOpenTask(const std::function<void(const BatchTaskId&, const BatchTaskState&)>& callback) const;
+
+    /// Sets a task's state unless a newer one is known, or the task is done.
     /// @param offset offset of the state's record in the journal.
     void setTaskState(const BatchTaskId& task, const BatchTaskState& taskState, std::uint64_t offset);
 
@@ -60,10 +72,10 @@
     /// @return whether all tasks of the step's predecessors are done in this occurrence.
     bool predecessorsDone(int occurrence, int step) const;
 
-    bool stepDone(int occurrence, int step) const { return counts(occurrence, step).done == taskCount(step); }
+    bool stepDone(int occurrence, int step) const;
 
     /// @return number of tasks of the step that are neither claimed nor done.
-    int queuedTasks(int occurrence, int step) const { return counts(occurrence, step).queued; }
+    int queuedTasks(int occurrence, int step) const;
 
     /// @return number of failed attempts that count towards the limit: of the task, or of its whole gang.
     int failures(const BatchTaskId& task) const;
@@ -72,31 +84,37 @@
     std::int64_t highestRun(int occurrence, int step) const;
 
 private:
-    struct TaskSlot {
+    struct OpenTask {
         BatchTaskState state;
         std::uint64_t offset = 0;
-        bool hasRecord = false;
     };
 
-    /// Number of tasks of one step in one occurrence, by phase.
-    struct StepCounts {
-        int queued = 0;
+    /// Tasks of one step in one occurrence of which the journal holds records.
+    struct StepRecords {
+        /// Tasks that are not done, by index.
+        std::map<int, OpenTask> open;
+        /// Run numbers of the tasks that are done, by index; `notDone` for the others. Empty while none is done.
+        std::vector<std::int32_t> doneRuns;
+        int claimed = 0;
         int done = 0;
+        std::int64_t highestRun = 0;
     };
 
-    std::size_t slotIndex(int occurrence, int step, int index) const;
+    static constexpr std::int32_t notDone = -1;
+
     int taskCount(int step) const { return m_job.steps[static_cast<std::size_t>(step)].taskCount; }
-    const StepCounts& counts(int occurrence, int step) const;
-    void updateCounts(const BatchTaskId& task, const BatchTaskState& taskState, int change);
+    /// @return null if the journal holds no record of the step in this occurrence.
+    const StepRecords* records(int occurrence, int step) const;
+    void setDone(StepRecords& records, const BatchTaskId& task, const BatchTaskState& taskState);
 
     BatchJob m_job;
-    /// Index of the first slot of each step within an occurrence.
-    std::vector<std::size_t> m_firstSlots;
-    std::size_t m_tasksPerOccurrence = 0;
-    std::vector<TaskSlot> m_slots;
-    std::vector<StepCounts> m_counts;
-    std::size_t m_doneTasks = 0;
-    std::size_t m_claimedTasks = 0;
+    std::size_t m_totalTasks = 0;
+    /// By occurrence and step.
+    std::map<std::pair<int, int>, StepRecords> m_records;
+    std::size_t m_openCount = 0;
+    std::size_t m_doneCount = 0;
+    /// Whether a task has ever been claimed.
+    bool m_claimed = false;
     bool m_started = false;
     bool m_cancelled = false;
     bool m_failed = false;
--- a/tests/state/batch/BatchTableTest.cpp
+++ b/tests/state/batch/BatchTableTest.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <malloc.h>
+#include <string>
+
 namespace lentilsaddle::state::batch {
 
 namespace {
@@ -148,4 +152,39 @@
     EXPECT_TRUE(table.find(jobId)->predecessorsDone(0, 1));
 }
 
+// Guards against memory for each announced task: few small jobs with very many occurrences would end the process, again
+// at each restart.
+TEST(BatchTable, MemoryGrowsWithRecordedTasksOnly)
+{
+    constexpr int jobs = 15;
+    constexpr std::size_t bytesPerJob = 16'384;
+    BatchTable table;
+    auto allocated = [] { return mallinfo2().uordblks + mallinfo2().hblkhd; };
+    std::size_t before = allocated();
+    for (int number = 0; number < jobs; ++number) {
+        BatchJob job = makeJob(10);
+        job.id = JobId("job-" + std::to_string(number));
+        job.steps.resize(10, job.steps.front());
+        job.occurrences = 1'000;
+        table.applyJob(job);
+        BatchTaskId task { .job = job.id, .occurrence = 999, .step = 9, .index = 9 };
+        table.applyTask(task, { .phase = BatchTaskState::Phase::Claimed, .run = 1 }, 1);
+        EXPECT_EQ(table.find(job.id)->queuedTasks(999, 9), 9);
+    }
+    EXPECT_LE(allocated() - before, jobs * bytesPerJob);
+}
+
+// Guards against a done task that a late record makes queued again, and against a lost run number of a done task.
+TEST(BatchTable, DoneTaskKeepsItsRunAndItsPhase)
+{
+    BatchTable table;
+    table.applyJob(makeJob(1));
+    BatchTaskId task = taskId(0);
+    table.applyTask(task, { .phase = BatchTaskState::Phase::Done, .run = 3 }, 1);
+    table.applyTask(task, { .phase = BatchTaskState::Phase::Queued, .run = 4 }, 2);
+    EXPECT_EQ(table.find(jobId)->task(task).phase, BatchTaskState::Phase::Done);
+    EXPECT_EQ(table.find(jobId)->task(task).run, 3);
+    EXPECT_EQ(table.find(jobId)->openTaskCount(), 0U);
+}
+
 } // namespace lentilsaddle::state::batch
