Submissions: a bound of the memory that unfinished jobs may take

The memory that a job can take is now known at its submission: records of complete occurrences are replaced by a mark, and at most 1,000 steps of a job are offered to a planning round. The sum of the unfinished jobs is limited to a third of the machine's memory. A job that may already be stored by an earlier attempt at the same instance is not refused.

--- a/coordination/batch/BatchMessage.h
+++ b/coordination/batch/BatchMessage.h
@@ -23,6 +23,10 @@
     /// The change may be durable now or later.
     Unknown,
     NoSuchJob,
+    /// The job was not accepted, because the account's jobs take as much memory as is left.
+    AccountLimit,
+    /// The job was not accepted, because the accepted jobs take all memory that they may.
+    NoRoom,
 };
 
 struct BatchMessage {
--- a/coordination/batch/BatchOptions.h
+++ b/coordination/batch/BatchOptions.h
@@ -135,6 +135,8 @@
     /// A new leader preempts nothing for this long, unless all workers have responded before. Until then it knows few
     /// workers, and would stop whatever runs there.
     std::chrono::milliseconds takeoverSettleTime { 500 };
+    /// Memory for the accepted jobs that have not ended, in bytes.
+    std::size_t jobMemoryBytes = 67'108'864;
     /// How early an occurrence may start before its due time.
     std::chrono::milliseconds earlyStart { 0 };
     /// Consecutive failures of different jobs after which a worker is quarantined, and the duration of a quarantine.
--- a/coordination/batch/BatchSchedulerPlanning.cpp
+++ b/coordination/batch/BatchSchedulerPlanning.cpp
@@ -66,11 +66,14 @@
         const BatchJobEntry& entry = *m_table.find(job);
         std::vector<milliseconds> criticalPaths;
         int newTasks = state::batch::maximumOpenTasks - static_cast<int>(entry.openTaskCount());
+        std::size_t steps = input.units.size() + state::batch::maximumOfferedSteps;
         for (int occurrence = 0; occurrence < entry.job().occurrences; ++occurrence) {
-            if (entry.job().hasDueTime() && entry.job().dueTime(occurrence) - m_options.earlyStart > wallNow)
+            bool due = !entry.job().hasDueTime() || entry.job().dueTime(occurrence) - m_options.earlyStart <= wallNow;
+            if (!due || input.units.size() >= steps)
                 break;
             for (int step = 0; step < static_cast<int>(entry.job().steps.size()); ++step) {
-                if (entry.queuedTasks(occurrence, step) == 0 || !entry.predecessorsDone(occurrence, step))
+                if (input.units.size() >= steps || entry.queuedTasks(occurrence, step) == 0
+                    || !entry.predecessorsDone(occurrence, step))
                     continue;
                 if (criticalPaths.empty())
                     criticalPaths = remainingCriticalPaths(entry.job());
--- a/coordination/batch/BatchTask.cpp
+++ b/coordination/batch/BatchTask.cpp
@@ -9,6 +9,7 @@
 #include "coordination/batch/SharedAppender.h"
 #include "coordination/decisions/batch/EvacuationLimit.h"
 #include "protocol/batch/BatchRecordCodec.h"
+#include "state/batch/JobMemory.h"
 #include "transport/Logger.h"
 #include "transport/Metrics.h"
 
@@ -69,6 +70,7 @@
     : m_environment(std::move(environment))
     , m_options(options)
     , m_hooks(std::move(hooks))
+    , m_admission(m_options.jobMemoryBytes)
     , m_ranking(m_environment.instance, m_options.processors)
 {
 }
@@ -298,7 +300,8 @@
 
 void BatchTask::handle(BatchMessage::Submit submit)
 {
-    if (!m_sharedAppender->storeSuspected() || m_table.find(submit.job.id)) {
+    bool accepted = decideAdmission(submit.job) == JobAdmission::Decision::Accept;
+    if ((accepted && !m_sharedAppender->storeSuspected()) || m_table.find(submit.job.id)) {
         storeJob(std::move(submit));
         return;
     }
@@ -315,11 +318,21 @@
         submit.reply(ChangeOutcome::Done);
         return;
     }
+    JobAdmission::Decision decision = decideAdmission(submit.job);
+    // A refusal would be wrong while an earlier attempt may still store the job.
+    if (decision != JobAdmission::Decision::Accept
+        && !m_sharedAppender->unresolved(makeKey(jobKeyPrefix, id.value()))) {
+        refuseJob(submit, decision);
+        return;
+    }
     KeyedRecord record {
         .key = makeKey(jobKeyPrefix, id.value()),
         .value = protocol::batch::encodeJob(submit.job),
     };
-    auto reply = [this, submit = std::move(submit)](AppendResult::Status status) {
+    std::size_t bytes = state::batch::jobMemoryBytes(submit.job);
+    m_storingBytes += bytes;
+    auto reply = [this, bytes, submit = std::move(submit)](AppendResult::Status status) {
+        m_storingBytes -= bytes;
         m_environment.metrics->increment(
             "lentilsaddle_batch_submissions_total", { { "outcome", appendStatusName(status) } });
         writeLog(LogLevel::Info, "api", "job submitted",
@@ -336,6 +349,28 @@
     m_sharedAppender->append({ .record = std::move(record), .reply = std::move(reply) });
 }
 
+JobAdmission::Decision BatchTask::decideAdmission(const state::batch::BatchJob& job) const
+{
+    return m_admission.decide({
+        .job = state::batch::jobMemoryBytes(job),
+        .account = m_table.activeBytes(job.account),
+        .total = m_table.activeBytes() + m_storingBytes,
+        .urgent = job.queue.priority == 0,
+    });
+}
+
+void BatchTask::refuseJob(const BatchMessage::Submit& submit, JobAdmission::Decision decision)
+{
+    bool account = decision == JobAdmission::Decision::AccountLimit;
+    const char* reason = account ? "account_limit" : "no_room";
+    m_environment.metrics->increment("lentilsaddle_batch_submissions_total", { { "outcome", reason } });
+    writeLog(LogLevel::Warning, "api", "job refused",
+        { { "job", submit.job.id.value() }, { "account", submit.job.account.value() }, { "reason", reason },
+            { "job_bytes", std::to_string(state::batch::jobMemoryBytes(submit.job)) },
+            { "accepted_bytes", std::to_string(m_table.activeBytes()) } });
+    submit.reply(account ? ChangeOutcome::AccountLimit : ChangeOutcome::NoRoom);
+}
+
 void BatchTask::afterLookup(const state::JobId& job, const std::function<void(bool upToDate)>& callback)
 {
     const state::batch::BatchJobEntry* entry = m_table.find(job);
@@ -458,6 +493,7 @@
     loop().startTimer(readinessInterval, [this] { watchReadiness(); });
     updateReadiness();
     recordStreamAges();
+    m_environment.metrics->setGauge("lentilsaddle_batch_job_memory_bytes", static_cast<double>(m_table.activeBytes()));
     if (m_cancellationPruner && m_leadership->leading())
         m_cancellationPruner->run();
 }
--- a/coordination/batch/BatchTask.h
+++ b/coordination/batch/BatchTask.h
@@ -8,6 +8,7 @@
 #include "coordination/batch/BatchPlatform.h"
 #include "coordination/decisions/batch/HandoverPolicy.h"
 #include "coordination/decisions/batch/InstanceRanking.h"
+#include "coordination/decisions/batch/JobAdmission.h"
 #include "state/batch/BatchTable.h"
 #include "state/batch/Evacuations.h"
 #include "state/batch/LeaderRecord.h"
@@ -77,8 +78,10 @@
     void handle(const BatchMessage::CountPending& count);
     void handle(const BatchMessage::Drain& drain);
 
-    /// Confirms the submission of a known job and stores an unknown one.
+    /// Confirms the submission of a known job and stores an unknown one, if there is room for it.
     void storeJob(BatchMessage::Submit submit);
+    JobAdmission::Decision decideAdmission(const state::batch::BatchJob& job) const;
+    void refuseJob(const BatchMessage::Submit& submit, JobAdmission::Decision decision);
     /// Calls back at once if the job has ended, otherwise when the journal has been read up to now or a timeout passes.
     /// @param callback receives whether an unknown job was not in the journal at the time of the call.
     void afterLookup(const state::JobId& job, const std::function<void(bool upToDate)>& callback);
@@ -123,6 +126,9 @@
     std::unique_ptr<KeyedReader> m_journalReader;
     std::unique_ptr<KeyedReader> m_directoryReader;
     std::unique_ptr<KeyedReader> m_configurationReader;
+    JobAdmission m_admission;
+    /// Memory of the jobs that are being stored, in bytes.
+    std::size_t m_storingBytes = 0;
     InstanceRanking m_ranking;
     /// Newest term for which requestLeadership() was due.
     std::uint64_t m_requestedTerm = 0;
--- a/daemon/BatchDaemon.cpp
+++ b/daemon/BatchDaemon.cpp
@@ -98,6 +98,7 @@
     // The stop requests for an incomplete gang must reach the workers before their own gang timeout expires.
     options.gangStartTimeout = std::min(options.gangStartTimeout, settings.gangTimeout * 3 / 4);
     options.evacuationLimit = settings.evacuationLimit;
+    options.jobMemoryBytes = settings.jobMemoryBytes();
     options.learnRunTimes = settings.learnRunTimes;
     options.processors = static_cast<int>(std::lround(settings.processors * 1'000));
     return options;
--- a/state/batch/BatchJobEntry.cpp
+++ b/state/batch/BatchJobEntry.cpp
@@ -32,12 +32,16 @@
         return *open;
     if (taskPhase(task.occurrence, task.step, task.index) != BatchTaskState::Phase::Done)
         return {};
+    if (occurrenceDone(task.occurrence))
+        return { .phase = BatchTaskState::Phase::Done };
     std::int32_t run = records(task.occurrence, task.step)->doneRuns[static_cast<std::size_t>(task.index)];
     return { .phase = BatchTaskState::Phase::Done, .run = run };
 }
 
 BatchTaskState::Phase BatchJobEntry::taskPhase(int occurrence, int step, int index) const
 {
+    if (occurrenceDone(occurrence))
+        return BatchTaskState::Phase::Done;
     const StepRecords* known = records(occurrence, step);
     if (known && !known->doneRuns.empty() && known->doneRuns[static_cast<std::size_t>(index)] != notDone)
         return BatchTaskState::Phase::Done;
@@ -95,6 +99,22 @@
     ++records.done;
     ++m_doneCount;
     --m_openCount;
+    if (records.done == taskCount(task.step))
+        removeDoneOccurrence(task.occurrence);
+}
+
+void BatchJobEntry::removeDoneOccurrence(int occurrence)
+{
+    // That of a job without repetitions goes with its job.
+    if (m_job.occurrences == 1)
+        return;
+    for (int step = 0; step < static_cast<int>(m_job.steps.size()); ++step) {
+        if (!stepDone(occurrence, step))
+            return;
+    }
+    m_doneOccurrences.resize(static_cast<std::size_t>(m_job.occurrences));
+    m_doneOccurrences[static_cast<std::size_t>(occurrence)] = true;
+    m_records.erase(m_records.lower_bound({ occurrence, 0 }), m_records.lower_bound({ occurrence + 1, 0 }));
 }
 
 BatchJobEntry::Phase BatchJobEntry::phase() const
@@ -124,11 +144,13 @@
 bool BatchJobEntry::stepDone(int occurrence, int step) const
 {
     const StepRecords* known = records(occurrence, step);
-    return (known ? known->done : 0) == taskCount(step);
+    return occurrenceDone(occurrence) || (known ? known->done : 0) == taskCount(step);
 }
 
 int BatchJobEntry::queuedTasks(int occurrence, int step) const
 {
+    if (occurrenceDone(occurrence))
+        return 0;
     const StepRecords* known = records(occurrence, step);
     return taskCount(step) - (known ? known->claimed + known->done : 0);
 }
--- a/state/batch/BatchJobEntry.h
+++ b/state/batch/BatchJobEntry.h
@@ -19,6 +19,10 @@
 /// states that a process keeps. As many as the largest step has.
 inline constexpr int maximumOpenTasks = 10'000;
 
+/// Steps of one job, counted in each occurrence, that are offered to a planning round. Further ones wait until some of
+/// these are done.
+inline constexpr int maximumOfferedSteps = 1'000;
+
 /// Specification of a job and the state of its tasks, as replayed from the journal. The memory grows with the tasks
 /// that the journal holds records of, not with those that the specification announces.
 class BatchJobEntry {
@@ -40,7 +44,7 @@
     bool contains(const BatchTaskId& task) const;
 
     /// @param task a task that the job contains.
-    /// @return the state; of a task that is done, the phase and the run.
+    /// @return the state; of a task that is done, the phase and, while its occurrence is not complete, the run.
     BatchTaskState task(const BatchTaskId& task) const;
 
     /// @param index a task that the step contains.
@@ -105,12 +109,20 @@
     int taskCount(int step) const { return m_job.steps[static_cast<std::size_t>(step)].taskCount; }
     /// @return null if the journal holds no record of the step in this occurrence.
     const StepRecords* records(int occurrence, int step) const;
+    bool occurrenceDone(int occurrence) const
+    {
+        return !m_doneOccurrences.empty() && m_doneOccurrences[static_cast<std::size_t>(occurrence)];
+    }
+    /// Replaces the records of an occurrence by a mark if all of its tasks are done.
+    void removeDoneOccurrence(int occurrence);
     void setDone(StepRecords& records, const BatchTaskId& task, const BatchTaskState& taskState);
 
     BatchJob m_job;
     std::size_t m_totalTasks = 0;
     /// By occurrence and step.
     std::map<std::pair<int, int>, StepRecords> m_records;
+    /// Occurrences of which all tasks are done; they have no records. Empty while there is none.
+    std::vector<bool> m_doneOccurrences;
     std::size_t m_openCount = 0;
     std::size_t m_doneCount = 0;
     /// Whether a task has ever been claimed.
--- a/state/batch/BatchSettings.cpp
+++ b/state/batch/BatchSettings.cpp
@@ -17,6 +17,9 @@
     // The rest is for the state of the jobs and for what libraries and the system keep for each connection. An eighth
     // of 120 MB holds the requests of 1,200 clients of 4,000 bytes each twice.
     constexpr std::size_t partForRequests = 8;
+    constexpr std::size_t partForJobs = 3;
+    // The largest job that a client may submit is accepted on any machine.
+    constexpr std::size_t minimumJobMemory = 32 * megabyte;
     // A single body of the largest size is accepted on any machine.
     constexpr std::size_t minimumRequestMemory = 2 * megabyte;
 
@@ -31,8 +34,17 @@
 
 std::size_t BatchSettings::requestMemoryBytes() const
 {
-    std::size_t memory = memoryMegabytes > 0 ? memoryMegabytes : unknownMemoryMegabytes;
-    return std::max(memory * megabyte / partForRequests, minimumRequestMemory);
+    return std::max(knownMemoryBytes() / partForRequests, minimumRequestMemory);
+}
+
+std::size_t BatchSettings::jobMemoryBytes() const
+{
+    return std::max(knownMemoryBytes() / partForJobs, minimumJobMemory);
+}
+
+std::size_t BatchSettings::knownMemoryBytes() const
+{
+    return (memoryMegabytes > 0 ? memoryMegabytes : unknownMemoryMegabytes) * megabyte;
 }
 
 } // namespace lentilsaddle::state::batch
--- a/state/batch/BatchSettings.h
+++ b/state/batch/BatchSettings.h
@@ -38,7 +38,13 @@
     /// @return bytes for the unfinished requests of all listeners.
     std::size_t requestMemoryBytes() const;
 
+    /// @return bytes for the accepted jobs that have not ended.
+    std::size_t jobMemoryBytes() const;
+
     bool enabled() const { return !apiAddress.empty(); }
+
+private:
+    std::size_t knownMemoryBytes() const;
 };
 
 } // namespace lentilsaddle::state::batch
--- a/state/batch/BatchTable.cpp
+++ b/state/batch/BatchTable.cpp
@@ -1,5 +1,7 @@
 #include "state/batch/BatchTable.h"
 
+#include "state/batch/JobMemory.h"
+
 #include <utility>
 
 namespace lentilsaddle::state::batch {
@@ -78,10 +80,27 @@
 
 void BatchTable::updateActive(const BatchJobEntry& entry)
 {
-    if (entry.finished())
-        m_active.erase(entry.job().id);
-    else
-        m_active.insert(entry.job().id);
+    const BatchJob& job = entry.job();
+    if (!entry.finished()) {
+        if (!m_active.insert(job.id).second)
+            return;
+        m_activeBytes += jobMemoryBytes(job);
+        m_accountBytes[job.account] += jobMemoryBytes(job);
+        return;
+    }
+    if (m_active.erase(job.id) == 0)
+        return;
+    m_activeBytes -= jobMemoryBytes(job);
+    auto account = m_accountBytes.find(job.account);
+    account->second -= jobMemoryBytes(job);
+    if (account->second == 0)
+        m_accountBytes.erase(account);
+}
+
+std::size_t BatchTable::activeBytes(const AccountId& account) const
+{
+    auto found = m_accountBytes.find(account);
+    return found == m_accountBytes.end() ? 0 : found->second;
 }
 
 } // namespace lentilsaddle::state::batch
--- a/state/batch/BatchTable.h
+++ b/state/batch/BatchTable.h
@@ -43,6 +43,12 @@
     /// @return jobs that are not finished, by identifier.
     const std::set<JobId>& activeJobs() const { return m_active; }
 
+    /// @return memory of the unfinished jobs, by jobMemoryBytes().
+    std::size_t activeBytes() const { return m_activeBytes; }
+
+    /// @return the same of the jobs of an account.
+    std::size_t activeBytes(const AccountId& account) const;
+
     /// @return number of unfinished jobs of a queue of which no worker is known to have begun a task.
     std::size_t pendingCount(const std::string& queue) const;
 
@@ -60,6 +66,9 @@
     /// An unordered_map keeps the addresses of its entries.
     Jobs m_jobs;
     std::set<JobId> m_active;
+    std::size_t m_activeBytes = 0;
+    /// By account; without accounts that have no unfinished job.
+    std::map<AccountId, std::size_t> m_accountBytes;
     /// Cancellations, starts and task states of jobs that are not known yet.
     std::set<JobId> m_earlyCancellations;
     std::set<JobId> m_earlyStarts;
--- a/tests/coordination/batch/BatchTaskTest.cpp
+++ b/tests/coordination/batch/BatchTaskTest.cpp
@@ -553,4 +553,39 @@
     }));
 }
 
+// Guards against accepted jobs without a limit of their sum: one account's are refused, and are truly not stored, while
+// those of another account find room, also after a restart, and again when jobs have ended.
+TEST_F(BatchTaskTest, JobsBeyondTheMemoryForThemAreRefused)
+{
+    m_options.jobMemoryBytes = 12'000;
+    auto task = startInstance("e-1");
+    ASSERT_TRUE(waitUntil([this] { return m_ready.load(); }));
+    auto numberedJob = [](int number, const std::string& account) {
+        BatchJob job = makeJob();
+        job.id = state::JobId("00000000000000" + std::to_string(10 + number));
+        job.account = state::AccountId(account);
+        job.queue.priority = 1;
+        job.steps.front().requiredLabel = "none";
+        return job;
+    };
+    int accepted = 0;
+    while (accepted < 20 && submit(*task, numberedJob(accepted, "a")) == ChangeOutcome::Done)
+        ++accepted;
+    ASSERT_LT(accepted, 20);
+    BatchJob refused = numberedJob(accepted, "a");
+    EXPECT_EQ(submit(*task, refused), ChangeOutcome::AccountLimit);
+    EXPECT_FALSE(std::ranges::any_of(m_store.records(Stream::Journal),
+        [&](const KeyedRecord& record) { return record.key == makeKey(jobKeyPrefix, refused.id.value()); }));
+    EXPECT_EQ(submit(*task, numberedJob(0, "a")), ChangeOutcome::Done) << "a repeated submission was refused";
+    EXPECT_EQ(submit(*task, numberedJob(50, "b")), ChangeOutcome::Done);
+
+    task.reset();
+    task = startInstance("e-2");
+    ASSERT_TRUE(waitUntil([&] { return query(*task, refused.id).noSuchJob; }));
+    EXPECT_EQ(submit(*task, refused), ChangeOutcome::AccountLimit);
+    for (int number = 0; number < accepted; ++number)
+        EXPECT_EQ(cancel(*task, numberedJob(number, "a").id), ChangeOutcome::Done);
+    EXPECT_EQ(submit(*task, refused), ChangeOutcome::Done);
+}
+
 } // namespace lentilsaddle::coordination::batch
--- a/tests/protocol/SettingsCodecTest.cpp
+++ b/tests/protocol/SettingsCodecTest.cpp
@@ -48,6 +48,8 @@
     EXPECT_EQ(parseSettings(required + "batch:\n  memory_mb: 120\n", "s.yaml").batch.requestMemoryBytes(), 15U << 20);
     EXPECT_EQ(parseSettings(required + "batch:\n  memory_mb: 1\n", "s.yaml").batch.requestMemoryBytes(), 2U << 20);
     EXPECT_EQ(parseSettings(required + "http:\n  memory_mb: 512\n", "s.yaml").requestMemoryBytes(), 64U << 20);
+    EXPECT_EQ(parseSettings(required + "batch:\n  memory_mb: 240\n", "s.yaml").batch.jobMemoryBytes(), 80U << 20);
+    EXPECT_EQ(parseSettings(required + "batch:\n  memory_mb: 1\n", "s.yaml").batch.jobMemoryBytes(), 32U << 20);
     EXPECT_EQ(parseSettings(required, "s.yaml").requestMemoryBytes(), 256U << 20);
 }
 
--- a/tests/state/batch/BatchTableTest.cpp
+++ b/tests/state/batch/BatchTableTest.cpp
@@ -174,6 +174,35 @@
     EXPECT_LE(allocated() - before, jobs * bytesPerJob);
 }
 
+// Guards against records of complete occurrences that are kept until the job ends, and against their tasks running
+// again.
+TEST(BatchTable, CompleteOccurrenceStaysDoneWithoutRecords)
+{
+    BatchTable table;
+    BatchJob job = makeJob(2);
+    job.steps.resize(2, job.steps.front());
+    job.occurrences = 3;
+    table.applyJob(job);
+    std::uint64_t offset = 0;
+    for (int step : { 0, 1 }) {
+        for (int index : { 0, 1 }) {
+            EXPECT_FALSE(table.find(jobId)->stepDone(1, step));
+            BatchTaskId task { .job = jobId, .occurrence = 1, .step = step, .index = index };
+            table.applyTask(task, { .phase = TaskPhase::Done, .run = 1 }, ++offset);
+            table.applyTask(task, { .phase = TaskPhase::Queued, .run = 1 }, ++offset);
+        }
+    }
+    const BatchJobEntry& entry = *table.find(jobId);
+    for (int step : { 0, 1 }) {
+        EXPECT_TRUE(entry.stepDone(1, step));
+        EXPECT_EQ(entry.queuedTasks(1, step), 0);
+        EXPECT_EQ(entry.task({ .job = jobId, .occurrence = 1, .step = step, .index = 1 }).phase, TaskPhase::Done);
+        EXPECT_EQ(entry.queuedTasks(0, step), 2);
+        EXPECT_EQ(entry.queuedTasks(2, step), 2);
+    }
+    EXPECT_EQ(entry.phase(), Phase::Running);
+}
+
 // Guards against a done task that a late record makes queued again, and against a lost run number of a done task.
 TEST(BatchTable, DoneTaskKeepsItsRunAndItsPhase)
 {
