Planner: look for runs on lent capacity once a round

Each waiting unit looked through all running groups for one on lent capacity, although most rounds have none: with thousands of groups and hundreds of waiting units that is work of the leader without a result, and leaders have a fraction of a core. The planner now looks once, when the round begins. No decision changes; the tests of Backfill and of the planner pass as before.

--- a/coordination/decisions/batch/BatchPlanner.cpp
+++ b/coordination/decisions/batch/BatchPlanner.cpp
@@ -39,6 +39,7 @@
     , m_held(m_capacity, m_units)
     , m_backfill(options.backfill, m_capacity, m_groups)
 {
+    m_anyBackfilled = std::ranges::any_of(m_groups, [](const RunningGroup& group) { return group.backfilled; });
     m_held.restore(input.holds, m_now, m_options.holdLimit);
 }
 
@@ -96,8 +97,7 @@
 
 void BatchPlanner::endBackfill(std::size_t index)
 {
-    bool any = std::ranges::any_of(m_groups, [](const RunningGroup& group) { return group.backfilled; });
-    if (!any)
+    if (!m_anyBackfilled)
         return;
     BatchUnit unit = m_units[index];
     // Tasks that are no gang start one by one.
--- a/coordination/decisions/batch/BatchPlanner.h
+++ b/coordination/decisions/batch/BatchPlanner.h
@@ -179,6 +179,8 @@
     Backfill m_backfill;
     BatchPlan m_plan;
     std::size_t m_reservations = 0;
+    /// Whether any run uses lent capacity.
+    bool m_anyBackfilled = false;
 };
 
 } // namespace lentilsaddle::coordination::batch
